--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -217,7 +217,8 @@
     for name, wire_name, nested in codec._fields(cls):
         if nested is not None:
             part = make(nested)
-            values[name] = part if name == "outcome" else (part, part)
+            single = name in ("outcome", "sender")
+            values[name] = part if single else (part, part)
             continue
         probe = getattr(codec._SCHEMA, cls.__name__).new_message()
         zero = getattr(probe, wire_name)
--- /dev/null
+++ b/src/applespring/core/catalog.py
@@ -0,0 +1,200 @@
+"""The upstreams that may receive work, as the registry lists them.
+
+The registry of the platform lags, may be away, and loses entries of living
+upstreams while it is away. The catalog keeps what was listed last, takes a
+removal at once while the registry is sound, and after an outage keeps a
+removed upstream until living ones have had time to be listed again.
+"""
+
+import enum
+import math
+from collections.abc import Iterable, Mapping
+
+# Entries of living upstreams are back within about two seconds of the
+# registry's return (users' letter); the rest covers the delay of a read.
+RELIST_S = 2.2
+# A registry is taken as disturbed for this long after contact is back, since
+# removals caused by the outage are still being read.
+SETTLE_S = 2.2
+
+
+class UpstreamState(enum.Enum):
+    """Whether a listed upstream takes new work."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class ListedUpstream:
+    """One upstream as its registry entry describes it.
+
+    Attributes:
+        name: Identity of one start of the upstream.
+        born_ms: Unix milliseconds of its start, 0 when not told.
+        pool: Pool that it belongs to.
+        address: IP:port.
+        failure_domain: Failure domain that it stands in.
+        slots: Requests that it executes at once.
+        state: Whether it takes new work.
+        revision: Revision of the entry in the registry.
+    """
+
+    __slots__ = (
+        "name",
+        "born_ms",
+        "pool",
+        "address",
+        "failure_domain",
+        "slots",
+        "state",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        born_ms: int,
+        pool: str,
+        address: str,
+        failure_domain: str,
+        slots: int,
+        state: UpstreamState,
+        revision: int,
+    ) -> None:
+        self.name = name
+        self.born_ms = born_ms
+        self.pool = pool
+        self.address = address
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.state = state
+        self.revision = revision
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Name and start; it changes when the upstream starts anew."""
+        return (self.name, self.born_ms)
+
+
+class Catalog:
+    """Upstreams by name, with the time at which removed ones are dropped.
+
+    Attributes:
+        version: Increases with each change.
+        revision: Registry revision up to which changes are known.
+    """
+
+    __slots__ = (
+        "version",
+        "revision",
+        "_listed",
+        "_drop_at",
+        "_away",
+        "_back_at",
+    )
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.revision = 0
+        self._listed: dict[str, ListedUpstream] = {}
+        self._drop_at: dict[str, float] = {}
+        self._away = False
+        self._back_at = -math.inf
+
+    def lose_contact(self) -> None:
+        """Notes that the registry cannot be read."""
+        self._away = True
+
+    def regain_contact(self, now: float) -> None:
+        """Notes that the registry is read again."""
+        if self._away:
+            self._away = False
+            self._back_at = now
+
+    def put(self, upstream: ListedUpstream) -> bool:
+        """Takes an entry; returns whether anything changed.
+
+        An entry older than the one held is ignored.
+        """
+        held = self._listed.get(upstream.name)
+        self._drop_at.pop(upstream.name, None)
+        if held is not None:
+            if upstream.revision < held.revision:
+                return False
+            if (
+                held.identity == upstream.identity
+                and held.state is upstream.state
+                and held.address == upstream.address
+                and held.pool == upstream.pool
+            ):
+                held.revision = upstream.revision
+                return False
+        self._listed[upstream.name] = upstream
+        self.version += 1
+        return True
+
+    def remove(self, name: str, now: float) -> bool:
+        """Takes a removal; returns whether the upstream is dropped now."""
+        if name not in self._listed:
+            return False
+        if self._away or now < self._back_at + SETTLE_S:
+            start = now if self._away else self._back_at
+            self._drop_at.setdefault(name, start + RELIST_S)
+            return False
+        return self._drop(name)
+
+    def withdraw(self, name: str) -> bool:
+        """Drops an upstream at once; returns whether it was listed."""
+        return self._drop(name)
+
+    def replace(self, entries: Iterable[ListedUpstream], now: float) -> None:
+        """Takes a whole reading of the registry."""
+        entries = list(entries)
+        names = {entry.name for entry in entries}
+        for entry in entries:
+            self.put(entry)
+        for name in list(self._listed):
+            if name not in names:
+                self.remove(name, now)
+
+    def expire(self, now: float) -> list[str]:
+        """Drops what was not listed again in time; returns the names."""
+        if self._away:
+            return []
+        due = [name for name, at in self._drop_at.items() if at <= now]
+        for name in due:
+            self._drop(name)
+        return due
+
+    def _drop(self, name: str) -> bool:
+        self._drop_at.pop(name, None)
+        if self._listed.pop(name, None) is None:
+            return False
+        self.version += 1
+        return True
+
+    def get(self, name: str) -> ListedUpstream | None:
+        """Returns a listed upstream."""
+        return self._listed.get(name)
+
+    def ready(self, pool: str) -> list[ListedUpstream]:
+        """Returns the upstreams of a pool that take new work, by name."""
+        return sorted(
+            (
+                upstream
+                for upstream in self._listed.values()
+                if upstream.pool == pool
+                and upstream.state is UpstreamState.READY
+            ),
+            key=lambda upstream: upstream.name,
+        )
+
+    def is_ready(self, name: str) -> bool:
+        """Returns whether an upstream takes new work."""
+        found = self._listed.get(name)
+        return found is not None and found.state is UpstreamState.READY
+
+    def all(self) -> Mapping[str, ListedUpstream]:
+        """Returns every listed upstream by name."""
+        return self._listed
--- /dev/null
+++ b/src/applespring/core/chain.py
@@ -0,0 +1,181 @@
+"""Progress of the stages of one request.
+
+Stages form a graph: a stage begins when all stages that it follows are done.
+A stage with a large result that only the request itself needs begins last, so
+that its result does not take up room while the others are made.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from applespring.core.batch import LARGE_RESULT_BYTES
+from applespring.core.route import StageStep
+
+
+class Chain:
+    """Which stages of a request are done, begun and due.
+
+    Attributes:
+        steps: Stages that the request does not omit, by index.
+        counts: Pieces of each of them.
+    """
+
+    __slots__ = ("steps", "counts", "_handles", "_begun", "_released")
+
+    def __init__(
+        self, steps: Sequence[StageStep], counts: Sequence[int]
+    ) -> None:
+        self.steps: dict[int, StageStep] = {
+            step.index: step
+            for step in steps
+            if step.index < len(counts) and counts[step.index] > 0
+        }
+        self.counts = {index: counts[index] for index in self.steps}
+        self._handles: dict[int, dict[int, str]] = {i: {} for i in self.steps}
+        self._begun: set[int] = set()
+        self._released: set[int] = set()
+
+    def begin(self, index: int) -> None:
+        """Notes that the pieces of a stage were submitted."""
+        self._begun.add(index)
+
+    def restart(self, index: int) -> None:
+        """Forgets the results of a stage and of all that were made of it."""
+        self._begun.discard(index)
+        self._released.discard(index)
+        self._handles[index] = {}
+        for step in self.steps.values():
+            if index in step.after and step.index in self._begun:
+                self.restart(step.index)
+
+    def finish(self, index: int, segment: int, handle: str) -> None:
+        """Takes the result of a piece."""
+        self._handles[index][segment] = handle
+
+    def is_done(self, index: int) -> bool:
+        """Returns whether every piece of a stage has a result."""
+        return len(self._handles[index]) == self.counts[index]
+
+    @property
+    def done(self) -> bool:
+        """Whether every stage is done."""
+        return all(self.is_done(index) for index in self.steps)
+
+    @property
+    def begun(self) -> bool:
+        """Whether any piece was submitted."""
+        return bool(self._begun)
+
+    def is_begun(self, index: int) -> bool:
+        """Returns whether the pieces of a stage were submitted."""
+        return index in self._begun
+
+    def begun_stages(self) -> set[int]:
+        """Returns the stages whose pieces were submitted."""
+        return set(self._begun)
+
+    def missing(self, index: int) -> list[int]:
+        """Returns the numbers of the pieces of a stage without a result."""
+        held = self._handles[index]
+        return [n for n in range(self.counts[index]) if n not in held]
+
+    def handles(self, index: int) -> list[str]:
+        """Returns the results of a stage in order."""
+        held = self._handles[index]
+        return [held[number] for number in sorted(held)]
+
+    def inputs(self, index: int) -> list[str]:
+        """Returns the results that the pieces of a stage take."""
+        return [
+            handle
+            for before in self.steps[index].after
+            if before in self.steps
+            for handle in self.handles(before)
+        ]
+
+    def due(self) -> list[int]:
+        """Returns the stages to submit now."""
+        ready = [
+            index
+            for index, step in self.steps.items()
+            if index not in self._begun and self._inputs_done(step)
+        ]
+        last = [i for i in ready if self._is_last(self.steps[i])]
+        rest = [i for i in ready if i not in last]
+        waiting = [i for i in self.steps if i not in self._begun]
+        # A large result begins beside the last stage of the other branch.
+        if last and all(i in ready for i in waiting):
+            return ready
+        return rest
+
+    def _inputs_done(self, step: StageStep) -> bool:
+        return all(
+            self.is_done(index) for index in step.after if index in self.steps
+        )
+
+    def _is_last(self, step: StageStep) -> bool:
+        return (
+            step.result_bytes >= LARGE_RESULT_BYTES
+            and not step.after
+            and self._is_final(step.index)
+        )
+
+    def _is_final(self, index: int) -> bool:
+        return not any(index in step.after for step in self.steps.values())
+
+    def final_handles(self) -> list[str]:
+        """Returns the results that the request itself takes, in order."""
+        return [
+            handle
+            for index in sorted(self.steps)
+            if self._is_final(index)
+            for handle in self.handles(index)
+        ]
+
+    def take_unneeded(self) -> dict[int, list[str]]:
+        """Returns results that no stage needs any more, once, by stage."""
+        unneeded = {}
+        for index in self.steps:
+            if self._is_final(index) or index in self._released:
+                continue
+            users = [s for s in self.steps.values() if index in s.after]
+            if all(self.is_done(step.index) for step in users):
+                self._released.add(index)
+                unneeded[index] = self.handles(index)
+        return unneeded
+
+    def take_rest(self) -> dict[int, list[str]]:
+        """Returns all results not released yet, by stage."""
+        rest = {
+            index: self.handles(index)
+            for index in self.steps
+            if index not in self._released and self._handles[index]
+        }
+        self._released.update(rest)
+        return rest
+
+    def depth_after(self, index: int) -> int:
+        """Returns how many stages follow one another after a stage."""
+        users = [s.index for s in self.steps.values() if index in s.after]
+        return max((1 + self.depth_after(i) for i in users), default=0)
+
+
+def remaining_s(
+    chain: Chain, index: int, call_s: Mapping[int, float], run_s: float
+) -> float:
+    """Returns how long the request takes after a stage is done.
+
+    Args:
+        chain: The stages of the request.
+        index: The stage.
+        call_s: Expected time of a call of each stage, by index.
+        run_s: Expected time from the last stage to the first event.
+    """
+    users = [s.index for s in chain.steps.values() if index in s.after]
+    after = max(
+        (
+            call_s.get(i, 0.0) + remaining_s(chain, i, call_s, run_s)
+            for i in users
+        ),
+        default=run_s,
+    )
+    return after
--- /dev/null
+++ b/src/applespring/core/peertable.py
@@ -0,0 +1,149 @@
+"""The other instances, as heartbeats and what peers pass on tell of them."""
+
+import math
+from collections.abc import Iterable
+
+from applespring.core.placement import rank
+
+# Four missed heartbeats at the interval of relay/peers.py.
+SILENCE_S = 1.0
+# After this long a silent instance is no longer passed on or remembered.
+FORGET_S = 20.0
+
+
+class PeerState:
+    """States of an instance, as heartbeats name them."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Peer:
+    """What is known of one instance.
+
+    Attributes:
+        name: Name of the instance.
+        incarnation: Number of its start.
+        address: IP:port of its peer link.
+        failure_domain: Where it stands.
+        state: LIVE or LEAVING.
+        sequence: Number of its newest heartbeat.
+        document_version: Routing document that it has in force.
+        heard_at: When its sequence last advanced here.
+        direct_at: When a datagram of its own last arrived.
+    """
+
+    __slots__ = (
+        "name",
+        "incarnation",
+        "address",
+        "failure_domain",
+        "state",
+        "sequence",
+        "document_version",
+        "heard_at",
+        "direct_at",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        address: str,
+        failure_domain: str,
+        state: str = PeerState.LIVE,
+        sequence: int = 0,
+        document_version: int = 0,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+        self.failure_domain = failure_domain
+        self.state = state
+        self.sequence = sequence
+        self.document_version = document_version
+        self.heard_at = -math.inf
+        self.direct_at = -math.inf
+
+
+class PeerTable:
+    """All known instances but this one."""
+
+    __slots__ = ("_name", "_peers")
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._peers: dict[str, Peer] = {}
+
+    def hear(self, row: Peer, now: float, *, direct: bool) -> bool:
+        """Takes what a datagram says of an instance.
+
+        Returns:
+            Whether the instance is new or has started anew.
+        """
+        if row.name == self._name:
+            return False
+        held = self._peers.get(row.name)
+        if held is None or row.incarnation > held.incarnation:
+            row.heard_at = now if direct else now - SILENCE_S / 2
+            row.direct_at = now if direct else -math.inf
+            self._peers[row.name] = row
+            return True
+        if row.incarnation < held.incarnation:
+            return False
+        if row.sequence > held.sequence:
+            held.sequence = row.sequence
+            held.heard_at = now
+            held.state = row.state
+            held.address = row.address
+            held.document_version = max(
+                held.document_version, row.document_version
+            )
+        if direct:
+            held.direct_at = now
+        return False
+
+    def expire(self, now: float) -> None:
+        """Forgets instances that have been silent for long."""
+        for name, peer in list(self._peers.items()):
+            if now - peer.heard_at > FORGET_S:
+                del self._peers[name]
+
+    def known(self) -> list[Peer]:
+        """Returns every remembered instance."""
+        return list(self._peers.values())
+
+    def get(self, name: str) -> Peer | None:
+        """Returns one instance."""
+        return self._peers.get(name)
+
+    def is_reachable(self, name: str, incarnation: int, now: float) -> bool:
+        """Returns whether an incarnation has been heard directly of late."""
+        peer = self._peers.get(name)
+        return (
+            peer is not None
+            and peer.incarnation == incarnation
+            and now - peer.direct_at <= SILENCE_S
+        )
+
+    def reachable(self, now: float) -> list[Peer]:
+        """Returns the live instances that have been heard directly of late."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.state == PeerState.LIVE
+            and now - peer.direct_at <= SILENCE_S
+        ]
+
+    def rank_keepers(
+        self, subject: str, now: float, *, self_live: bool
+    ) -> list[str]:
+        """Returns the instances that may keep a queue, best first.
+
+        Every instance computes the same order from the same members. This
+        instance itself is part of it unless it is leaving.
+        """
+        names: Iterable[str] = [peer.name for peer in self.reachable(now)]
+        if self_live:
+            names = [*names, self._name]
+        return rank(f"queue\x1f{subject}", names)
--- a/src/applespring/core/reason.py
+++ b/src/applespring/core/reason.py
@@ -152,3 +152,15 @@
 INTERNAL_ERROR = _reason(
     "internal_error", 500, "The instance failed internally.", retry=False
 )
+UNKNOWN_ROUTE = _reason(
+    "unknown_route", 404, "No route serves this host and path.", retry=False
+)
+UNKNOWN_KEY = _reason(
+    "unknown_key", 401, "No client account has this key.", retry=False
+)
+HEAD_TOO_LARGE = _reason(
+    "head_too_large", 431, "The request head is too large.", retry=False
+)
+STAGE_FAILED = _reason(
+    "stage_failed", 503, "A stage could not be executed.", retry=True
+)
--- a/src/applespring/peer/link.py
+++ b/src/applespring/peer/link.py
@@ -121,9 +121,20 @@
         frames_rejected: Number of connections closed for a malformed frame.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(
+        self, host: str, port: int, *, close_silent: bool = False
+    ) -> None:
+        """Takes the address to bind.
+
+        Args:
+            host: IP address.
+            port: TCP and UDP port, 0 for any.
+            close_silent: Whether a connection on which a reply is overdue is
+                closed, for networks in which connections go silent for good.
+        """
         self._host = host
         self.port = port
+        self._close_silent = close_silent
         self.frames_rejected = 0
         self._udp: UDPSocket | None = None
         self._udp_lock = anyio.Lock()
@@ -219,6 +230,8 @@
                 await channel.write(number, data)
                 await pending.done.wait()
         except _ENDED as exc:
+            if self._close_silent and channel is not None:
+                await channel.close()
             kind = PeerLostError if written else PeerUnreachableError
             detail = str(exc) or type(exc).__name__
             raise kind(f"{address}: {detail}") from exc
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -213,6 +213,119 @@
     DEFAULTS = {"accepted": True, "detail": ""}
 
 
+class PeerRow(Message):
+    """One instance as the sender of a gossip message knows it."""
+
+    __slots__ = (
+        "name",
+        "incarnation",
+        "address",
+        "failure_domain",
+        "state",
+        "sequence",
+        "document_version",
+    )
+
+
+class UpstreamLoad(Message):
+    """Requests and tokens that the sender has at one upstream."""
+
+    __slots__ = ("upstream", "requests", "tokens")
+
+
+class LeavingUpstream(Message):
+    """One start of an upstream that takes no new work."""
+
+    __slots__ = ("name", "born_ms")
+
+
+class Gossip(Message):
+    """What a relay instance tells others, sent as a datagram."""
+
+    __slots__ = ("sender", "peers", "loads", "leaving")
+    DEFAULTS = {"peers": (), "loads": (), "leaving": ()}
+    NESTED = {
+        "sender": PeerRow,
+        "peers": PeerRow,
+        "loads": UpstreamLoad,
+        "leaving": LeavingUpstream,
+    }
+
+
+class InputHandle(Message):
+    """Where a result of a stage is kept."""
+
+    __slots__ = ("handle",)
+
+
+class PieceOrder(Message):
+    """One piece of a submitted stage."""
+
+    __slots__ = ("segment", "key")
+
+
+class StageSubmit(Message):
+    """Pieces of a stage of one request, for the keeper of the pool's queue.
+
+    `deadline_s` and `aim_s` are the time left until this stage must be done
+    at all, and for an answer on time; `aim_s` is negative for a late request.
+    `run_s` is how long the request takes after the stage.
+    """
+
+    __slots__ = (
+        "origin",
+        "origin_address",
+        "ticket",
+        "pool",
+        "request",
+        "stage",
+        "deadline_s",
+        "aim_s",
+        "run_s",
+        "priority",
+        "failure_domain",
+        "result_bytes",
+        "begun",
+        "inputs",
+        "pieces",
+    )
+    NESTED = {"inputs": InputHandle, "pieces": PieceOrder}
+
+
+class StageAck(Message):
+    """Whether the keeper queued the pieces; nothing has run if not."""
+
+    __slots__ = ("accepted", "reason", "retry_after_s")
+    DEFAULTS = {"accepted": True, "reason": "", "retry_after_s": 0.0}
+
+
+class PieceResult(Message):
+    """Result of a piece, or why there is none."""
+
+    __slots__ = ("segment", "handle", "failure", "failure_domain")
+    DEFAULTS = {"handle": "", "failure": "", "failure_domain": ""}
+
+
+class StageDone(Message):
+    """Results of pieces, delivered to the instance that submitted them."""
+
+    __slots__ = ("ticket", "results")
+    NESTED = {"results": PieceResult}
+
+
+class StageCancel(Message):
+    """Withdraws the waiting pieces of a request."""
+
+    __slots__ = ("request",)
+
+
+class StageRelease(Message):
+    """Results that nobody needs any more."""
+
+    __slots__ = ("pool", "handles")
+    NESTED = {"handles": InputHandle}
+
+
 MESSAGES = {
     "heartbeat": Heartbeat,
     "heartbeatEcho": HeartbeatEcho,
@@ -225,4 +338,10 @@
     "keyHandover": KeyHandover,
     "listUpdate": ListUpdate,
     "ack": Ack,
+    "gossip": Gossip,
+    "stageSubmit": StageSubmit,
+    "stageAck": StageAck,
+    "stageDone": StageDone,
+    "stageCancel": StageCancel,
+    "stageRelease": StageRelease,
 }
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -129,6 +129,88 @@
   detail @1 :Text;
 }
 
+struct PeerRow {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  state @4 :Text;
+  sequence @5 :UInt64;
+  documentVersion @6 :UInt64;
+}
+
+struct UpstreamLoad {
+  upstream @0 :Text;
+  requests @1 :UInt32;
+  tokens @2 :UInt32;
+}
+
+struct Gossip {
+  sender @0 :PeerRow;
+  peers @1 :List(PeerRow);
+  loads @2 :List(UpstreamLoad);
+  leaving @3 :List(LeavingUpstream);
+}
+
+struct LeavingUpstream {
+  name @0 :Text;
+  bornMs @1 :UInt64;
+}
+
+struct PieceOrder {
+  segment @0 :UInt32;
+  key @1 :Text;
+}
+
+struct StageSubmit {
+  origin @0 :Text;
+  originAddress @1 :Text;
+  ticket @2 :UInt64;
+  pool @3 :Text;
+  request @4 :Text;
+  stage @5 :UInt32;
+  deadlineS @6 :Float64;
+  aimS @7 :Float64;
+  runS @8 :Float64;
+  priority @9 :UInt32;
+  failureDomain @10 :Text;
+  resultBytes @11 :Float64;
+  begun @12 :Bool;
+  inputs @13 :List(InputHandle);
+  pieces @14 :List(PieceOrder);
+}
+
+struct InputHandle {
+  handle @0 :Text;
+}
+
+struct StageAck {
+  accepted @0 :Bool;
+  reason @1 :Text;
+  retryAfterS @2 :Float64;
+}
+
+struct PieceResult {
+  segment @0 :UInt32;
+  handle @1 :Text;
+  failure @2 :Text;
+  failureDomain @3 :Text;
+}
+
+struct StageDone {
+  ticket @0 :UInt64;
+  results @1 :List(PieceResult);
+}
+
+struct StageCancel {
+  request @0 :Text;
+}
+
+struct StageRelease {
+  pool @0 :Text;
+  handles @1 :List(InputHandle);
+}
+
 struct Envelope {
   union {
     heartbeat @0 :Heartbeat;
@@ -142,5 +224,11 @@
     keyHandover @8 :KeyHandover;
     listUpdate @9 :ListUpdate;
     ack @10 :Ack;
+    gossip @11 :Gossip;
+    stageSubmit @12 :StageSubmit;
+    stageAck @13 :StageAck;
+    stageDone @14 :StageDone;
+    stageCancel @15 :StageCancel;
+    stageRelease @16 :StageRelease;
   }
 }
--- /dev/null
+++ b/src/applespring/platform/document.py
@@ -0,0 +1,175 @@
+"""Decodes the operator's configuration and the workers' registry entries.
+
+The names in string literals are the platform's; the types are the product's.
+"""
+
+import base64
+import binascii
+from typing import Any
+
+import orjson
+
+from applespring.core.catalog import ListedUpstream, UpstreamState
+from applespring.core.errors import MessageError
+from applespring.core.route import (
+    BatchSpec,
+    CallerLimits,
+    Client,
+    EngineSpec,
+    Kind,
+    PoolSpec,
+    Route,
+    RoutingDocument,
+    StageStep,
+)
+
+DOCUMENT_KEY = "op/config"
+DOCUMENT_PREFIX = "op/"
+ENTRY_PREFIX = "servers/"
+_STATES = {
+    "ready": UpstreamState.READY,
+    "draining": UpstreamState.LEAVING,
+}
+_MB = 1_000_000
+
+
+def decode_value(item: dict[str, Any]) -> bytes:
+    """Returns the bytes of an item of the store.
+
+    Raises:
+        MessageError: The item has no value in base64.
+    """
+    value = item.get("value")
+    if not isinstance(value, str):
+        raise MessageError("an item of the store has no value")
+    try:
+        return base64.b64decode(value, validate=True)
+    except binascii.Error as exc:
+        raise MessageError(f"a value of the store is not base64: {exc}") from (
+            exc
+        )
+
+
+def decode_document(data: bytes) -> RoutingDocument:
+    """Decodes the operator's configuration.
+
+    Raises:
+        MessageError: It is not a configuration.
+    """
+    try:
+        doc = orjson.loads(data)
+        limits = doc.get("limits") or {}
+        return RoutingDocument(
+            version=int(doc["version"]),
+            routes=[_decode_route(r) for r in doc["routes"]],
+            pools=[_decode_pool(s) for s in doc["services"]],
+            limits=CallerLimits(
+                header_bytes=int(limits.get("maxHeaderBytes", 16384)),
+                body_bytes=int(limits.get("maxBodyBytes", 4194304)),
+                header_s=limits.get("headerTimeoutMs", 5000) / 1000,
+                idle_s=limits.get("idleTimeoutMs", 15000) / 1000,
+            ),
+            clients=[
+                Client(t["name"], t["apiKeys"], t.get("priority"))
+                for t in doc.get("tenants") or ()
+            ],
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise MessageError(f"the configuration is malformed: {exc!r}") from exc
+
+
+def _decode_route(route: dict[str, Any]) -> Route:
+    split = route.get("trafficSplit")
+    if split:
+        targets = [(t["service"], float(t["weight"])) for t in split]
+    else:
+        targets = [(route["service"], 1.0)]
+    stages = route.get("stages") or ()
+    return Route(
+        name=route["name"],
+        host=route["host"].lower(),
+        prefix=route["prefix"],
+        kind=Kind(route["kind"]),
+        timeout_s=route["timeoutMs"] / 1000,
+        target_s=route.get("targetLatencyMs", route["timeoutMs"]) / 1000,
+        priority=int(route.get("priority", 0)),
+        targets=targets,
+        attempts_max=int(route.get("maxAttempts", 1)),
+        # `length` is the size of a result, not a number of pieces.
+        stages=[
+            StageStep(i, s["service"], s.get("after") or (), s["length"])
+            for i, s in enumerate(stages)
+        ],
+        public=bool(route.get("public", False)),
+        resumable=bool(route.get("resumable", False)),
+        gap_s=(route.get("targetGapMs") or 0) / 1000,
+        sticky=bool(route.get("stickySessions", False)),
+    )
+
+
+def _decode_pool(service: dict[str, Any]) -> PoolSpec:
+    engine = service.get("engine")
+    segments = service.get("segments")
+    return PoolSpec(
+        name=service["name"],
+        connections_max=int(service.get("maxConnections", 100)),
+        engine=EngineSpec(
+            int(engine.get("slots", 1)),
+            int(engine.get("kvCapacityTokens", 0)),
+        )
+        if engine
+        else None,
+        # `headroomMb` is the memory for results of one worker.
+        batch=BatchSpec(
+            slots=int(segments["slots"]),
+            batch=int(segments["batch"]),
+            call_s=segments["callMs"] / 1000,
+            piece_s=segments["itemMs"] / 1000,
+            room_bytes=segments["headroomMb"] * _MB,
+            result_ttl_s=segments["handleTtlS"],
+        )
+        if segments
+        else None,
+    )
+
+
+def entry_name(key: str) -> str:
+    """Returns the worker's id in the key of a registry entry."""
+    return key.removeprefix(ENTRY_PREFIX)
+
+
+def decode_entry(key: str, data: bytes, revision: int) -> ListedUpstream:
+    """Decodes a registry entry.
+
+    Raises:
+        MessageError: The entry names no worker that can be used.
+    """
+    try:
+        entry = orjson.loads(data)
+        service, address = entry["service"], entry["address"]
+        zone, born = entry.get("zone", ""), entry.get("born", 0)
+        slots = entry.get("slots", 1)
+        state = _STATES[entry["state"]]
+        host, _, port = address.rpartition(":")
+        whole = (
+            bool(host)
+            and 0 < int(port) < 65536
+            and isinstance(service, str)
+            and isinstance(zone, str)
+            and isinstance(born, int)
+            and isinstance(slots, int)
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise MessageError(f"entry {key!r} is malformed: {exc!r}") from exc
+    if not whole:
+        raise MessageError(f"entry {key!r} has a field of the wrong type")
+    return ListedUpstream(
+        name=entry_name(key),
+        born_ms=born,
+        pool=service,
+        address=address,
+        failure_domain=zone,
+        slots=slots,
+        state=state,
+        revision=revision,
+    )
--- /dev/null
+++ b/src/applespring/platform/main.py
@@ -0,0 +1,48 @@
+"""Entry point of applespring-relay on the users' platform."""
+
+import pathlib
+import sys
+from typing import Literal
+
+from applespring.cli import run_program
+from applespring.platform.registry import PlatformRegistry
+from applespring.platform.settings import read_settings
+from applespring.platform.store import Store
+from applespring.platform.wire import PlatformProtocol
+from applespring.relay.compose import run_instance
+
+
+def serve(
+    *,
+    config: pathlib.Path,
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO",
+) -> int:
+    """Serves callers until SIGTERM, then drains.
+
+    Args:
+        config: The platform's settings file.
+        log_level: Lowest level of log lines.
+
+    Returns:
+        0 after a drain.
+
+    Raises:
+        SettingsError: The settings file is missing or malformed.
+    """
+    settings = read_settings(config)
+    return run_instance(
+        settings,
+        PlatformProtocol(),
+        lambda transport, address: PlatformRegistry(Store(transport, address)),
+        lambda: read_settings(config),
+        log_level,
+    )
+
+
+def main() -> int:
+    """Runs the program and returns its exit code."""
+    return run_program("applespring-relay", serve)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/applespring/platform/settings.py
@@ -0,0 +1,83 @@
+"""The platform's settings file, decoded into the relay's settings."""
+
+import pathlib
+
+from applespring.core.errors import SettingsError
+from applespring.relay.settings import RelaySettings
+
+# The metrics port is fixed, since the deploy file names it.
+METRICS_PORT = 9464
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Returns the values of lines `a.b=value`; other lines are ignored."""
+    values = {}
+    for line in text.splitlines():
+        name, found, value = line.partition("=")
+        if found and not line.lstrip().startswith("#"):
+            values[name.strip()] = value.strip()
+    return values
+
+
+def read_settings(path: pathlib.Path) -> RelaySettings:
+    """Reads the settings file.
+
+    Raises:
+        SettingsError: The file cannot be read, or a value is missing or
+            malformed.
+    """
+    try:
+        values = parse_lines(path.read_text())
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"settings file {path}: {exc}") from exc
+    return decode_settings(values)
+
+
+def decode_settings(values: dict[str, str]) -> RelaySettings:
+    """Decodes the values of a settings file.
+
+    Raises:
+        SettingsError: A value is missing or malformed.
+    """
+
+    def text(name: str) -> str:
+        value = values.get(name, "")
+        if not value:
+            raise SettingsError(f"setting {name} is missing")
+        return value
+
+    def number(name: str, default: float) -> float:
+        value = values.get(name, "")
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError as exc:
+            raise SettingsError(
+                f"setting {name}: {value!r} is not a number"
+            ) from exc
+
+    ports = text("internalPorts").split(",")
+    try:
+        peer_port = int(ports[0])
+    except ValueError as exc:
+        raise SettingsError(
+            f"setting internalPorts: {ports[0]!r} is not a port"
+        ) from exc
+    seeds = [s for s in values.get("seeds", "").split(",") if s]
+    return RelaySettings(
+        name=text("node"),
+        failure_domain=text("zone"),
+        caller_address=text("listen.front"),
+        ready_address=text("listen.ready"),
+        metrics_address=f"{text('ip')}:{METRICS_PORT}",
+        peer_address=f"{text('ip')}:{peer_port}",
+        # Peers listen on the same internal port on every machine of a day.
+        seeds=[f"{s.rpartition(':')[0]}:{peer_port}" for s in seeds],
+        registry_address=text("platform.address"),
+        drain_limit_s=number("bounds.graceS", 8.0),
+        retry_ratio=number("bounds.retryBudgetRatio", 0.2),
+        retry_window_s=number("bounds.budgetWindowS", 10.0),
+        retry_extra=number("bounds.budgetExtraRetries", 50.0),
+        memory_mb=number("limits.memoryMb", 300.0),
+    )
--- /dev/null
+++ b/src/applespring/platform/store.py
@@ -0,0 +1,112 @@
+"""The one client of the platform's store: reads, ranges and watches."""
+
+from typing import Any
+
+import httpx
+import orjson
+
+from applespring.core.errors import ApplespringError, MessageError
+
+# A read that takes longer than this is given up; answers take milliseconds.
+READ_S = 1.0
+# A watch is answered at the latest after this time; a silent connection is
+# noticed that much later. Well under the 3 s in which a change must be seen.
+WATCH_WAIT_MS = 1500
+WATCH_SLACK_S = 0.6
+CONNECT_S = 0.5
+PAGES_MAX = 1000
+
+
+class StoreError(ApplespringError):
+    """The store did not answer, or refused."""
+
+
+class HistoryGoneError(StoreError):
+    """The revision to watch from is no longer in the store's history."""
+
+
+class Store:
+    """Reads keys of the platform's store."""
+
+    def __init__(self, transport: httpx.AsyncBaseTransport, address: str):
+        self._transport = transport
+        self.address = address
+
+    async def read(self, key: str) -> dict[str, Any] | None:
+        """Returns an item, or None where there is none.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        return await self._get("/kv-key", {"key": key}, READ_S)
+
+    async def read_prefix(self, prefix: str) -> tuple[list[dict], int]:
+        """Returns all items below a prefix and a revision to watch from.
+
+        Pages are not a snapshot, so the revision is that of the first page.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        items: list[dict] = []
+        revision = None
+        query = {"prefix": prefix}
+        for _ in range(PAGES_MAX):
+            page = await self._get("/kv-range", query, READ_S)
+            if page is None:
+                break
+            if revision is None:
+                revision = int(page["at"])
+            found = page.get("items") or []
+            items.extend(found)
+            if not page.get("hasMore") or not found:
+                break
+            query = {"prefix": prefix, "after": found[-1]["key"]}
+        return items, revision or 0
+
+    async def watch(self, prefix: str, after: int) -> tuple[list[dict], int]:
+        """Waits for changes; returns them and the revision to go on from.
+
+        Raises:
+            HistoryGoneError: The store no longer has the changes.
+            StoreError: The store did not answer.
+        """
+        query = {"prefix": prefix, "after": after, "waitMs": WATCH_WAIT_MS}
+        limit_s = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
+        page = await self._get("/kv-watch", query, limit_s)
+        if page is None:
+            raise StoreError("a watch was answered 404")
+        return page.get("events") or [], int(page.get("at", after))
+
+    async def _get(
+        self, path: str, query: dict[str, Any], limit_s: float
+    ) -> dict[str, Any] | None:
+        timeout = {
+            "connect": CONNECT_S,
+            "read": limit_s,
+            "write": CONNECT_S,
+            "pool": limit_s,
+        }
+        url = httpx.URL(f"http://{self.address}{path}", params=query)
+        request = httpx.Request("GET", url, extensions={"timeout": timeout})
+        try:
+            resp = await self._transport.handle_async_request(request)
+            try:
+                body = await resp.aread()
+            finally:
+                await resp.aclose()
+        except (httpx.HTTPError, OSError) as exc:
+            raise StoreError(f"{path}: {type(exc).__name__}: {exc}") from exc
+        if resp.status_code == 404:
+            return None
+        if resp.status_code == 410:
+            raise HistoryGoneError(f"{path}: the history is gone")
+        if resp.status_code != 200:
+            raise StoreError(f"{path}: status {resp.status_code}")
+        try:
+            page = orjson.loads(body)
+        except ValueError as exc:
+            raise StoreError(f"{path}: the answer is not JSON") from exc
+        if not isinstance(page, dict):
+            raise MessageError(f"{path}: the answer is not an object")
+        return page
--- /dev/null
+++ b/src/applespring/platform/wire.py
@@ -0,0 +1,223 @@
+"""Headers and bodies of the platform's calls, decoded and encoded."""
+
+import re
+from collections.abc import Sequence
+
+import orjson
+
+from applespring.core.batch import Piece
+from applespring.core.errors import MessageError
+from applespring.relay.protocol import (
+    CallerRequest,
+    Headers,
+    PieceReply,
+    PromptPart,
+    Protocol,
+    UpstreamReply,
+)
+
+# Headers that concern one connection only (RFC 9110, 7.6.1).
+_HOP_BY_HOP = frozenset(
+    [
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    ]
+)
+# Headers that only the system may set, whatever a caller sends.
+_SYSTEM_SET = frozenset(
+    [
+        b"tenant",
+        b"inputs",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"target-instance",
+        b"request-priority",
+        b"request-deadline",
+        b"x-api-key",
+        b"segments",
+        b"segment-key",
+    ]
+)
+_DROPPED_REQUEST = _HOP_BY_HOP | _SYSTEM_SET | {b"content-length"}
+_DROPPED_REPLY = _HOP_BY_HOP | {b"date", b"server"}
+_KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
+_JSON = [(b"Content-Type", b"application/json")]
+_PRIORITY_MAX = 9
+_FAILURES = frozenset(
+    [PieceReply.LATE, PieceReply.GONE, PieceReply.ROOM, PieceReply.ERROR]
+)
+
+
+class PlatformProtocol(Protocol):
+    """The protocol of the platform's clients and workers."""
+
+    def decode_request(
+        self, method: str, target: bytes, headers: Headers
+    ) -> CallerRequest:
+        """See `Protocol.decode_request`."""
+        found = {name.lower(): value for name, value in headers}
+
+        def text(name: bytes) -> str:
+            return found.get(name, b"").decode("latin-1").strip()
+
+        try:
+            deadline = text(b"request-deadline")
+            tokens = [int(n) for n in text(b"token-count").split(",") if n]
+            counts = [int(n) for n in text(b"segments").split(",") if n]
+            return CallerRequest(
+                request_id=text(b"request-id"),
+                method=method,
+                target=target,
+                host=text(b"host"),
+                headers=[
+                    (name, value)
+                    for name, value in headers
+                    if name.lower() not in _DROPPED_REQUEST
+                ],
+                deadline_s=int(deadline) / 1000 if deadline else None,
+                api_key=text(b"x-api-key"),
+                tokens_in=tokens[0] if tokens else 0,
+                tokens_out=tokens[1] if len(tokens) > 1 else 0,
+                parts=_decode_parts(text(b"prompt-prefix")),
+                piece_counts=counts,
+                piece_key=text(b"segment-key"),
+                after_event=text(b"last-event-id"),
+            )
+        except ValueError as exc:
+            raise MessageError(f"a request header is malformed: {exc}") from (
+                exc
+            )
+
+    def encode_request(
+        self,
+        req: CallerRequest,
+        *,
+        upstream: str,
+        account: str,
+        remaining_s: float,
+        priority: int | None,
+        inputs: Sequence[str],
+        after_event: str,
+    ) -> list[tuple[bytes, bytes]]:
+        """See `Protocol.encode_request`."""
+        headers = req.headers
+        if after_event:
+            headers = [h for h in headers if h[0].lower() != b"last-event-id"]
+            headers.append((b"Last-Event-Id", after_event.encode()))
+        headers = [
+            *headers,
+            (b"Request-Deadline", b"%d" % max(1, int(remaining_s * 1000))),
+            (b"Target-Instance", upstream.encode()),
+        ]
+        if account:
+            headers.append((b"Tenant", account.encode()))
+        if priority is not None:
+            rank = min(_PRIORITY_MAX, max(0, priority))
+            headers.append((b"Request-Priority", b"%d" % rank))
+        if inputs:
+            headers.append((b"Inputs", ",".join(inputs).encode()))
+        return headers
+
+    def decode_reply(self, status: int, headers: Headers) -> UpstreamReply:
+        """See `Protocol.decode_reply`."""
+        found = {name.lower(): value for name, value in headers}
+        keep = _KEEP_ALIVE.search(found.get(b"keep-alive", b""))
+        return UpstreamReply(
+            request_id=found.get(b"request-id", b"").decode("latin-1"),
+            not_run=b"not-executed" in found or status == 421,
+            signed=b"response-signature" in found,
+            keep_alive_s=float(keep.group(1)) if keep else None,
+        )
+
+    def reply_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """See `Protocol.reply_headers`."""
+        return [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in _DROPPED_REPLY
+        ]
+
+    def refusal_headers(
+        self, request_id: str, retry_after_s: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """See `Protocol.refusal_headers`."""
+        headers = [(b"content-type", b"application/problem+json")]
+        if request_id:
+            headers.append((b"request-id", request_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((b"retry-after", b"%.2f" % retry_after_s))
+        return headers
+
+    def encode_call(
+        self, pieces: Sequence[Piece], upstream: str, now: float
+    ) -> tuple[str, list[tuple[bytes, bytes]], bytes]:
+        """See `Protocol.encode_call`."""
+        items = []
+        for piece in pieces:
+            item: dict[str, object] = {
+                "id": piece.request,
+                "stage": piece.stage,
+                "segment": piece.segment,
+                "remainingMs": max(1, int((piece.deadline_at - now) * 1000)),
+            }
+            if piece.inputs:
+                item["inputs"] = list(piece.inputs)
+            else:
+                item["key"] = piece.key
+            items.append(item)
+        headers = [*_JSON, (b"Target-Instance", upstream.encode())]
+        return "/stage-run", headers, orjson.dumps({"items": items})
+
+    def decode_call(
+        self, body: bytes, pieces: Sequence[Piece]
+    ) -> list[PieceReply]:
+        """See `Protocol.decode_call`."""
+        try:
+            items = orjson.loads(body)["items"]
+            replies = [
+                PieceReply(item.get("handle") or "", item.get("reason") or "")
+                for item in items
+            ]
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise MessageError(f"a stage answer is malformed: {exc!r}") from (
+                exc
+            )
+        if len(replies) != len(pieces):
+            raise MessageError(
+                f"a stage answer has {len(replies)} items for {len(pieces)}"
+            )
+        for reply in replies:
+            if not reply.handle and reply.failure not in _FAILURES:
+                reply.failure = PieceReply.ERROR
+        return replies
+
+    def encode_release(
+        self, handles: Sequence[str]
+    ) -> tuple[str, list[tuple[bytes, bytes]], bytes]:
+        """See `Protocol.encode_release`."""
+        body = orjson.dumps({"handles": list(handles)})
+        return "/stage-free", list(_JSON), body
+
+    def handle_address(self, handle: str) -> str:
+        """See `Protocol.handle_address`."""
+        return handle.partition("/")[0]
+
+
+def _decode_parts(text: str) -> list[PromptPart]:
+    parts = []
+    for entry in text.split(","):
+        if entry:
+            name, _, tokens = entry.partition(":")
+            parts.append(PromptPart(name, int(tokens)))
+    return parts
--- /dev/null
+++ b/src/applespring/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests of a routing document to upstreams, stage by stage."""
--- /dev/null
+++ b/src/applespring/relay/client.py
@@ -0,0 +1,185 @@
+"""Calls to upstreams over connections of their own incarnation."""
+
+import socket
+import ssl
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+
+import anyio
+import httpx
+
+from applespring.core.catalog import ListedUpstream
+from applespring.core.errors import FailureKind, StageError
+from applespring.core.verdict import Verdict
+from applespring.relay.protocol import Headers, Protocol, UpstreamReply
+
+# A new connection takes about a millisecond; a machine without power never
+# answers.
+CONNECT_S = 0.4
+# Unacknowledged bytes end a connection after this time.
+USER_TIMEOUT_MS = 3000
+# An idle connection is not used again after this time, well before the
+# upstream closes it itself, so that a request does not cross its close.
+IDLE_S = 1.5
+# Connection pools kept; those of upstreams that are gone are closed first.
+POOLS_MAX = 1200
+# Time for an abandoned connection to close.
+CLOSE_S = 1.0
+
+_SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+]
+
+
+class Answer:
+    """The answer of an upstream, its body not yet read.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers as sent.
+        reply: What they say.
+    """
+
+    __slots__ = ("status", "headers", "reply", "_resp")
+
+    def __init__(
+        self, resp: httpx.Response, headers: Headers, reply: UpstreamReply
+    ) -> None:
+        self.status = resp.status_code
+        self.headers = headers
+        self.reply = reply
+        self._resp = resp
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives."""
+        return self._resp.aiter_raw()
+
+    async def read(self, bytes_max: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            httpx.HTTPError: It ended early.
+            ValueError: It is longer than `bytes_max`.
+        """
+        parts, size = [], 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > bytes_max:
+                raise ValueError(f"the body is longer than {bytes_max} bytes")
+            parts.append(chunk)
+        return b"".join(parts)
+
+
+class UpstreamClient:
+    """Opens calls to upstreams and says whether they may have run."""
+
+    def __init__(self, protocol: Protocol, tls: ssl.SSLContext) -> None:
+        self._protocol = protocol
+        self._tls = tls
+        self._pools: OrderedDict[
+            tuple[str, int], httpx.AsyncHTTPTransport
+        ] = OrderedDict()
+
+    @asynccontextmanager
+    async def call(
+        self,
+        upstream: ListedUpstream,
+        method: str,
+        target: bytes,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+        *,
+        request_id: str = "",
+        connections_max: int = 100,
+    ) -> AsyncIterator[Answer]:
+        """Sends a request; the block gets its answer.
+
+        Raises:
+            StageError: No answer to this request came.
+        """
+        written = False
+
+        async def trace(name: str, info: dict) -> None:
+            nonlocal written
+            del info
+            if name == "http11.send_request_headers.started":
+                written = True
+
+        def fail(kind: FailureKind, detail: object) -> StageError:
+            verdict = Verdict.MAY_HAVE_RUN if written else Verdict.NOT_RUN
+            return StageError(kind, verdict, upstream.name, str(detail))
+
+        request = httpx.Request(
+            method,
+            f"http://{upstream.address}/",
+            headers=[(b"Host", upstream.address.encode()), *headers]
+            if not any(name.lower() == b"host" for name, _ in headers)
+            else headers,
+            content=body if body else None,
+            extensions={
+                "target": target,
+                "trace": trace,
+                "timeout": {"connect": CONNECT_S, "pool": CONNECT_S},
+            },
+        )
+        pool = await self._pool(upstream, connections_max)
+        try:
+            resp = await pool.handle_async_request(request)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            raise fail(FailureKind.CONNECT, type(exc).__name__) from exc
+        except (httpx.HTTPError, OSError) as exc:
+            raise fail(FailureKind.RESET, type(exc).__name__) from exc
+        whole = False
+        try:
+            raw = resp.headers.raw
+            reply = self._protocol.decode_reply(resp.status_code, raw)
+            if request_id and reply.request_id not in ("", request_id):
+                raise fail(
+                    FailureKind.MISMATCH,
+                    f"the answer belongs to request {reply.request_id}",
+                )
+            yield Answer(resp, raw, reply)
+            whole = True
+        finally:
+            if whole:
+                await resp.aclose()
+            else:
+                # Closing an unread body closes its connection.
+                with anyio.move_on_after(CLOSE_S, shield=True):
+                    await resp.aclose()
+
+    async def _pool(
+        self, upstream: ListedUpstream, connections_max: int
+    ) -> httpx.AsyncHTTPTransport:
+        pool = self._pools.get(upstream.identity)
+        if pool is None:
+            pool = httpx.AsyncHTTPTransport(
+                verify=self._tls,
+                limits=httpx.Limits(
+                    max_connections=connections_max,
+                    max_keepalive_connections=connections_max,
+                    keepalive_expiry=IDLE_S,
+                ),
+                socket_options=_SOCKET_OPTIONS,
+            )
+            self._pools[upstream.identity] = pool
+            if len(self._pools) > POOLS_MAX:
+                _, oldest = self._pools.popitem(last=False)
+                await oldest.aclose()
+        self._pools.move_to_end(upstream.identity)
+        return pool
+
+    async def forget(self, identity: tuple[str, int]) -> None:
+        """Closes the idle connections of an upstream that is gone."""
+        pool = self._pools.get(identity)
+        if pool is not None and not pool._pool.connections:  # noqa: SLF001
+            del self._pools[identity]
+            await pool.aclose()
+
+    async def aclose(self) -> None:
+        """Closes every connection."""
+        for pool in self._pools.values():
+            await pool.aclose()
+        self._pools.clear()
--- /dev/null
+++ b/src/applespring/relay/compose.py
@@ -0,0 +1,269 @@
+"""Composition root of a relay instance, and its life from start to end."""
+
+import os
+import signal
+import socket
+import time
+from collections.abc import Callable
+
+import anyio
+import httpx
+import hypercorn.asyncio
+from hypercorn.config import Config
+from loguru import logger
+
+from applespring.core.errors import SettingsError
+from applespring.peer.link import SocketTransport, split_address
+from applespring.relay.client import USER_TIMEOUT_MS, UpstreamClient
+from applespring.relay.front import Front, make_text_app
+from applespring.relay.keeper import Keeper
+from applespring.relay.log import LogWriter
+from applespring.relay.metrics import RelayMetrics
+from applespring.relay.peers import Peers
+from applespring.relay.plain import PlainForwarder
+from applespring.relay.protocol import Protocol
+from applespring.relay.registry import Registry
+from applespring.relay.settings import RelaySettings
+from applespring.relay.staging import Staging
+from applespring.relay.state import State
+from applespring.relay.streams import StreamForwarder
+from applespring.relay.watch import Watcher
+
+BACKLOG = 512
+REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
+# The document's limit on heads is checked by the application.
+HEAD_BYTES_MAX = 64 * 1024
+# After SIGTERM new callers come until the balancer has asked twice.
+BALANCER_LAG_S = 2.5
+# The process ends this long before it would be killed.
+END_MARGIN_S = 0.7
+POLL_S = 0.05
+SETTINGS_S = 1.0
+
+
+def read_clock() -> float:
+    """Returns seconds on a clock that advances while the machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class RelayInstance:
+    """The parts of one instance, wired."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        protocol: Protocol,
+        make_registry: Callable[[httpx.AsyncBaseTransport, str], Registry],
+        reload_settings: Callable[[], RelaySettings],
+        log: LogWriter,
+    ) -> None:
+        tls = httpx.create_ssl_context(trust_env=False)
+        host, port = split_address(settings.peer_address)
+        self.state = State(settings, read_clock)
+        self.metrics = RelayMetrics()
+        self._log = log
+        self._reload = reload_settings
+        self._client = UpstreamClient(protocol, tls)
+        self.peers = Peers(
+            settings.name,
+            time.time_ns() // 1_000_000,
+            settings.failure_domain,
+            settings.peer_address,
+            SocketTransport(host, port, close_silent=True),
+            read_clock,
+        )
+        self.peers.seeds = settings.seeds
+        self.keeper = Keeper(
+            self.state, self.peers, self._client, protocol, self.metrics
+        )
+        self._staging = Staging(self.state, self.peers)
+        plain = PlainForwarder(
+            self.state, self._client, protocol, self.peers, self.metrics
+        )
+        streams = StreamForwarder(
+            self.state,
+            self._client,
+            protocol,
+            self.peers,
+            self._staging,
+            self.metrics,
+        )
+        self._front = Front(self.state, protocol, plain, streams, self.metrics)
+        store = httpx.AsyncHTTPTransport(
+            verify=tls,
+            limits=httpx.Limits(keepalive_expiry=5.0),
+            socket_options=[
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            ],
+        )
+        self._watcher = Watcher(
+            self.state,
+            make_registry(store, settings.registry_address),
+            self.peers,
+            self._client,
+            plain,
+            self.metrics,
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then drains."""
+        cfg = self.state.settings
+        logger.bind(
+            event="start",
+            instance=cfg.name,
+            failure_domain=cfg.failure_domain,
+            incarnation=self.peers.incarnation,
+        ).info("instance starts")
+        stop_serving = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._log.run)
+            await tasks.start(self.peers.run)
+            tasks.start_soon(self.keeper.run)
+            tasks.start_soon(self._staging.run)
+            tasks.start_soon(self._watcher.run)
+            tasks.start_soon(self._watch_settings)
+            ended = anyio.Event()
+            server = make_server_config(cfg.caller_address)
+
+            async def serve_callers() -> None:
+                await hypercorn.asyncio.serve(
+                    self._front, server, shutdown_trigger=stop_serving.wait
+                )
+                ended.set()
+
+            tasks.start_soon(serve_callers)
+            tasks.start_soon(self._serve_text, cfg.ready_address, self._ready)
+            tasks.start_soon(
+                self._serve_text, cfg.metrics_address, self._metrics_text
+            )
+            tasks.start_soon(self._follow_limits, server)
+            await self._wait_for_signals()
+            await self._drain(stop_serving, ended)
+            tasks.cancel_scope.cancel()
+        logger.bind(event="stop", instance=cfg.name).info("instance stops")
+        self._log.flush()
+
+    async def _serve_text(
+        self, address: str, read: Callable[[], tuple[int, str]]
+    ) -> None:
+        await hypercorn.asyncio.serve(
+            make_text_app(read),
+            make_server_config(address),
+            shutdown_trigger=anyio.sleep_forever,
+        )
+
+    def _ready(self) -> tuple[int, str]:
+        return (200, "ready\n") if self.state.ready else (503, "not ready\n")
+
+    def _metrics_text(self) -> tuple[int, str]:
+        now = self.state.clock()
+        gauges = {
+            ("document_version",): float(self._watcher.document_version()),
+            ("document_age_s",): now - self.state.document_read_at,
+            ("entries_age_s",): now - self.state.entries_read_at,
+            ("requests",): float(self.state.requests),
+            ("peers_reachable",): float(len(self.peers.table.reachable(now))),
+            ("log_lines_dropped",): float(self._log.dropped_total),
+        }
+        for pool, length in self.keeper.queue_lengths().items():
+            gauges[(f"queue_{pool}",)] = float(length)
+        self.metrics.gauges.replace(gauges)
+        return 200, self.metrics.render()
+
+    async def _follow_limits(self, server: Config) -> None:
+        """Applies the document's idle limit to connections of callers."""
+        while True:
+            doc = self.state.document
+            if doc is not None:
+                server.keep_alive_timeout = doc.limits.idle_s
+            await anyio.sleep(POLL_S * 4)
+
+    async def _watch_settings(self) -> None:
+        """Takes over settings that may change while the instance runs."""
+        known = None
+        while True:
+            try:
+                cfg = self._reload()
+                seen = [
+                    getattr(cfg, name) for name in RelaySettings.__slots__
+                ]
+                if known is not None and seen != known:
+                    logger.bind(event="reload").info("settings have changed")
+                known = seen
+                self.peers.seeds = cfg.seeds
+            except SettingsError as exc:
+                logger.bind(event="settings_rejected").error("{}", exc)
+            await anyio.sleep(SETTINGS_S)
+
+    async def _wait_for_signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                logger.bind(event="signal", signal=int(number)).info("signal")
+                if number != signal.SIGHUP:
+                    return
+
+    async def _drain(
+        self, stop_serving: anyio.Event, ended: anyio.Event
+    ) -> None:
+        """Ends every request, then the servers, within the limit."""
+        began = self.state.clock()
+        self.state.leaving = True
+        self.peers.leaving = True
+        await self.peers.announce()
+        await self.keeper.hand_back()
+        limit_s = self.state.settings.drain_limit_s - END_MARGIN_S
+        while True:
+            took = self.state.clock() - began
+            idle = not self.state.requests and not self.keeper.busy
+            if took >= limit_s or (took >= BALANCER_LAG_S and idle):
+                break
+            await anyio.sleep(POLL_S)
+        logger.bind(
+            event="drained",
+            took_s=round(self.state.clock() - began, 3),
+            left=self.state.requests,
+        ).info("requests have ended")
+        stop_serving.set()
+        with anyio.move_on_after(END_MARGIN_S / 2):
+            await ended.wait()
+
+
+def make_server_config(address: str) -> Config:
+    """Returns the configuration of a server at an address."""
+    host, port = split_address(address)
+    sock = socket.create_server((host, port), backlog=BACKLOG)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+    cfg = Config()
+    cfg.bind = [f"fd://{sock.detach()}"]
+    cfg.backlog = BACKLOG
+    cfg.loglevel = "CRITICAL"
+    cfg.errorlog = None
+    cfg.include_server_header = False
+    cfg.include_date_header = False
+    cfg.keep_alive_max_requests = REQUESTS_PER_CONNECTION_MAX
+    cfg.h11_max_incomplete_size = HEAD_BYTES_MAX
+    cfg.graceful_timeout = END_MARGIN_S / 2
+    return cfg
+
+
+def run_instance(
+    settings: RelaySettings,
+    protocol: Protocol,
+    make_registry: Callable[[httpx.AsyncBaseTransport, str], Registry],
+    reload_settings: Callable[[], RelaySettings],
+    log_level: str,
+) -> int:
+    """Runs an instance to its end; returns its exit code."""
+    log = LogWriter()
+    log.install(log_level)
+    instance = RelayInstance(
+        settings, protocol, make_registry, reload_settings, log
+    )
+    anyio.run(instance.run, backend_options={"use_uvloop": True})
+    # Connections that callers keep open would hold up the interpreter.
+    log.flush()
+    os._exit(0)
--- /dev/null
+++ b/src/applespring/relay/keeper.py
@@ -0,0 +1,356 @@
+"""Keeps the queues of stage pools and calls their upstreams.
+
+One instance keeps the queue of a pool: the first live one by rendezvous hash.
+Submitters send pieces to it and get their results from it. A submitter that
+finds its keeper gone submits again to the next one; a piece may be produced
+twice, so nothing is lost or has to be handed over.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from applespring.core.batch import BatchQueue, Call, Piece
+from applespring.core.catalog import ListedUpstream
+from applespring.core.errors import (
+    ApplespringError,
+    MessageError,
+    StageError,
+)
+from applespring.core.verdict import Verdict
+from applespring.peer import message
+from applespring.relay.client import UpstreamClient
+from applespring.relay.metrics import RelayMetrics
+from applespring.relay.peers import Peers
+from applespring.relay.protocol import PieceReply, Protocol
+from applespring.relay.state import State
+
+# Least time that a call is waited for, and how many times its expected time.
+CALL_LEAST_S = 1.0
+CALL_FACTOR = 3.0
+# The queue is looked at this often even when nothing happens, for deadlines.
+TICK_S = 0.1
+RELEASE_S = 1.0
+ANSWER_BYTES_MAX = 4 * 1024 * 1024
+# A refusal names at least this time to come back after.
+RETRY_AFTER_MIN_S = 0.3
+
+GONE_FROM_HERE = "moved"
+OVERLOADED = "overloaded"
+UNKNOWN_POOL = "unknown_pool"
+
+Deliver = Callable[[message.StageDone], Awaitable[message.Message]]
+
+
+class _Origin:
+    """Who submitted a piece and under which ticket."""
+
+    __slots__ = ("address", "ticket")
+
+    def __init__(self, address: str, ticket: int) -> None:
+        self.address = address
+        self.ticket = ticket
+
+
+class Keeper:
+    """The queues that this instance keeps."""
+
+    def __init__(
+        self,
+        state: State,
+        peers: Peers,
+        client: UpstreamClient,
+        protocol: Protocol,
+        metrics: RelayMetrics,
+    ) -> None:
+        self._state = state
+        self._peers = peers
+        self._client = client
+        self._protocol = protocol
+        self._metrics = metrics
+        self._queues: dict[str, BatchQueue] = {}
+        self._wake: dict[str, anyio.Event] = {}
+        self._tasks: TaskGroup | None = None
+        peers.handle(message.StageSubmit, self._on_submit)
+        peers.handle(message.StageCancel, self._on_cancel)
+        peers.handle(message.StageRelease, self._on_release)
+
+    async def run(self) -> None:
+        """Makes calls until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            await anyio.sleep_forever()
+
+    def queue_lengths(self) -> dict[str, int]:
+        """Returns the waiting pieces by pool."""
+        return {pool: len(queue) for pool, queue in self._queues.items()}
+
+    @property
+    def busy(self) -> bool:
+        """Whether pieces wait or calls are in progress."""
+        return any(len(q) or q.in_progress() for q in self._queues.values())
+
+    async def hand_back(self) -> None:
+        """Returns every waiting piece, before this instance ends."""
+        for pool, queue in self._queues.items():
+            pieces = queue.take_all()
+            if pieces:
+                logger.bind(
+                    event="queue_handed_back", pool=pool, pieces=len(pieces)
+                ).info("queue handed back")
+                await self._deliver_failures(pieces, GONE_FROM_HERE)
+
+    def _queue(self, pool: str) -> BatchQueue | None:
+        queue = self._queues.get(pool)
+        if queue is None:
+            doc = self._state.document
+            spec = doc.pools.get(pool) if doc else None
+            if spec is None or spec.batch is None or self._tasks is None:
+                return None
+            queue = self._queues[pool] = BatchQueue(spec.batch)
+            self._wake[pool] = anyio.Event()
+            self._tasks.start_soon(self._serve, pool, queue)
+            logger.bind(event="queue_kept", pool=pool).info(
+                "keeps the queue of a pool"
+            )
+        return queue
+
+    async def _on_submit(self, msg: message.StageSubmit) -> message.Message:
+        now = self._state.clock()
+        queue = self._queue(msg.pool)
+        if queue is None:
+            return message.StageAck(accepted=False, reason=UNKNOWN_POOL)
+        if self._state.leaving:
+            return message.StageAck(accepted=False, reason=GONE_FROM_HERE)
+        queue.set_upstreams(self._state.catalog.ready(msg.pool))
+        if not msg.begun and not queue.admits(msg.deadline_s, now):
+            wait_s = min(queue.wait_s(now), msg.deadline_s)
+            return message.StageAck(
+                accepted=False,
+                reason=OVERLOADED,
+                retry_after_s=max(RETRY_AFTER_MIN_S, 0.5 * wait_s),
+            )
+        origin = _Origin(msg.origin_address, msg.ticket)
+        inputs = [i.handle for i in msg.inputs]
+        queue.offer(
+            [
+                Piece(
+                    request=msg.request,
+                    stage=msg.stage,
+                    segment=order.segment,
+                    key=order.key,
+                    inputs=inputs,
+                    origin=origin,
+                    failure_domain=msg.failure_domain,
+                    priority=msg.priority,
+                    aim_at=now + msg.aim_s,
+                    deadline_at=now + msg.deadline_s,
+                    result_bytes=msg.result_bytes,
+                    begun=msg.begun,
+                    arrived_at=now,
+                )
+                for order in msg.pieces
+            ],
+            now,
+        )
+        self._state.window(msg.pool).on_request(now)
+        self._wake[msg.pool].set()
+        return message.StageAck()
+
+    async def _on_cancel(self, msg: message.StageCancel) -> message.Message:
+        for queue in self._queues.values():
+            queue.withdraw(msg.request)
+        return message.Ack()
+
+    async def _on_release(self, msg: message.StageRelease) -> message.Message:
+        handles = [h.handle for h in msg.handles]
+        queue = self._queue(msg.pool)
+        if queue is not None:
+            queue.release(handles)
+            self._wake[msg.pool].set()
+        self.release(msg.pool, handles)
+        return message.Ack()
+
+    def release(self, pool: str, handles: Sequence[str]) -> None:
+        """Tells the makers of results that nobody needs them any more."""
+        makers: dict[str, list[str]] = {}
+        for handle in handles:
+            address = self._protocol.handle_address(handle)
+            makers.setdefault(address, []).append(handle)
+        for address, held in makers.items():
+            upstream = next(
+                (
+                    u
+                    for u in self._state.catalog.all().values()
+                    if u.address == address and u.pool == pool
+                ),
+                None,
+            )
+            if upstream is not None and self._tasks is not None:
+                self._tasks.start_soon(self._release, upstream, held)
+
+    async def _release(
+        self, upstream: ListedUpstream, handles: Sequence[str]
+    ) -> None:
+        path, headers, body = self._protocol.encode_release(handles)
+        try:
+            with anyio.move_on_after(RELEASE_S):
+                async with self._client.call(
+                    upstream, "POST", path.encode(), headers, body
+                ) as answer:
+                    await answer.read(ANSWER_BYTES_MAX)
+                    return
+        except (StageError, httpx.HTTPError, ValueError, OSError) as exc:
+            # The result expires by itself.
+            logger.bind(event="release_failed", upstream=upstream.name).debug(
+                "{}", exc
+            )
+
+    async def _serve(self, pool: str, queue: BatchQueue) -> None:
+        while True:
+            self._wake[pool] = anyio.Event()
+            now = self._state.clock()
+            queue.set_upstreams(self._state.catalog.ready(pool))
+            overdue = queue.take_overdue(now)
+            if overdue:
+                await self._deliver_failures(overdue, PieceReply.LATE)
+            for call in queue.next_calls(now):
+                self._tasks.start_soon(self._call, pool, queue, call)
+            delay = min(TICK_S, max(0.0, queue.next_wake(now) - now))
+            with anyio.move_on_after(max(delay, 0.001)):
+                await self._wake[pool].wait()
+
+    async def _call(self, pool: str, queue: BatchQueue, call: Call) -> None:
+        now = self._state.clock()
+        limit_s = max(CALL_LEAST_S, CALL_FACTOR * call.expected_s)
+        log = logger.bind(
+            event="stage_call",
+            pool=pool,
+            upstream=call.upstream.name,
+            pieces=[f"{p.request}/{p.stage}/{p.segment}" for p in call.pieces],
+        )
+        path, headers, body = self._protocol.encode_call(
+            call.pieces, call.upstream.name, now
+        )
+        replies: list[PieceReply] | None = None
+        refused, failure = False, "timeout"
+        try:
+            with anyio.move_on_after(limit_s):
+                async with self._client.call(
+                    call.upstream, "POST", path.encode(), headers, body
+                ) as answer:
+                    data = await answer.read(ANSWER_BYTES_MAX)
+                    if answer.status == 200:
+                        replies = self._protocol.decode_call(data, call.pieces)
+                    else:
+                        refused = answer.reply.not_run
+                        failure = f"status {answer.status}"
+        except StageError as exc:
+            refused = exc.verdict is Verdict.NOT_RUN
+            failure = exc.kind.value
+        except (httpx.HTTPError, OSError, ValueError, MessageError) as exc:
+            failure = type(exc).__name__
+        took = self._state.clock() - now
+        if replies is None:
+            self._metrics.stage_calls.inc(pool, "failed")
+            log.bind(failure=failure, took_s=took, refused=refused).warning(
+                "stage call failed"
+            )
+            await self._fail(pool, queue, call, refused)
+        else:
+            self._metrics.stage_calls.inc(pool, "done")
+            self._metrics.stage_call_s.observe(took, pool)
+            log.bind(took_s=took).debug("stage call done")
+            await self._finish(pool, queue, call, replies)
+        self._wake[pool].set()
+
+    async def _fail(
+        self, pool: str, queue: BatchQueue, call: Call, refused: bool
+    ) -> None:
+        now = self._state.clock()
+        spent = queue.fail(call, now, refused=refused)
+        window = self._state.window(pool)
+        allowed = window.try_take(now, 1)
+        if not allowed:
+            logger.bind(event="retry_denied", pool=pool).warning(
+                "retries of the pool are used up"
+            )
+        if spent:
+            await self._deliver_failures(spent, PieceReply.ERROR)
+
+    async def _finish(
+        self,
+        pool: str,
+        queue: BatchQueue,
+        call: Call,
+        replies: Sequence[PieceReply],
+    ) -> None:
+        now = self._state.clock()
+        unneeded = queue.succeed(call, [r.handle for r in replies], now)
+        dropped = set(unneeded)
+        done: dict[tuple[str, int], list[message.PieceResult]] = {}
+        for piece, reply in zip(call.pieces, replies, strict=True):
+            if reply.handle in dropped:
+                continue
+            retriable = reply.failure in (PieceReply.ROOM, PieceReply.ERROR)
+            if not reply.handle and retriable:
+                self._metrics.piece_failures.inc(pool, reply.failure)
+                if queue.put_back(piece, call, now):
+                    continue
+            key = (piece.origin.address, piece.origin.ticket)
+            done.setdefault(key, []).append(
+                message.PieceResult(
+                    segment=piece.segment,
+                    handle=reply.handle,
+                    failure=reply.failure,
+                    failure_domain=call.upstream.failure_domain,
+                )
+            )
+        if unneeded:
+            self.release(pool, unneeded)
+        async with anyio.create_task_group() as tasks:
+            for (address, ticket), results in done.items():
+                tasks.start_soon(
+                    self._deliver, pool, address, ticket, results
+                )
+
+    async def _deliver_failures(
+        self, pieces: Sequence[Piece], failure: str
+    ) -> None:
+        done: dict[tuple[str, int], list[message.PieceResult]] = {}
+        for piece in pieces:
+            key = (piece.origin.address, piece.origin.ticket)
+            done.setdefault(key, []).append(
+                message.PieceResult(segment=piece.segment, failure=failure)
+            )
+        async with anyio.create_task_group() as tasks:
+            for (address, ticket), results in done.items():
+                tasks.start_soon(self._deliver, "", address, ticket, results)
+
+    async def _deliver(
+        self,
+        pool: str,
+        address: str,
+        ticket: int,
+        results: Sequence[message.PieceResult],
+    ) -> None:
+        done = message.StageDone(ticket=ticket, results=tuple(results))
+        for _ in range(2):
+            try:
+                reply = await self._peers.request(address, done)
+            except ApplespringError as exc:
+                logger.bind(event="delivery_failed", peer=address).warning(
+                    "{}", exc
+                )
+                continue
+            if isinstance(reply, message.Ack) and reply.accepted:
+                return
+            break
+        handles = [r.handle for r in results if r.handle]
+        if handles and pool:
+            queue = self._queues.get(pool)
+            if queue is not None:
+                queue.release(handles)
+            self.release(pool, handles)
--- /dev/null
+++ b/src/applespring/relay/log.py
@@ -0,0 +1,95 @@
+"""Structured log lines on standard output that never block the loop.
+
+Each line is a JSON object. Lines wait in a bounded buffer and are written when
+the pipe takes them. When the buffer is full, lines below WARNING are left out
+first; how many were left out is logged as soon as there is room again.
+"""
+
+import os
+from collections import deque
+
+import anyio
+import orjson
+from loguru import logger
+
+# About a second of lines at the heaviest load of one instance.
+BUFFER_LINES_MAX = 2000
+# Part of the buffer that only warnings and errors may use.
+RESERVED_LINES = 500
+# Least time between writes, so that lines share a system call.
+FLUSH_S = 0.05
+# A pipe whose reader stands still is tried again after this time.
+RETRY_S = 0.2
+_WARNING = 30
+
+
+class LogWriter:
+    """Buffers log lines and writes them without blocking.
+
+    Attributes:
+        dropped: Lines left out since the last line that told of it.
+        dropped_total: Lines left out in all.
+    """
+
+    __slots__ = ("dropped", "dropped_total", "_fd", "_lines", "_partial")
+
+    def __init__(self, fd: int = 1) -> None:
+        self.dropped = 0
+        self.dropped_total = 0
+        self._fd = fd
+        self._lines: deque[bytes] = deque()
+        self._partial = b""
+
+    def install(self, level: str) -> None:
+        """Makes this the only destination of the log."""
+        os.set_blocking(self._fd, False)
+        logger.remove()
+        logger.add(self.put, level=level, format="{message}")
+
+    def put(self, message: object) -> None:
+        """Buffers one record of loguru."""
+        record = message.record
+        level = record["level"]
+        bound = BUFFER_LINES_MAX
+        if level.no < _WARNING:
+            bound -= RESERVED_LINES
+        if len(self._lines) >= bound:
+            self.dropped += 1
+            self.dropped_total += 1
+            return
+        line = {
+            "time": record["time"].timestamp(),
+            "level": level.name,
+            "message": record["message"],
+            **record["extra"],
+        }
+        if record["exception"] is not None:
+            line["exception"] = repr(record["exception"].value)
+        self._lines.append(orjson.dumps(line, default=str) + b"\n")
+
+    def flush(self) -> bool:
+        """Writes what the pipe takes; returns whether nothing is left."""
+        if self.dropped and len(self._lines) < BUFFER_LINES_MAX // 2:
+            line = {"message": "log lines left out", "count": self.dropped}
+            self.dropped = 0
+            self._lines.append(orjson.dumps(line) + b"\n")
+        if self._lines:
+            self._partial += b"".join(self._lines)
+            self._lines.clear()
+        while self._partial:
+            try:
+                written = os.write(self._fd, self._partial)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # Nobody reads the log any more.
+                self._partial = b""
+                return True
+            self._partial = self._partial[written:]
+        return True
+
+    async def run(self) -> None:
+        """Writes lines until cancelled."""
+        while True:
+            whole = self.flush() if len(self._partial) < 1 << 20 else False
+            await anyio.sleep(FLUSH_S if whole else RETRY_S)
--- /dev/null
+++ b/src/applespring/relay/metrics.py
@@ -0,0 +1,101 @@
+"""Metrics of a relay instance; label values come from bounded lists."""
+
+from applespring.entry.family import CounterFamily, GaugeFamily, HistogramFamily
+
+REQUEST_BUCKETS_S = (
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.3,
+    1.7,
+    2.5,
+    5.0,
+    8.0,
+    12.0,
+    20.0,
+)
+CALL_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0)
+
+
+class RelayMetrics:
+    """What a relay instance counts.
+
+    Attributes:
+        requests: Final answers, by route and outcome.
+        request_s: Time to the end of an answer, by route.
+        first_event_s: Time to the first event of a stream, by route.
+        attempts: Attempts at upstreams, by pool and outcome.
+        stage_calls: Stage calls, by pool and outcome.
+        stage_call_s: Time of a stage call, by pool.
+        piece_failures: Pieces not produced, by pool and reason.
+        beliefs: Changes of what the instance believes, by kind.
+        gauges: Values read at the scrape, by name.
+    """
+
+    __slots__ = (
+        "requests",
+        "request_s",
+        "first_event_s",
+        "attempts",
+        "stage_calls",
+        "stage_call_s",
+        "piece_failures",
+        "beliefs",
+        "gauges",
+    )
+
+    def __init__(self) -> None:
+        prefix = "applespring_relay_"
+        self.requests = CounterFamily(
+            prefix + "requests_total", "Final answers", ("route", "outcome")
+        )
+        self.request_s = HistogramFamily(
+            prefix + "request_seconds",
+            "Seconds from arrival to the end of the answer",
+            ("route",),
+            REQUEST_BUCKETS_S,
+        )
+        self.first_event_s = HistogramFamily(
+            prefix + "first_event_seconds",
+            "Seconds from arrival to the first event",
+            ("route",),
+            REQUEST_BUCKETS_S,
+        )
+        self.attempts = CounterFamily(
+            prefix + "attempts_total",
+            "Attempts at upstreams",
+            ("pool", "outcome"),
+        )
+        self.stage_calls = CounterFamily(
+            prefix + "stage_calls_total", "Stage calls", ("pool", "outcome")
+        )
+        self.stage_call_s = HistogramFamily(
+            prefix + "stage_call_seconds",
+            "Seconds of a stage call",
+            ("pool",),
+            CALL_BUCKETS_S,
+        )
+        self.piece_failures = CounterFamily(
+            prefix + "piece_failures_total",
+            "Pieces that were not produced",
+            ("pool", "reason"),
+        )
+        self.beliefs = CounterFamily(
+            prefix + "beliefs_total",
+            "Changes of what the instance believes",
+            ("kind",),
+        )
+        self.gauges = GaugeFamily(
+            prefix + "state", "State of the instance", ("name",)
+        )
+
+    def render(self) -> str:
+        """Returns the exposition as text."""
+        lines = []
+        for name in self.__slots__:
+            for part in getattr(self, name).render():
+                lines.extend(part)
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/applespring/relay/peers.py
@@ -0,0 +1,246 @@
+"""Gossip between relay instances: who is there, and what they know."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskStatus
+from loguru import logger
+
+from applespring.core.errors import ApplespringError, MessageError
+from applespring.core.peertable import Peer, PeerState, PeerTable
+from applespring.peer import message
+from applespring.peer.codec import DATAGRAM_BYTES_MAX, decode, encode
+from applespring.peer.transport import PeerUnreachableError, Transport
+
+HEARTBEAT_S = 0.25
+# Instances that get a heartbeat directly at each interval. Smaller fleets
+# reach everyone each time.
+FANOUT = 16
+# Rows of other instances in one heartbeat, so that it fits a datagram.
+ROWS_MAX = 8
+LOADS_MAX = 16
+LEAVING_MAX = 8
+# A reply to a message between instances takes milliseconds; a silent
+# connection is closed after this time.
+REPLY_S = 0.4
+
+
+class Reporter(Protocol):
+    """What the rest of the instance contributes to gossip."""
+
+    def document_version(self) -> int:
+        """Returns the version of the document in force."""
+
+    def loads(self) -> Iterable[message.UpstreamLoad]:
+        """Returns the instance's own load at upstreams, largest first."""
+
+    def leaving(self) -> Iterable[message.LeavingUpstream]:
+        """Returns upstreams seen leaving of late."""
+
+    def hear(self, sender: str, gossip: message.Gossip) -> None:
+        """Takes the gossip of another instance."""
+
+
+Handler = Callable[[message.Message], Awaitable[message.Message]]
+
+
+class Peers:
+    """The link to other instances.
+
+    Attributes:
+        table: What is known of them.
+        name: Name of this instance.
+        incarnation: Number of its start.
+        address: IP:port of its own link.
+        leaving: Whether this instance is shutting down.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        failure_domain: str,
+        address: str,
+        transport: Transport,
+        clock: Callable[[], float],
+    ) -> None:
+        self.table = PeerTable(name)
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+        self.leaving = False
+        self.seeds: tuple[str, ...] = ()
+        self._failure_domain = failure_domain
+        self._transport = transport
+        self._clock = clock
+        self._sequence = 0
+        self._turn = 0
+        self._handlers: dict[type[message.Message], Handler] = {}
+        self._reporter: Reporter | None = None
+
+    def attach(self, reporter: Reporter) -> None:
+        """Names the part that contributes to gossip."""
+        self._reporter = reporter
+
+    def handle(self, kind: type[message.Message], handler: Handler) -> None:
+        """Registers the handler of a kind of message."""
+        self._handlers[kind] = handler
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves and sends heartbeats until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(
+                self._transport.run, self._on_datagram, self._on_request
+            )
+            task_status.started()
+            while True:
+                await self._beat()
+                await anyio.sleep(HEARTBEAT_S)
+
+    async def announce(self) -> None:
+        """Sends a heartbeat at once, after a change that others need."""
+        await self._beat()
+
+    async def request(
+        self, address: str, msg: message.Message
+    ) -> message.Message:
+        """Sends a message and returns the reply.
+
+        Raises:
+            PeerUnreachableError: Nothing was sent.
+            PeerLostError: The peer may have received it.
+            MessageError: The reply cannot be decoded.
+        """
+        if address == self.address:
+            return await self._dispatch(msg)
+        data = await self._transport.request(address, encode(msg), REPLY_S)
+        return decode(data)
+
+    def address_of(self, name: str) -> str:
+        """Returns the address of an instance.
+
+        Raises:
+            PeerUnreachableError: The instance is not known.
+        """
+        if name == self.name:
+            return self.address
+        peer = self.table.get(name)
+        if peer is None:
+            raise PeerUnreachableError(f"instance {name} is not known")
+        return peer.address
+
+    def own_row(self) -> message.PeerRow:
+        """Returns what this instance says of itself."""
+        version = self._reporter.document_version() if self._reporter else 0
+        return message.PeerRow(
+            name=self.name,
+            incarnation=self.incarnation,
+            address=self.address,
+            failure_domain=self._failure_domain,
+            state=PeerState.LEAVING if self.leaving else PeerState.LIVE,
+            sequence=self._sequence,
+            document_version=version,
+        )
+
+    def _choose(self) -> list[str]:
+        """Returns the addresses of this interval's heartbeat."""
+        known = sorted(p.address for p in self.table.known())
+        chosen = known
+        if len(known) > FANOUT:
+            start = self._turn * FANOUT % len(known)
+            chosen = (known + known)[start : start + FANOUT]
+        # Seeds are asked again while they are silent, now and then.
+        if self._turn % 4 == 0 or not known:
+            chosen = [*chosen, *(s for s in self.seeds if s not in known)]
+        self._turn += 1
+        return [address for address in chosen if address != self.address]
+
+    async def _beat(self) -> None:
+        self._sequence += 1
+        self.table.expire(self._clock())
+        known = self.table.known()
+        start = self._turn * ROWS_MAX % len(known) if known else 0
+        rows = [_to_row(p) for p in (known + known)[start : start + ROWS_MAX]]
+        rows = rows[: len(known)]
+        data = self._encode(rows)
+        for address in self._choose():
+            await self._transport.send(address, data)
+
+    def _encode(self, rows: list[message.PeerRow]) -> bytes:
+        loads = list(self._reporter.loads()) if self._reporter else []
+        leaving = list(self._reporter.leaving()) if self._reporter else []
+        loads, leaving = loads[:LOADS_MAX], leaving[:LEAVING_MAX]
+        while True:
+            gossip = message.Gossip(
+                sender=self.own_row(), peers=rows, loads=loads, leaving=leaving
+            )
+            data = encode(gossip)
+            if len(data) <= DATAGRAM_BYTES_MAX or not (rows or loads):
+                return data
+            rows, loads = rows[: len(rows) // 2], loads[: len(loads) // 2]
+
+    async def _on_datagram(self, data: bytes) -> None:
+        try:
+            gossip = decode(data, DATAGRAM_BYTES_MAX)
+        except MessageError as exc:
+            logger.bind(event="gossip_rejected").warning("{}", exc)
+            return
+        if not isinstance(gossip, message.Gossip):
+            return
+        now = self._clock()
+        if gossip.sender.name == self.name:
+            return
+        self._hear(gossip.sender, now, direct=True)
+        for row in gossip.peers:
+            self._hear(row, now, direct=False)
+        if self._reporter is not None:
+            self._reporter.hear(gossip.sender.name, gossip)
+
+    def _hear(
+        self, row: message.PeerRow, now: float, *, direct: bool
+    ) -> None:
+        peer = Peer(
+            row.name,
+            row.incarnation,
+            row.address,
+            row.failure_domain,
+            row.state,
+            row.sequence,
+            row.document_version,
+        )
+        if self.table.hear(peer, now, direct=direct):
+            logger.bind(
+                event="peer_found",
+                peer=row.name,
+                incarnation=row.incarnation,
+                direct=direct,
+            ).info("instance found")
+
+    async def _on_request(self, data: bytes) -> bytes | None:
+        try:
+            reply = await self._dispatch(decode(data))
+        except ApplespringError as exc:
+            logger.bind(event="peer_request_failed").warning("{}", exc)
+            return None
+        return encode(reply)
+
+    async def _dispatch(self, msg: message.Message) -> message.Message:
+        handler = self._handlers.get(type(msg))
+        if handler is None:
+            raise MessageError(f"no handler for {type(msg).__name__}")
+        return await handler(msg)
+
+
+def _to_row(peer: Peer) -> message.PeerRow:
+    return message.PeerRow(
+        name=peer.name,
+        incarnation=peer.incarnation,
+        address=peer.address,
+        failure_domain=peer.failure_domain,
+        state=peer.state,
+        sequence=peer.sequence,
+        document_version=peer.document_version,
+    )
--- /dev/null
+++ b/src/applespring/relay/streams.py
@@ -0,0 +1,392 @@
+"""Forwards streams of events from engines, event by event."""
+
+from collections.abc import AsyncIterator, Sequence
+
+import anyio
+import httpx
+from loguru import logger
+
+from applespring.core import reason
+from applespring.core.catalog import ListedUpstream
+from applespring.core.chain import Chain
+from applespring.core.errors import FailureKind, RefusalError, StageError
+from applespring.core.events import EventSplitter
+from applespring.core.verdict import Verdict
+from applespring.relay.client import Answer, UpstreamClient
+from applespring.relay.exchange import Exchange
+from applespring.relay.metrics import RelayMetrics
+from applespring.relay.peers import Peers
+from applespring.relay.plain import BODY_BYTES_MAX, NOT_RUN_MAX, _share
+from applespring.relay.protocol import Protocol
+from applespring.relay.staging import Staging, StageRun
+from applespring.relay.state import State
+
+# A resumable stream without an event for this long goes on elsewhere; callers
+# leave after two seconds without one.
+SILENCE_S = 1.0
+# Part of its aim that a resumable stream waits for its first event.
+FIRST_SHARE = 1.0
+# Time that must be left for another attempt.
+ATTEMPT_ROOM_S = 0.2
+RETRY_AFTER_S = 0.3
+# Another engine begins only after the one before has had time to notice the
+# closed connection.
+SWITCH_S = 0.05
+
+
+
+
+class StreamForwarder:
+    """Executes the stages of a request and forwards its stream."""
+
+    def __init__(
+        self,
+        state: State,
+        client: UpstreamClient,
+        protocol: Protocol,
+        peers: Peers,
+        staging: Staging,
+        metrics: RelayMetrics,
+    ) -> None:
+        self._state = state
+        self._client = client
+        self._protocol = protocol
+        self._peers = peers
+        self._staging = staging
+        self._metrics = metrics
+
+    async def forward(self, exchange: Exchange) -> None:
+        """Answers a request.
+
+        Raises:
+            RefusalError: It gets a refusal instead.
+            StreamCutError: Its stream cannot be finished.
+        """
+        req, route = exchange.req, exchange.route
+        run = StageRun(Chain(route.stages, req.piece_counts))
+        self._state.window(exchange.pool).on_request(self._state.clock())
+        try:
+            if run.chain.steps:
+                home = self._state.engines.home(
+                    self._engines(exchange, ()),
+                    _subject(exchange),
+                    self._state.clock(),
+                )
+                await self._staging.execute(
+                    req,
+                    run,
+                    document=exchange.document,
+                    priority=exchange.priority,
+                    aim_at=exchange.aim_at,
+                    deadline_at=exchange.deadline_at,
+                    failure_domain=home.failure_domain if home else "",
+                )
+            await self._forward(exchange, run)
+        finally:
+            self._staging.release_rest(run)
+
+    def _engines(
+        self, exchange: Exchange, tried: Sequence[str]
+    ) -> list[ListedUpstream]:
+        ready = self._state.catalog.ready(exchange.pool)
+        return [u for u in ready if u.name not in tried] or ready
+
+    async def _forward(self, exchange: Exchange, run: StageRun) -> None:
+        """Sends the request to engines until its stream is finished."""
+        req, route, clock = exchange.req, exchange.route, self._state.clock
+        window = self._state.window(exchange.pool)
+        inputs = run.chain.final_handles()
+        splitter = EventSplitter()
+        splitter.last_id = req.after_event
+        tried: list[str] = []
+        attempts = 0
+        while True:
+            now = clock()
+            left = exchange.deadline_at - now
+            parts = [(p.name, p.tokens) for p in req.parts]
+            upstream = self._state.engines.choose(
+                self._engines(exchange, tried),
+                subject=_subject(exchange),
+                parts=parts,
+                inputs=run.domains,
+                now=now,
+            )
+            if upstream is None or len(tried) > NOT_RUN_MAX:
+                raise RefusalError(
+                    reason.NO_UPSTREAM,
+                    Verdict.NOT_RUN if not attempts else Verdict.MAY_HAVE_RUN,
+                    "no engine takes the request",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            tried.append(upstream.name)
+            more = route.resumable and attempts + 1 < route.attempts_max
+            try:
+                done = await self._attempt(
+                    exchange, run, upstream, inputs, splitter, parts, more
+                )
+            except StageError as exc:
+                if exc.verdict is Verdict.NOT_RUN and not exchange.started:
+                    if left < ATTEMPT_ROOM_S or not self._may_add(window, exc):
+                        raise RefusalError(
+                            reason.NO_UPSTREAM,
+                            Verdict.NOT_RUN,
+                            str(exc),
+                            retry_after_s=exc.retry_after_s or RETRY_AFTER_S,
+                        ) from exc
+                    continue
+                if exc.verdict is not Verdict.NOT_RUN:
+                    attempts += 1
+                if (
+                    not more
+                    or exchange.deadline_at - clock() < ATTEMPT_ROOM_S
+                    or not window.try_take(clock(), self._sharers())
+                ):
+                    raise RefusalError(
+                        reason.UPSTREAM_FAILED,
+                        Verdict.MAY_HAVE_RUN,
+                        str(exc),
+                    ) from exc
+                splitter.drop_partial()
+                logger.bind(
+                    event="stream_resumed",
+                    request=req.request_id,
+                    after=splitter.last_id,
+                    cause=exc.kind.value,
+                ).info("stream goes on at another engine")
+                await anyio.sleep(SWITCH_S)
+                continue
+            if done:
+                return
+
+    def _sharers(self) -> int:
+        return 1 + len(self._peers.table.reachable(self._state.clock()))
+
+    def _may_add(self, window, exc: StageError) -> bool:
+        """Returns whether a request that did not run may go elsewhere."""
+        if exc.kind is FailureKind.CONNECT:
+            return True
+        return window.try_take(self._state.clock(), self._sharers())
+
+    async def _attempt(
+        self,
+        exchange: Exchange,
+        run: StageRun,
+        upstream: ListedUpstream,
+        inputs: Sequence[str],
+        splitter: EventSplitter,
+        parts: Sequence[tuple[str, int]],
+        more: bool,
+    ) -> bool:
+        """Forwards the stream of one engine; returns whether it is finished.
+
+        Raises:
+            StageError: The stream did not come or ended early.
+        """
+        req, clock = exchange.req, self._state.clock
+        engines = self._state.engines
+        began = clock()
+        left = exchange.deadline_at - began
+        headers = self._protocol.encode_request(
+            req,
+            upstream=upstream.name,
+            account=exchange.account,
+            remaining_s=left,
+            priority=exchange.priority,
+            inputs=inputs,
+            after_event=splitter.last_id,
+        )
+        unread = engines.unread(upstream.name, parts, began)
+        engines.begin(upstream.name, [p for p, _ in parts], unread, began)
+        pool = exchange.document.pools.get(exchange.pool)
+        reading = _Reading(unread)
+        failed, outcome = False, "cancelled"
+        try:
+            async with self._client.call(
+                upstream,
+                req.method,
+                req.target,
+                headers,
+                req.body,
+                request_id=req.request_id,
+                connections_max=_share(pool, self._peers),
+            ) as answer:
+                if answer.status != 200 or answer.reply.not_run:
+                    outcome = f"status_{answer.status}"
+                    failed = answer.status >= 500
+                    return await self._pass_failure(
+                        exchange, upstream, answer, run
+                    )
+                if not answer.reply.signed:
+                    failed, outcome = True, "unsigned"
+                    raise StageError(
+                        FailureKind.MISMATCH,
+                        Verdict.MAY_HAVE_RUN,
+                        upstream.name,
+                        "a stream without a signature",
+                    )
+                if not exchange.route.resumable:
+                    self._staging.release_rest(run)
+                await self._relay(
+                    exchange, upstream, answer, splitter, reading, more
+                )
+                outcome = "done"
+            return True
+        except StageError as exc:
+            failed = failed or exc.verdict is not Verdict.NOT_RUN
+            failed = failed or exc.kind is FailureKind.CONNECT
+            if outcome == "cancelled":
+                outcome = exc.kind.value
+            raise
+        except (httpx.HTTPError, OSError, ValueError) as exc:
+            failed, outcome = True, "truncated"
+            raise StageError(
+                FailureKind.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                upstream.name,
+                type(exc).__name__,
+            ) from exc
+        finally:
+            now = clock()
+            reading.done(engines, upstream.name, now)
+            engines.end(upstream.name, now, failed=failed)
+            self._metrics.attempts.inc(exchange.pool, outcome)
+            logger.bind(
+                event="attempt",
+                request=req.request_id,
+                upstream=upstream.name,
+                outcome=outcome,
+                unread_tokens=unread,
+                took_s=round(now - began, 4),
+                left_s=round(left, 3),
+            ).debug("attempt ended")
+
+    async def _pass_failure(
+        self,
+        exchange: Exchange,
+        upstream: ListedUpstream,
+        answer: Answer,
+        run: StageRun,
+    ) -> bool:
+        """Passes on an engine's failure, or raises what may be tried again."""
+        body = await answer.read(BODY_BYTES_MAX)
+        if answer.reply.not_run:
+            detail = f"status {answer.status}"
+            if answer.status in (400, 409) and run.chain.steps:
+                raise RefusalError(
+                    reason.STAGE_FAILED,
+                    Verdict.NOT_RUN,
+                    f"engine {upstream.name} lacks an input: {detail}",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            raise StageError(
+                FailureKind.REFUSED, Verdict.NOT_RUN, upstream.name, detail
+            )
+        if exchange.started:
+            raise StageError(
+                FailureKind.STATUS,
+                Verdict.MAY_HAVE_RUN,
+                upstream.name,
+                f"status {answer.status}",
+            )
+        exchange.outcome = f"status_{answer.status}"
+        headers = self._protocol.reply_headers(answer.headers)
+        await exchange.start(answer.status, headers)
+        await exchange.finish(body)
+        return True
+
+    async def _relay(
+        self,
+        exchange: Exchange,
+        upstream: ListedUpstream,
+        answer: Answer,
+        splitter: EventSplitter,
+        reading: "_Reading",
+        more: bool,
+    ) -> None:
+        """Passes on whole events as they arrive, up to the end.
+
+        Raises:
+            StageError: The engine was silent for too long.
+        """
+        clock, engines = self._state.clock, self._state.engines
+        chunks = answer.chunks()
+        while True:
+            limit_s = exchange.deadline_at - clock()
+            if more:
+                limit_s = min(limit_s, SILENCE_S)
+            chunk = await _next_chunk(chunks, limit_s, upstream)
+            if chunk is None:
+                break
+            whole = splitter.feed(chunk)
+            if not whole:
+                continue
+            now = clock()
+            reading.done(engines, upstream.name, now)
+            engines.progress(upstream.name, now)
+            if not exchange.started:
+                headers = self._protocol.reply_headers(answer.headers)
+                await exchange.start(answer.status, headers)
+            if exchange.first_event_at < 0:
+                exchange.first_event_at = now
+            await exchange.send_part(whole)
+        if splitter.partial:
+            raise StageError(
+                FailureKind.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                upstream.name,
+                "the stream ended inside an event",
+            )
+        exchange.events = splitter.count
+        exchange.outcome = "done"
+        if not exchange.started:
+            headers = self._protocol.reply_headers(answer.headers)
+            await exchange.start(answer.status, headers)
+        await exchange.finish()
+
+
+class _Reading:
+    """Prompt tokens that an engine has not read yet for one request."""
+
+    __slots__ = ("_unread",)
+
+    def __init__(self, unread: int) -> None:
+        self._unread = unread
+
+    def done(self, engines, name: str, now: float) -> None:
+        """Notes, once, that the prompt has been read."""
+        if self._unread:
+            engines.read(name, self._unread, now)
+            self._unread = 0
+
+
+async def _next_chunk(
+    chunks: AsyncIterator[bytes], limit_s: float, upstream: ListedUpstream
+) -> bytes | None:
+    """Returns the next bytes of a body, or None at its end.
+
+    Raises:
+        StageError: None came in time.
+    """
+    with anyio.move_on_after(max(0.0, limit_s)):
+        try:
+            return await anext(chunks)
+        except StopAsyncIteration:
+            return None
+    raise StageError(
+        FailureKind.TIMEOUT,
+        Verdict.MAY_HAVE_RUN,
+        upstream.name,
+        f"no event in {limit_s:.2f} s",
+    )
+
+
+def _subject(exchange: Exchange) -> str:
+    """Returns what names the shared prefix of a request's prompt.
+
+    The last part of a prompt belongs to the request or its session alone.
+    """
+    parts = exchange.req.parts
+    if not parts:
+        return exchange.req.request_id
+    shared = parts[:-1] or parts
+    return "/".join(part.name for part in shared)
--- /dev/null
+++ b/src/applespring/relay/watch.py
@@ -0,0 +1,262 @@
+"""Keeps the routing document and the upstreams up to date.
+
+The registry is watched; what one instance learns it tells the others, so that
+an instance cut off from the registry follows by way of its peers.
+"""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import anyio
+from loguru import logger
+
+from applespring.core.catalog import ListedUpstream
+from applespring.core.errors import ApplespringError, MessageError
+from applespring.peer import message
+from applespring.relay.client import UpstreamClient
+from applespring.relay.metrics import RelayMetrics
+from applespring.relay.peers import Peers
+from applespring.relay.plain import PlainForwarder
+from applespring.relay.registry import EntryChange, HistoryLostError, Registry
+from applespring.relay.state import State
+
+# Pause after a failed read, doubled up to the bound.
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.5
+EXPIRE_S = 0.2
+# Leaving upstreams are told to others for this long.
+LEAVING_TOLD_S = 10.0
+# A peer's newer document is fetched this often until it is in force.
+FETCH_S = 0.1
+
+
+class Watcher:
+    """Reads the registry for the whole instance."""
+
+    def __init__(
+        self,
+        state: State,
+        registry: Registry,
+        peers: Peers,
+        client: UpstreamClient,
+        plain: PlainForwarder,
+        metrics: RelayMetrics,
+    ) -> None:
+        self._state = state
+        self._registry = registry
+        self._peers = peers
+        self._client = client
+        self._plain = plain
+        self._metrics = metrics
+        self._away: set[str] = set()
+        self._leaving: dict[tuple[str, int], float] = {}
+        peers.attach(self)
+        peers.handle(message.FetchConfig, self._on_fetch)
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep, "document", self._follow_document)
+            tasks.start_soon(self._keep, "entries", self._follow_entries)
+            tasks.start_soon(self._fetch_from_peers)
+            tasks.start_soon(self._expire)
+
+    async def _keep(
+        self, what: str, follow: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Runs a follower again whenever it fails."""
+        pause_s = RETRY_MIN_S
+        while True:
+            began = self._state.clock()
+            try:
+                await follow()
+            except HistoryLostError as exc:
+                logger.bind(event="history_lost", what=what).info("{}", exc)
+                pause_s = RETRY_MIN_S
+                continue
+            except (ApplespringError, ValueError, TypeError) as exc:
+                self._lose(what, exc)
+            if self._state.clock() - began > 1.0:
+                pause_s = RETRY_MIN_S
+            await anyio.sleep(pause_s)
+            pause_s = min(RETRY_MAX_S, 2 * pause_s)
+
+    def _lose(self, what: str, exc: Exception) -> None:
+        if what == "entries":
+            self._state.catalog.lose_contact()
+        if what not in self._away:
+            self._away.add(what)
+            self._metrics.beliefs.inc("registry_lost")
+            logger.bind(event="registry_lost", what=what).warning("{}", exc)
+
+    def _regain(self, what: str) -> None:
+        if what == "entries":
+            self._state.catalog.regain_contact(self._state.clock())
+        if what in self._away:
+            self._away.discard(what)
+            self._metrics.beliefs.inc("registry_regained")
+            logger.bind(event="registry_regained", what=what).info(
+                "the registry answers again"
+            )
+
+    async def _follow_document(self) -> None:
+        data = await self._registry.read_document()
+        self._confirm_document(data)
+        # A change between the read and the watch is in the history.
+        revision = await self._revision()
+        data = await self._registry.read_document()
+        self._confirm_document(data)
+        while True:
+            data, revision = await self._registry.wait_document(revision)
+            self._confirm_document(data)
+
+    async def _revision(self) -> int:
+        _, revision = await self._registry.read_entries()
+        return revision
+
+    def _confirm_document(self, data: bytes | None) -> None:
+        self._regain("document")
+        self._state.document_read_at = self._state.clock()
+        if data is not None:
+            self._take_document(data, "registry")
+
+    def _take_document(self, data: bytes, source: str) -> None:
+        """Puts a document in force if it is newer than the one held."""
+        try:
+            doc = self._registry.decode_document(data)
+        except MessageError as exc:
+            self._metrics.beliefs.inc("document_rejected")
+            logger.bind(event="document_rejected", source=source).error(
+                "{}", exc
+            )
+            return
+        held = self._state.document
+        if held is not None and doc.version <= held.version:
+            return
+        self._state.document = doc
+        self._state.document_data = data
+        self._metrics.beliefs.inc("document_accepted")
+        logger.bind(
+            event="document_accepted",
+            version=doc.version,
+            previous=held.version if held else 0,
+            source=source,
+            routes=len(doc.routes),
+        ).info("document in force")
+
+    async def _follow_entries(self) -> None:
+        changes, revision = await self._registry.read_entries()
+        self._regain("entries")
+        now = self._state.clock()
+        listed = [c.upstream for c in changes if c.upstream is not None]
+        for upstream in listed:
+            self._note(upstream)
+        self._state.catalog.replace(listed, now)
+        self._state.entries_read_at = now
+        while True:
+            changes, revision = await self._registry.wait_entries(revision)
+            self._regain("entries")
+            self._state.entries_read_at = self._state.clock()
+            self._apply(changes)
+
+    def _apply(self, changes: Iterable[EntryChange]) -> None:
+        now = self._state.clock()
+        for change in changes:
+            if change.upstream is not None:
+                if self._state.catalog.put(change.upstream):
+                    self._note(change.upstream)
+                continue
+            held = self._state.catalog.get(change.name)
+            if held is None:
+                continue
+            dropped = self._state.catalog.remove(change.name, now)
+            logger.bind(
+                event="upstream_removed",
+                upstream=change.name,
+                pool=held.pool,
+                revision=change.revision,
+                dropped=dropped,
+            ).info("upstream no longer listed")
+            if dropped:
+                self._forget(held)
+
+    def _note(self, upstream: ListedUpstream) -> None:
+        logger.bind(
+            event="upstream_listed",
+            upstream=upstream.name,
+            pool=upstream.pool,
+            address=upstream.address,
+            state=upstream.state.value,
+            revision=upstream.revision,
+        ).info("upstream listed")
+
+    def _forget(self, upstream: ListedUpstream) -> None:
+        self._state.engines.forget(upstream.name)
+        self._plain.board.forget(upstream.name)
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(EXPIRE_S)
+            for name in self._state.catalog.expire(self._state.clock()):
+                logger.bind(event="upstream_lapsed", upstream=name).info(
+                    "upstream was not listed again"
+                )
+
+    async def _fetch_from_peers(self) -> None:
+        """Takes a newer document from a peer that has one."""
+        while True:
+            await anyio.sleep(FETCH_S)
+            held = self._state.document
+            version = held.version if held else 0
+            newer = [
+                peer
+                for peer in self._peers.table.reachable(self._state.clock())
+                if peer.document_version > version
+            ]
+            for peer in newer[:1]:
+                try:
+                    reply = await self._peers.request(
+                        peer.address, message.FetchConfig(revision=version)
+                    )
+                except ApplespringError as exc:
+                    logger.bind(event="fetch_failed", peer=peer.name).warning(
+                        "{}", exc
+                    )
+                    continue
+                if isinstance(reply, message.ConfigDocument) and reply.document:
+                    self._take_document(reply.document, peer.name)
+
+    async def _on_fetch(self, msg: message.FetchConfig) -> message.Message:
+        del msg
+        held = self._state.document
+        return message.ConfigDocument(
+            revision=held.version if held else 0,
+            document=self._state.document_data,
+        )
+
+    # What the instance contributes to gossip.
+
+    def document_version(self) -> int:
+        """See `Reporter.document_version`."""
+        held = self._state.document
+        return held.version if held else 0
+
+    def loads(self) -> list[message.UpstreamLoad]:
+        """See `Reporter.loads`."""
+        loads = self._state.engines.own_loads()
+        ranked = sorted(loads.items(), key=lambda item: -item[1][1])
+        return [
+            message.UpstreamLoad(upstream=name, requests=count, tokens=tokens)
+            for name, (count, tokens) in ranked
+        ]
+
+    def leaving(self) -> list[message.LeavingUpstream]:
+        """See `Reporter.leaving`."""
+        return []
+
+    def hear(self, sender: str, gossip: message.Gossip) -> None:
+        """See `Reporter.hear`."""
+        self._state.engines.hear(
+            sender,
+            {load.upstream: (load.requests, load.tokens) for load in gossip.loads},
+            self._state.clock(),
+        )
