Begin a request's large pieces only when all of them have room

Ruled out: too little capacity (calls of 4 would do 47 pieces/s, 40 are asked). Change: large pieces of a request begin only if all fit beside what begun requests still need; the rest of a begun request goes first; room is free only once the maker has answered the release; stages end when the caller of a stream leaves.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -284,11 +284,16 @@
             if other.paused_until <= now
         }
         taken: list[Piece] = []
+        spare = self._spare_bytes(now)
         for piece in self._pieces:
             if len(taken) >= self.spec.batch:
                 break
             if piece.result_bytes > room:
                 continue
+            if not piece.begun and piece.large:
+                needed = self._queued_bytes(piece.request)
+                if needed > spare and not self._is_empty(now):
+                    continue
             elsewhere = (
                 piece.large
                 and piece.failure_domain != domain
@@ -296,6 +301,9 @@
             )
             if elsewhere and now < piece.arrived_at + DOMAIN_WAIT_S:
                 continue
+            if not piece.begun:
+                spare -= self._queued_bytes(piece.request)
+                self._mark_begun(piece.request)
             taken.append(piece)
             room -= piece.result_bytes
         if not taken:
@@ -310,6 +318,36 @@
         lane.calls[call.number] = call
         return call
 
+    def _spare_bytes(self, now: float) -> float:
+        """Returns the room that requests not begun may take.
+
+        Large results of a request are of use only together. A request is
+        begun only if all of them fit beside what begun requests still need,
+        so that begun requests never wait for each other's room.
+        """
+        free = sum(
+            self.spec.room_bytes - lane.used_bytes(now)
+            for lane in self._lanes.values()
+        )
+        owed = sum(p.result_bytes for p in self._pieces if p.begun)
+        return free - owed
+
+    def _queued_bytes(self, request: str) -> float:
+        return sum(
+            p.result_bytes for p in self._pieces if p.request == request
+        )
+
+    def _is_empty(self, now: float) -> bool:
+        """Returns whether no room is taken, so that waiting cannot help."""
+        return not any(
+            lane.used_bytes(now) for lane in self._lanes.values()
+        ) and not any(p.begun for p in self._pieces)
+
+    def _mark_begun(self, request: str) -> None:
+        for piece in self._pieces:
+            if piece.request == request:
+                piece.begun = True
+
     def _nominal_s(self, pieces: int) -> float:
         return self.spec.call_s + pieces * self.spec.piece_s
 
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -14,6 +14,12 @@
 # A time to come back after is at most this part of the time left, so that a
 # caller can honour it.
 RETRY_SHARE = 0.3
+# A caller of a stream leaves when no event comes for the longest of these: a
+# time, a multiple of the target, a multiple of the longest pause on time
+# (platform's protocol page).
+PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
 
 
 class Exchange:
@@ -28,6 +34,7 @@
         arrived_at: When its head arrived.
         deadline_at: When it gets its last answer.
         aim_at: When its answer should begin.
+        patience_s: Longest time without an event before a caller leaves.
         started: Whether the head of an answer was sent.
         ended: Whether the answer is complete.
         outcome: How it ended, for the log and the metrics.
@@ -44,6 +51,7 @@
         "arrived_at",
         "deadline_at",
         "aim_at",
+        "patience_s",
         "started",
         "ended",
         "outcome",
@@ -76,6 +84,11 @@
         # its aim counts from its first attempt.
         elapsed_s = max(0.0, timeout_s - waits_s)
         self.aim_at = arrived_at + route.target_s - elapsed_s
+        self.patience_s = max(
+            PATIENCE_S,
+            PATIENCE_TARGETS * route.target_s,
+            PATIENCE_GAPS * route.gap_s,
+        )
         self.started = False
         self.ended = False
         self.outcome = ""
@@ -84,6 +97,11 @@
         self.close = False
         self._send = send
 
+    @property
+    def leaves_at(self) -> float:
+        """When the caller of a stream leaves if no event has come."""
+        return min(self.deadline_at, self.arrived_at + self.patience_s)
+
     @property
     def account(self) -> str:
         """Name of the client account that upstreams are told."""
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -166,10 +166,7 @@
 
     async def _on_release(self, msg: message.StageRelease) -> message.Message:
         handles = [h.handle for h in msg.handles]
-        queue = self._queue(msg.pool)
-        if queue is not None:
-            queue.release(handles)
-            self._wake[msg.pool].set()
+        self._queue(msg.pool)
         self.release(msg.pool, handles)
         return message.Ack()
 
@@ -189,10 +186,10 @@
                 None,
             )
             if upstream is not None and self._tasks is not None:
-                self._tasks.start_soon(self._release, upstream, held)
+                self._tasks.start_soon(self._release, pool, upstream, held)
 
     async def _release(
-        self, upstream: ListedUpstream, handles: Sequence[str]
+        self, pool: str, upstream: ListedUpstream, handles: Sequence[str]
     ) -> None:
         path, headers, body = self._protocol.encode_release(handles)
         try:
@@ -201,7 +198,11 @@
                     upstream, "POST", path.encode(), headers, body
                 ) as answer:
                     await answer.read(ANSWER_BYTES_MAX)
-                    return
+                # The room is free only once the maker has answered.
+                queue = self._queues.get(pool)
+                if queue is not None:
+                    queue.release(handles)
+                    self._wake[pool].set()
         except (StageError, httpx.HTTPError, ValueError, OSError) as exc:
             # The result expires by itself.
             logger.bind(event="release_failed", upstream=upstream.name).debug(
@@ -262,7 +263,7 @@
         else:
             self._metrics.stage_calls.inc(pool, "done")
             self._metrics.stage_call_s.observe(took, pool)
-            log.bind(took_s=took).debug("stage call done")
+            log.bind(took_s=took, left=len(queue)).info("stage call done")
             await self._finish(pool, queue, call, replies)
         self._wake[pool].set()
 
@@ -350,7 +351,4 @@
             break
         handles = [r.handle for r in results if r.handle]
         if handles and pool:
-            queue = self._queues.get(pool)
-            if queue is not None:
-                queue.release(handles)
             self.release(pool, handles)
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -239,7 +239,7 @@
                 outcome=outcome,
                 took_s=round(now - began, 4),
                 left_s=round(left, 3),
-            ).debug("attempt ended")
+            ).info("attempt ended")
 
 
 def _share(pool, peers: Peers) -> int:
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -31,6 +31,8 @@
 RESUBMITS_MAX = 6
 # Expected time from the last stage to the first event of the answer.
 RUN_S = 0.25
+# A request given up in its stages may come back after this time.
+LATE_RETRY_S = 0.5
 # Part of a full call that a stage is expected to take.
 STAGE_FACTOR = 1.1
 
@@ -147,6 +149,7 @@
                             reason.DEADLINE_UNREACHABLE,
                             Verdict.NOT_RUN,
                             f"stage {stage} cannot be done in time",
+                            retry_after_s=LATE_RETRY_S,
                         )
                     lost.setdefault(stage, set()).add(segment)
                     if failure == PieceReply.GONE:
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -78,7 +78,7 @@
                     document=exchange.document,
                     priority=exchange.priority,
                     aim_at=exchange.aim_at,
-                    deadline_at=exchange.deadline_at,
+                    deadline_at=exchange.leaves_at,
                     failure_domain=home.failure_domain if home else "",
                 )
             await self._forward(exchange, run)
@@ -258,7 +258,7 @@
                 unread_tokens=unread,
                 took_s=round(now - began, 4),
                 left_s=round(left, 3),
-            ).debug("attempt ended")
+            ).info("attempt ended")
 
     async def _pass_failure(
         self,
