--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,137 @@
+Feature: Translation at the platform's boundary
+  Guards against headers that only the system may set, entries of other
+  writers taken for upstreams, and documents that are half understood.
+
+  Scenario: A document is decoded into the product's types
+    Given the platform's configuration of version 7
+    Then the document has version 7
+    And the route of pule25.example/puxa400/2f is r-1, streaming, 12 s, target 1.3 s
+    And its stages are kafi81c of 3000000 bytes
+    And pool kafi81c has 4 pieces a call, 150 ms a call, 28 MB
+    And the client account of key k1 is bozi300 with priority 1
+    And the limits are 16384, 4194304, 3 s, 15 s
+
+  Scenario Outline: The longest prefix of a host decides
+    Given the platform's configuration of version 7
+    Then the route of <place> is <route>
+
+    Examples:
+      | place                            | route |
+      | pule25.example/puxa400/x         | r-1   |
+      | pule25.example:8080/puxa400/x    | r-1   |
+      | pule25.example/puxa400/deep/x    | r-2   |
+      | pule25.example/puxa400           | none  |
+      | other.example/puxa400/x          | none  |
+
+  Scenario Outline: A malformed document is an error
+    Given the configuration <text>
+    Then it is refused with "malformed"
+
+    Examples:
+      | text                                                   |
+      | nonsense                                               |
+      | []                                                     |
+      | {"version": 1}                                         |
+      | {"version": 1, "routes": [{"name": 1}], "services": []} |
+
+  Scenario Outline: An entry that cannot be read names no upstream
+    Given the registry entry <text>
+    Then it names no upstream
+
+    Examples:
+      | text                                                                   |
+      | nonsense                                                               |
+      | 7                                                                      |
+      | {"service": "a", "address": "1.2.3.4:5"}                               |
+      | {"service": "a", "address": "1.2.3.4:5", "state": "resting"}           |
+      | {"service": "a", "address": "1.2.3.4", "state": "ready"}               |
+      | {"service": "a", "address": 7, "state": "ready"}                       |
+      | {"service": 7, "address": "1.2.3.4:5", "state": "ready"}               |
+      | {"service": "a", "address": "1.2.3.4:5", "state": "ready", "born": "x"} |
+      | {"service": "a", "address": "1.2.3.4:99999", "state": "ready"}         |
+
+  Scenario: An entry is decoded
+    Given the registry entry {"service": "a", "address": "1.2.3.4:5", "zone": "z", "slots": 6, "state": "draining", "born": 12}
+    Then it names an upstream of pool a at 1.2.3.4:5 in z that is leaving, born 12
+
+  Scenario Outline: Headers that only the system may set are not passed on
+    Given a caller's request with the header <name>: forged
+    Then <name> does not reach an upstream
+
+    Examples:
+      | name             |
+      | Tenant           |
+      | tenant           |
+      | Inputs           |
+      | Hold             |
+      | Pin-Ms           |
+      | Kv-Backup        |
+      | Kv-From          |
+      | Kv-Fetch         |
+      | Target-Instance  |
+      | Request-Priority |
+      | X-Api-Key        |
+      | Connection       |
+      | Transfer-Encoding |
+      | Keep-Alive       |
+
+  Scenario: What the system sets for an upstream
+    Given a caller's request with the header X-Note: seen
+    Then an upstream gets X-Note: seen
+    And an upstream gets Request-Deadline: 1500
+    And an upstream gets Target-Instance: i-1
+    And an upstream gets Tenant: bozi300
+    And an upstream gets Inputs: 1.2.3.4:5/a,1.2.3.4:5/b
+
+  Scenario: A resumed stream names the last event that was passed on
+    Given a caller's request with the header Last-Event-Id: 3
+    Then the upstream that goes on after 9 gets Last-Event-Id 9 once
+
+  Scenario: The parts of a prompt are decoded
+    Given a caller's request with the header Prompt-Prefix: 5c1e:800,91bd:410
+    Then its parts are 5c1e of 800 and 91bd of 410 tokens
+
+  Scenario Outline: A malformed number in a header is an error
+    Given a caller's request with the header <name>: <value>
+    Then the request is refused as malformed
+
+    Examples:
+      | name             | value |
+      | Request-Deadline | soon  |
+      | Token-Count      | a,b   |
+      | Segments         | 1,x   |
+      | Prompt-Prefix    | a     |
+
+  Scenario Outline: What an answer says of itself
+    Given an answer of status <status> with the header <header>
+    Then it states that the request <run>
+
+    Examples:
+      | status | header           | run         |
+      | 503    | Not-Executed: 1  | did not run |
+      | 421    | X: 1             | did not run |
+      | 503    | X: 1             | may have run |
+      | 500    | X: 1             | may have run |
+
+  Scenario: The answer of a stage call must match its pieces
+    Given a stage call with 2 pieces
+    Then the answer {"items": [{"handle": "h"}, {"reason": "room"}]} gives h and room
+    And the answer {"items": [{"handle": "h"}, {"reason": "surprise"}]} gives h and error
+    And the answer {"items": [{"handle": "h"}]} is refused
+    And the answer {} is refused
+
+  Scenario: The settings file is decoded and unknown lines are ignored
+    Given the platform's settings
+    Then the instance is called edge-1 in koper-hall
+    And its seeds are 10.1.0.41:7740,10.2.0.25:7740
+    And it must end within 8 s
+
+  Scenario Outline: A wrong setting is named
+    Given the platform's settings with <name>=<value>
+    Then they are refused naming <name>
+
+    Examples:
+      | name          | value |
+      | node          |       |
+      | internalPorts | x     |
+      | bounds.graceS | soon  |
--- /dev/null
+++ b/features/relay_batch.feature
@@ -0,0 +1,78 @@
+Feature: Queue of a stage pool
+  Load patterns: a burst of requests with several large results (the first
+  seconds of quiet-1 at kabine-obala), mixed with light pieces. Guards against
+  calls that go out half empty, memory that deadlocks between half-made
+  requests, and work on requests that cannot be on time any more.
+
+  Background:
+    Given a stage pool of 3 upstreams in koper, izola, piran with 4 pieces a call, 150 ms a call, 32 ms a piece, 28 MB
+
+  Scenario: Pieces of several requests share a call
+    When requests a, b, c, d each offer 1 piece of 8 kB at 0.0
+    Then the next calls hold 4 pieces
+    And the call to one upstream holds pieces of a, b, c, d
+
+  Scenario: A large piece waits for an upstream of its failure domain
+    When request a offers 2 pieces of 3 MB for izola at 0.0
+    Then the next calls go to izola
+
+  Scenario: A large piece does not wait longer than a call
+    Given the upstream in izola is busy
+    When request a offers 2 pieces of 3 MB for izola at 0.0
+    Then there is no call at 0.1
+    And there is a call at 0.3
+
+  Scenario: A request begins only when all its large results fit
+    When requests a, b, c, d, e, f, g each offer 5 pieces of 3 MB at 0.0
+    And every call ends and its results stay until nothing more is called
+    Then only whole requests have results
+    And at least 4 requests have results
+
+  Scenario: The rest of a begun request goes before fresh requests
+    Given the upstreams in izola, piran are busy
+    When request a offers 6 pieces of 8 kB at 0.0 with priority 2
+    And the next calls are made at 0.0
+    And request b offers 4 pieces of 8 kB at 0.1 with priority 0
+    And the first call ends at 0.3
+    Then the call to one upstream holds pieces of a, a, b, b
+
+  Scenario: A late request makes way for one that can be on time
+    When request late offers 4 pieces of 8 kB at 0.0 with its aim at 0.1
+    And request fresh offers 4 pieces of 8 kB at 0.2 with its aim at 1.5
+    And only the upstream in koper is idle at 0.5
+    Then the call to one upstream holds pieces of fresh, fresh, fresh, fresh
+
+  Scenario: An upstream without room gets no large piece until a release
+    Given the upstreams in izola, piran are busy
+    When requests a, b, c each offer 3 pieces of 3 MB at 0.0
+    And every call ends and its results stay until nothing more is called
+    And request d offers 1 piece of 3 MB at 2.0
+    Then there is no call at 2.0
+    When a result of a is released
+    Then there is a call at 2.0
+
+  Scenario: A failed call is made again elsewhere
+    When request a offers 1 piece of 8 kB at 0.0
+    And the next call fails at 0.2
+    Then the next call goes to another upstream
+
+  Scenario: A piece has a bounded number of attempts
+    When request a offers 1 piece of 8 kB at 0.0
+    And its call fails 4 times
+    Then the piece is given up
+
+  Scenario: The results of a request that was withdrawn are not kept
+    When request a offers 1 piece of 8 kB at 0.0
+    And the next calls are made at 0.0
+    And request a is withdrawn
+    And the first call ends at 0.3
+    Then its result is not needed
+
+  Scenario: A request that would wait too long is not begun
+    When 60 requests each offer 1 piece of 8 kB at 0.0
+    Then a request with 1 s left is not admitted at 0.0
+    And a request with 12 s left is admitted at 0.0
+
+  Scenario: A piece that cannot be done in time is given up at once
+    When request a offers 1 piece of 8 kB at 0.0 with its deadline at 0.1
+    Then the piece is overdue at 0.0
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,263 @@
+"""Steps about the translation at the platform's boundary."""
+
+import json
+
+from behave import given, then
+
+from applespring.core.batch import Piece
+from applespring.core.errors import MessageError, SettingsError
+from applespring.platform.document import decode_document, decode_entry
+from applespring.platform.settings import decode_settings, parse_lines
+from applespring.platform.wire import PlatformProtocol
+from features.fixtures.platform_text import SETTINGS, make_configuration
+
+PROTOCOL = PlatformProtocol()
+
+
+def refuse(call, kind=MessageError):
+    """Returns the error that a call raises."""
+    try:
+        call()
+    except kind as exc:
+        return str(exc)
+    raise AssertionError(f"no {kind.__name__}")
+
+
+@given("the platform's configuration of version {version:d}")
+def given_configuration(context, version):
+    context.document = decode_document(make_configuration(version))
+
+
+@given("the configuration {text}")
+def given_text(context, text):
+    context.raw = text.encode()
+
+
+@then('it is refused with "{words}"')
+def then_refused(context, words):
+    assert words in refuse(lambda: decode_document(context.raw))
+
+
+@then("the document has version {version:d}")
+def then_version(context, version):
+    assert context.document.version == version
+
+
+def find(context, place):
+    host, _, path = place.partition("/")
+    return context.document.match(host, "/" + path)
+
+
+@then(
+    "the route of {place} is {name}, streaming, {timeout:d} s, "
+    "target {target:g} s"
+)
+def then_route_whole(context, place, name, timeout, target):
+    route = context.route = find(context, place)
+    assert route.name == name
+    assert route.kind.value == "streaming"
+    assert (route.timeout_s, route.target_s) == (timeout, target)
+
+
+@then("the route of {place} is {name:w}")
+def then_route(context, place, name):
+    route = find(context, place)
+    assert (route.name if route else "none") == name
+
+
+@then("the route of {place} is r-{number:d}")
+def then_route_number(context, place, number):
+    assert find(context, place).name == f"r-{number}"
+
+
+@then("its stages are {pool} of {size:d} bytes")
+def then_stages(context, pool, size):
+    (step,) = context.route.stages
+    assert (step.pool, step.result_bytes) == (pool, size)
+
+
+@then(
+    "pool {name} has {batch:d} pieces a call, {call:d} ms a call, {room:d} MB"
+)
+def then_pool(context, name, batch, call, room):
+    spec = context.document.pools[name].batch
+    assert (spec.batch, spec.call_s) == (batch, call / 1e3)
+    assert spec.room_bytes == room * 1e6
+
+
+@then("the client account of key {key} is {name} with priority {rank:d}")
+def then_client(context, key, name, rank):
+    client = context.document.clients[key]
+    assert (client.name, client.priority) == (name, rank)
+
+
+@then("the limits are {head:d}, {body:d}, {header_s:d} s, {idle_s:d} s")
+def then_limits(context, head, body, header_s, idle_s):
+    limits = context.document.limits
+    assert (limits.header_bytes, limits.body_bytes) == (head, body)
+    assert (limits.header_s, limits.idle_s) == (header_s, idle_s)
+
+
+@given("the registry entry {text}")
+def given_entry(context, text):
+    context.raw = text.encode()
+
+
+@then("it names no upstream")
+def then_no_upstream(context):
+    refuse(lambda: decode_entry("servers/i-1", context.raw, 3))
+
+
+@then(
+    "it names an upstream of pool {pool} at {address} in {domain} that is "
+    "leaving, born {born:d}"
+)
+def then_upstream(context, pool, address, domain, born):
+    found = decode_entry("servers/i-1", context.raw, 3)
+    assert (found.name, found.pool, found.address) == ("i-1", pool, address)
+    assert (found.failure_domain, found.born_ms) == (domain, born)
+    assert found.state.value == "leaving"
+    assert found.revision == 3
+
+
+@given("a caller's request with the header {name}: {value}")
+def given_request(context, name, value):
+    context.headers = [
+        (b"Host", b"pule25.example"),
+        (b"Request-Id", b"9c41"),
+        (name.encode(), value.encode()),
+    ]
+
+
+def forward(context, **changes):
+    """Returns the headers that an upstream gets."""
+    req = PROTOCOL.decode_request("POST", b"/p/", context.headers)
+    options = {
+        "upstream": "i-1",
+        "account": "bozi300",
+        "remaining_s": 1.5,
+        "priority": 2,
+        "inputs": ["1.2.3.4:5/a", "1.2.3.4:5/b"],
+        "after_event": "",
+        **changes,
+    }
+    return PROTOCOL.encode_request(req, **options)
+
+
+@then("{name} does not reach an upstream")
+def then_not_passed(context, name):
+    sent = forward(context)
+    assert not any(value == b"forged" for _, value in sent), sent
+    names = [n.lower() for n, _ in sent]
+    assert names.count(name.lower().encode()) <= 1
+
+
+@then("an upstream gets {name}: {value}")
+def then_gets(context, name, value):
+    assert (name.encode(), value.encode()) in forward(context)
+
+
+@then("the upstream that goes on after {event:d} gets Last-Event-Id {sent:d} once")
+def then_resumes(context, event, sent):
+    headers = forward(context, after_event=str(event))
+    found = [v for n, v in headers if n.lower() == b"last-event-id"]
+    assert found == [str(sent).encode()]
+
+
+@then("its parts are {first} of {a:d} and {second} of {b:d} tokens")
+def then_parts(context, first, a, second, b):
+    req = PROTOCOL.decode_request("POST", b"/p/", context.headers)
+    parts = [(p.name, p.tokens) for p in req.parts]
+    assert parts == [(first, a), (second, b)]
+
+
+@then("the request is refused as malformed")
+def then_malformed(context):
+    refuse(lambda: PROTOCOL.decode_request("GET", b"/", context.headers))
+
+
+@given("an answer of status {status:d} with the header {name}: {value}")
+def given_answer(context, status, name, value):
+    headers = [(name.encode(), value.encode())]
+    context.reply = PROTOCOL.decode_reply(status, headers)
+
+
+@then("it states that the request did not run")
+def then_not_run(context):
+    assert context.reply.not_run
+
+
+@then("it states that the request may have run")
+def then_may_have_run(context):
+    assert not context.reply.not_run
+
+
+@given("a stage call with {count:d} pieces")
+def given_call(context, count):
+    context.pieces = [
+        Piece(request="r", stage=0, segment=n, key="k", deadline_at=2.0)
+        for n in range(count)
+    ]
+    _, _, body = PROTOCOL.encode_call(context.pieces, "i-1", 1.0)
+    assert json.loads(body)["items"][1] == {
+        "id": "r",
+        "stage": 0,
+        "segment": 1,
+        "key": "k",
+        "remainingMs": 1000,
+    }
+
+
+@then("the answer {text} gives {handle} and {failure}")
+def then_answer(context, text, handle, failure):
+    replies = PROTOCOL.decode_call(text.encode(), context.pieces)
+    assert [(r.handle, r.failure) for r in replies] == [
+        (handle, ""),
+        ("", failure),
+    ]
+
+
+@then("the answer {text} is refused")
+def then_answer_refused(context, text):
+    refuse(lambda: PROTOCOL.decode_call(text.encode(), context.pieces))
+
+
+@given("the platform's settings")
+def given_settings(context):
+    context.values = dict(SETTINGS)
+
+
+@given("the platform's settings with {name}=")
+def given_settings_without(context, name):
+    context.values = {**SETTINGS, name: ""}
+
+
+@given("the platform's settings with {name}={value}")
+def given_settings_with(context, name, value):
+    context.values = {**SETTINGS, name: value}
+
+
+def decode(context):
+    text = "\n".join(f"{n}={v}" for n, v in context.values.items())
+    return decode_settings(parse_lines("# comment\nno value\n" + text))
+
+
+@then("the instance is called {name} in {domain}")
+def then_called(context, name, domain):
+    settings = decode(context)
+    assert (settings.name, settings.failure_domain) == (name, domain)
+
+
+@then("its seeds are {seeds}")
+def then_seeds(context, seeds):
+    assert decode(context).seeds == tuple(seeds.split(","))
+
+
+@then("it must end within {limit:d} s")
+def then_limit(context, limit):
+    assert decode(context).drain_limit_s == limit
+
+
+@then("they are refused naming {name}")
+def then_settings_refused(context, name):
+    assert name in refuse(lambda: decode(context), SettingsError)
--- /dev/null
+++ b/features/steps/relay_batch_steps.py
@@ -0,0 +1,238 @@
+"""Steps about the queue of a stage pool."""
+
+import re
+
+from behave import given, then, use_step_matcher, when
+
+from applespring.core.batch import BatchQueue, Piece
+from applespring.core.route import BatchSpec
+from features.fixtures.relay import make_upstream
+
+SIZES = {"kB": 1e3, "MB": 1e6}
+DEADLINE_S = 5.0
+AIM_S = 1.3
+
+
+def names(text):
+    return [n.strip() for n in text.split(",")]
+
+
+def offer(context, request, count, size, at, **options):
+    settings = {
+        "deadline_at": at + DEADLINE_S,
+        "aim_at": at + AIM_S,
+        **options,
+    }
+    context.queue.offer(
+        [
+            Piece(
+                request=request,
+                stage=0,
+                segment=n,
+                result_bytes=size,
+                arrived_at=at,
+                **settings,
+            )
+            for n in range(count)
+        ],
+        at,
+    )
+
+
+@given(
+    "a stage pool of 3 upstreams in {domains} with {batch:d} pieces a call, "
+    "{call:d} ms a call, {piece:d} ms a piece, {room:d} MB"
+)
+def given_pool(context, domains, batch, call, piece, room):
+    spec = BatchSpec(1, batch, call / 1e3, piece / 1e3, room * 1e6, 4.0)
+    context.queue = BatchQueue(spec)
+    context.upstreams = {
+        d: make_upstream(f"u-{d}", "stage", d) for d in names(domains)
+    }
+    context.queue.set_upstreams(context.upstreams.values())
+    context.calls = []
+    context.made = {}
+
+
+@given("the upstream in {domain} is busy")
+@given("the upstreams in {domain} are busy")
+def given_busy(context, domain):
+    for name in names(domain):
+        upstream = context.upstreams[name]
+        context.queue.set_upstreams([upstream])
+        offer(context, "busy", 1, 0.0, 0.0)
+        assert len(context.queue.next_calls(0.0)) == 1
+        busy = [context.queue._lanes[upstream.name]]
+        context.busy = [*getattr(context, "busy", []), *busy]
+        context.queue.set_upstreams(context.upstreams.values())
+    for lane in context.busy:
+        context.queue._lanes[lane.upstream.name] = lane
+
+
+use_step_matcher("re")
+
+
+@when(
+    r"requests? (?P<who>[\w, ]+?) (?:each )?offers? (?P<count>\d+) pieces? of "
+    r"(?P<size>\d+) (?P<unit>kB|MB)(?: for (?P<domain>\w+))? at "
+    r"(?P<at>[\d.]+)(?: with priority (?P<priority>\d+))?"
+    r"(?: with its aim at (?P<aim>[\d.]+))?"
+    r"(?: with its deadline at (?P<deadline>[\d.]+))?"
+)
+def when_offer(
+    context, who, count, size, unit, domain, at, priority, aim, deadline
+):
+    options = {}
+    if domain:
+        options["failure_domain"] = domain
+    if priority:
+        options["priority"] = int(priority)
+    if aim:
+        options["aim_at"] = float(aim)
+    if deadline:
+        options["deadline_at"] = float(deadline)
+    many = re.fullmatch(r"(\d+) requests", who)
+    requests = [f"r{n}" for n in range(int(many[1]))] if many else names(who)
+    for request in requests:
+        amount = int(size) * SIZES[unit]
+        offer(context, request, int(count), amount, float(at), **options)
+
+
+@when(r"(?P<number>\d+) requests each offer 1 piece of 8 kB at 0.0")
+def when_many(context, number):
+    for n in range(int(number)):
+        offer(context, f"r{n}", 1, 8e3, 0.0)
+
+
+use_step_matcher("parse")
+
+
+@when("the next calls are made at {at:g}")
+def when_made(context, at):
+    context.calls += context.queue.next_calls(at)
+
+
+def finish(context, call, at):
+    handles = [f"{p.request}/{p.segment}" for p in call.pieces]
+    for piece, handle in zip(call.pieces, handles, strict=True):
+        context.made.setdefault(piece.request, []).append(handle)
+    return context.queue.succeed(call, handles, at)
+
+
+@when("the first call ends at {at:g}")
+def when_ends(context, at):
+    context.unneeded = finish(context, context.calls.pop(0), at)
+
+
+@when("every call ends and its results stay until nothing more is called")
+def when_all(context):
+    now = 0.0
+    for _ in range(12):
+        calls = context.queue.next_calls(now)
+        now += 0.1
+        for call in calls:
+            finish(context, call, now)
+
+
+@when("only the upstream in {domain} is idle at {at:g}")
+def when_only(context, domain, at):
+    context.queue.set_upstreams([context.upstreams[domain]])
+    context.at = at
+
+
+@when("a result of {request} is released")
+def when_released(context, request):
+    context.queue.release(context.made[request][:1])
+
+
+@when("the next call fails at {at:g}")
+def when_fails(context, at):
+    (call,) = context.queue.next_calls(0.0)
+    context.failed_call = call
+    assert context.queue.fail(call, at) == []
+    context.at = at
+
+
+@when("its call fails {count:d} times")
+def when_fails_often(context, count):
+    for n in range(count):
+        (call,) = context.queue.next_calls(n * 10.0)
+        context.spent = context.queue.fail(call, n * 10.0)
+
+
+@when("request {request} is withdrawn")
+def when_withdrawn(context, request):
+    context.queue.withdraw(request)
+
+
+@then("the next calls hold {count:d} pieces")
+def then_hold(context, count):
+    context.calls = context.queue.next_calls(0.0)
+    assert sum(len(c.pieces) for c in context.calls) == count
+
+
+@then("the call to one upstream holds pieces of {requests}")
+def then_one(context, requests):
+    calls = context.calls or context.queue.next_calls(
+        getattr(context, "at", 0.31)
+    )
+    assert len(calls) == 1, calls
+    assert [p.request for p in calls[0].pieces] == names(requests)
+
+
+@then("the next calls go to {domain}")
+def then_domain(context, domain):
+    calls = context.queue.next_calls(0.0)
+    assert [c.upstream.failure_domain for c in calls] == [domain]
+
+
+@then("there is no call at {at:g}")
+def then_none(context, at):
+    assert context.queue.next_calls(at) == []
+
+
+@then("there is a call at {at:g}")
+def then_call(context, at):
+    assert len(context.queue.next_calls(at)) == 1
+
+
+@then("only whole requests have results")
+def then_whole(context):
+    assert all(len(made) == 5 for made in context.made.values()), context.made
+
+
+@then("at least {count:d} requests have results")
+def then_least(context, count):
+    assert len(context.made) >= count, context.made
+
+
+@then("the next call goes to another upstream")
+def then_other(context):
+    (call,) = context.queue.next_calls(context.at)
+    assert call.upstream is not context.failed_call.upstream
+
+
+@then("the piece is given up")
+def then_spent(context):
+    assert len(context.spent) == 1
+
+
+@then("its result is not needed")
+def then_unneeded(context):
+    assert context.unneeded == ["a/0"]
+
+
+@then("a request with {left:d} s left is not admitted at {at:g}")
+def then_not_admitted(context, left, at):
+    assert not context.queue.admits(left, at)
+
+
+@then("a request with {left:d} s left is admitted at {at:g}")
+def then_admitted(context, left, at):
+    assert context.queue.admits(left, at)
+
+
+@then("the piece is overdue at {at:g}")
+def then_overdue(context, at):
+    assert [p.request for p in context.queue.take_overdue(at)] == ["a"]
+    assert len(context.queue) == 0
