Answer internal faults and end a drained process at once

Change: a fault inside a request is logged with its exception and answered; a process ends as soon as it is drained; answers carry Connection: close from the moment of SIGTERM.

--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -37,6 +37,8 @@
 BALANCER_LAG_S = 2.5
 # The process ends this long before it would be killed.
 END_MARGIN_S = 0.7
+# Time for connections to close after the last request.
+CLOSE_S = 0.3
 POLL_S = 0.05
 SETTINGS_S = 1.0
 
@@ -139,9 +141,11 @@
             tasks.start_soon(self._follow_limits, server)
             await self._wait_for_signals()
             await self._drain(stop_serving, ended)
-            tasks.cancel_scope.cancel()
-        logger.bind(event="stop", instance=cfg.name).info("instance stops")
-        self._log.flush()
+            logger.bind(event="stop", instance=cfg.name).info("instance stops")
+            self._log.flush()
+            # The server waits for connections that callers keep open; no
+            # request is left on them.
+            os._exit(0)
 
     async def _serve_text(
         self, address: str, read: Callable[[], tuple[int, str]]
@@ -226,7 +230,7 @@
             left=self.state.requests,
         ).info("requests have ended")
         stop_serving.set()
-        with anyio.move_on_after(END_MARGIN_S / 2):
+        with anyio.move_on_after(CLOSE_S):
             await ended.wait()
 
 
@@ -246,7 +250,8 @@
     cfg.include_date_header = False
     cfg.keep_alive_max_requests = REQUESTS_PER_CONNECTION_MAX
     cfg.h11_max_incomplete_size = HEAD_BYTES_MAX
-    cfg.graceful_timeout = END_MARGIN_S / 2
+    # Longer than the process lives on: it ends by itself when it is idle.
+    cfg.graceful_timeout = 10.0
     return cfg
 
 
@@ -264,6 +269,4 @@
         settings, protocol, make_registry, reload_settings, log
     )
     anyio.run(instance.run, backend_options={"use_uvloop": True})
-    # Connections that callers keep open would hold up the interpreter.
-    log.flush()
-    os._exit(0)
+    return 0
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -57,8 +57,8 @@
         "outcome",
         "events",
         "first_event_at",
-        "close",
         "_send",
+        "_closes",
     )
 
     def __init__(
@@ -70,6 +70,7 @@
         client: Client | None,
         arrived_at: float,
         send: Send,
+        closes: Callable[[], bool],
     ) -> None:
         self.req = req
         self.document = document
@@ -94,8 +95,8 @@
         self.outcome = ""
         self.events = 0
         self.first_event_at = -1.0
-        self.close = False
         self._send = send
+        self._closes = closes
 
     @property
     def leaves_at(self) -> float:
@@ -119,7 +120,7 @@
     ) -> None:
         """Sends the head of the answer."""
         self.started = True
-        await send_head(self._send, status, headers, close=self.close)
+        await send_head(self._send, status, headers, close=self._closes())
 
     async def send_part(self, data: bytes) -> None:
         """Sends a part of the body."""
--- a/src/applespring/relay/front.py
+++ b/src/applespring/relay/front.py
@@ -78,16 +78,43 @@
             if exchange is not None:
                 exchange.outcome = "caller_gone"
         except RefusalError as exc:
-            if exchange is not None and exchange.started:
-                exchange.outcome = f"cut_{exc.reason.code}"
-                self._log(request_id, exchange, arrived_at, exc)
-                # The server closes the connection without an end of body.
-                raise CutError(str(exc)) from exc
-            await self._refuse(exc, request_id, exchange, arrived_at, send)
+            await self._end_badly(exc, request_id, exchange, arrived_at, send)
+            return
+        except Exception as exc:  # noqa: BLE001
+            # A fault of the program must not leave the caller without answer.
+            logger.bind(event="fault", request=request_id).exception(
+                "request failed internally"
+            )
+            failure = RefusalError(
+                reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN, repr(exc)
+            )
+            await self._end_badly(
+                failure, request_id, exchange, arrived_at, send
+            )
             return
         if exchange is not None:
             self._log(request_id, exchange, arrived_at, None)
 
+    async def _end_badly(
+        self,
+        exc: RefusalError,
+        request_id: str,
+        exchange: Exchange | None,
+        arrived_at: float,
+        send: Send,
+    ) -> None:
+        """Refuses a request, or cuts its answer if that has begun.
+
+        Raises:
+            CutError: The answer has begun; the server closes the connection
+                without an end of body.
+        """
+        if exchange is not None and exchange.started:
+            exchange.outcome = f"cut_{exc.reason.code}"
+            self._log(request_id, exchange, arrived_at, exc)
+            raise CutError(str(exc)) from exc
+        await self._refuse(exc, request_id, exchange, arrived_at, send)
+
     def _decode(self, scope: dict) -> CallerRequest:
         target = scope["raw_path"]
         if scope["query_string"]:
@@ -139,7 +166,7 @@
         if not total:
             raise RefusalError(reason.NO_UPSTREAM, Verdict.NOT_RUN)
         point = (hash(req.request_id) & 0xFFFFFF) / 0x1000000
-        exchange = Exchange(
+        return Exchange(
             req,
             doc,
             route,
@@ -147,9 +174,8 @@
             client,
             arrived_at,
             send,
+            lambda: self._state.leaving,
         )
-        exchange.close = self._state.leaving
-        return exchange
 
     def _find_client(
         self, doc: RoutingDocument, req: CallerRequest
