--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -157,7 +157,9 @@
     assert (name.encode(), value.encode()) in forward(context)
 
 
-@then("the upstream that goes on after {event:d} gets Last-Event-Id {sent:d} once")
+@then(
+    "the upstream that goes on after {event:d} gets Last-Event-Id {sent:d} once"
+)
 def then_resumes(context, event, sent):
     headers = forward(context, after_event=str(event))
     found = [v for n, v in headers if n.lower() == b"last-event-id"]
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -30,6 +30,8 @@
 SPEED_WEIGHT = 0.3
 # Share of a request's remaining time that waiting may take.
 WAIT_SHARE = 0.5
+# Part of a full call that an arriving piece waits for an upstream to come idle.
+RESIDUAL_SHARE = 0.5
 # Window of the estimate of arrivals.
 ARRIVAL_WINDOW_S = 2.0
 # Least share of the capacity that is taken to be left for late pieces.
@@ -268,11 +270,13 @@
         return calls
 
     def _rank(self, piece: Piece, now: float) -> tuple:
-        if piece.begun:
-            return (0, piece.priority, piece.aim_at, piece.arrived_at)
-        if now <= piece.aim_at:
-            return (1, piece.priority, piece.aim_at, piece.arrived_at)
-        return (2, 0, piece.deadline_at, piece.arrived_at)
+        if self._can_be_on_time(piece, now):
+            tier = 0 if piece.begun else 1
+            return (tier, piece.priority, piece.aim_at, piece.arrived_at)
+        # Late requests are served as capacity is left, begun ones first since
+        # their results expire.
+        tier = 2 if piece.begun else 3
+        return (tier, 0, piece.deadline_at, piece.arrived_at)
 
     def _fill(self, lane: _Lane, now: float) -> Call | None:
         """Takes the pieces of the next call of an idle upstream."""
@@ -333,9 +337,7 @@
         return free - owed
 
     def _queued_bytes(self, request: str) -> float:
-        return sum(
-            p.result_bytes for p in self._pieces if p.request == request
-        )
+        return sum(p.result_bytes for p in self._pieces if p.request == request)
 
     def _is_empty(self, now: float) -> bool:
         """Returns whether no room is taken, so that waiting cannot help."""
@@ -468,28 +470,43 @@
             if lane.paused_until <= now + FAILED_PAUSE_S
         )
 
-    def wait_s(self, now: float) -> float:
-        """Returns how long a new piece waits behind all that is queued.
+    def wait_s(self, now: float, *, on_time: bool = False) -> float:
+        """Returns how long a new piece waits until its call begins.
 
-        Pieces that arrive later and can still be on time go first, so only
-        the capacity that they leave counts.
+        Args:
+            now: Current time.
+            on_time: Count only the pieces that can be on time, which go before
+                late ones. Otherwise the piece waits behind all that is queued
+                and behind later pieces that can be on time.
         """
         capacity = self.capacity(now)
         if capacity <= 0.0:
             return math.inf
+        free = any(
+            not lane.calls and lane.paused_until <= now
+            for lane in self._lanes.values()
+        )
+        residual = 0.0 if free else RESIDUAL_SHARE * self.full_call_s
+        if on_time:
+            ahead = sum(1 for p in self._pieces if self._can_be_on_time(p, now))
+            return residual + ahead / capacity
         self._arrivals = [
             at for at in self._arrivals if at > now - ARRIVAL_WINDOW_S
         ]
         rate = len(self._arrivals) / ARRIVAL_WINDOW_S
         left = max(LATE_SHARE_MIN * capacity, capacity - rate)
-        free = any(
-            not lane.calls and lane.paused_until <= now
-            for lane in self._lanes.values()
-        )
-        residual = 0.0 if free else 0.5 * self._nominal_s(self.spec.batch)
         ahead = len(self._pieces)
-        full = capacity if ahead <= self.spec.batch else left
-        return residual + ahead / full
+        return residual + ahead / (
+            capacity if ahead <= self.spec.batch else left
+        )
+
+    @property
+    def full_call_s(self) -> float:
+        """Time of a full call at the configured speed."""
+        return self._nominal_s(self.spec.batch)
+
+    def _can_be_on_time(self, piece: Piece, now: float) -> bool:
+        return now + self.spec.call_s <= piece.aim_at
 
     def admits(self, remaining_s: float, now: float) -> bool:
         """Returns whether a request with this time left should be begun."""
--- a/src/applespring/core/chain.py
+++ b/src/applespring/core/chain.py
@@ -171,11 +171,10 @@
         run_s: Expected time from the last stage to the first event.
     """
     users = [s.index for s in chain.steps.values() if index in s.after]
-    after = max(
+    return max(
         (
             call_s.get(i, 0.0) + remaining_s(chain, i, call_s, run_s)
             for i in users
         ),
         default=run_s,
     )
-    return after
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -239,12 +239,22 @@
     __slots__ = ("name", "born_ms")
 
 
+class PoolWait(Message):
+    """Waiting time of a queue that the sender keeps, in seconds.
+
+    `on_time_s` counts the pieces that can be on time, `whole_s` all of them.
+    """
+
+    __slots__ = ("pool", "on_time_s", "whole_s")
+
+
 class Gossip(Message):
     """What a relay instance tells others, sent as a datagram."""
 
-    __slots__ = ("sender", "peers", "loads", "leaving")
-    DEFAULTS = {"peers": (), "loads": (), "leaving": ()}
+    __slots__ = ("sender", "peers", "loads", "leaving", "waits")
+    DEFAULTS = {"peers": (), "loads": (), "leaving": (), "waits": ()}
     NESTED = {
+        "waits": PoolWait,
         "sender": PeerRow,
         "peers": PeerRow,
         "loads": UpstreamLoad,
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -150,6 +150,13 @@
   peers @1 :List(PeerRow);
   loads @2 :List(UpstreamLoad);
   leaving @3 :List(LeavingUpstream);
+  waits @4 :List(PoolWait);
+}
+
+struct PoolWait {
+  pool @0 :Text;
+  onTimeS @1 :Float32;
+  wholeS @2 :Float32;
 }
 
 struct LeavingUpstream {
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -78,9 +78,9 @@
     def __init__(self, protocol: Protocol, tls: ssl.SSLContext) -> None:
         self._protocol = protocol
         self._tls = tls
-        self._pools: OrderedDict[
-            tuple[str, int], httpx.AsyncHTTPTransport
-        ] = OrderedDict()
+        self._pools: OrderedDict[tuple[str, int], httpx.AsyncHTTPTransport] = (
+            OrderedDict()
+        )
 
     @asynccontextmanager
     async def call(
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -104,6 +104,7 @@
             self.peers,
             self._client,
             plain,
+            self.keeper,
             self.metrics,
         )
 
@@ -188,9 +189,7 @@
         while True:
             try:
                 cfg = self._reload()
-                seen = [
-                    getattr(cfg, name) for name in RelaySettings.__slots__
-                ]
+                seen = [getattr(cfg, name) for name in RelaySettings.__slots__]
                 if known is not None and seen != known:
                     logger.bind(event="reload").info("settings have changed")
                 known = seen
--- a/src/applespring/relay/front.py
+++ b/src/applespring/relay/front.py
@@ -53,9 +53,7 @@
         self._streams = streams
         self._metrics = metrics
 
-    async def __call__(
-        self, scope: dict, receive: Receive, send: Send
-    ) -> None:
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serves one ASGI scope."""
         if scope["type"] != "http":
             return
@@ -177,9 +175,7 @@
             lambda: self._state.leaving,
         )
 
-    def _find_client(
-        self, doc: RoutingDocument, req: CallerRequest
-    ) -> Client:
+    def _find_client(self, doc: RoutingDocument, req: CallerRequest) -> Client:
         client = doc.clients.get(req.api_key)
         if client is None:
             raise self._unless_stale(reason.UNKNOWN_KEY)
@@ -232,9 +228,7 @@
         if gone:
             raise CallerGoneError
         if late and not exchange.ended:
-            raise RefusalError(
-                reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN
-            )
+            raise RefusalError(reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN)
 
     async def _refuse(
         self,
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -21,6 +21,7 @@
     StageError,
 )
 from applespring.core.verdict import Verdict
+from applespring.core.waits import RETRY_AFTER_MIN_S
 from applespring.peer import message
 from applespring.relay.client import UpstreamClient
 from applespring.relay.metrics import RelayMetrics
@@ -35,8 +36,6 @@
 TICK_S = 0.1
 RELEASE_S = 1.0
 ANSWER_BYTES_MAX = 4 * 1024 * 1024
-# A refusal names at least this time to come back after.
-RETRY_AFTER_MIN_S = 0.3
 
 GONE_FROM_HERE = "moved"
 OVERLOADED = "overloaded"
@@ -81,12 +80,26 @@
     async def run(self) -> None:
         """Makes calls until cancelled."""
         async with anyio.create_task_group() as self._tasks:
-            await anyio.sleep_forever()
+            while True:
+                # Peers learn the same by gossip.
+                now = self._state.clock()
+                for pool, (on_time_s, whole_s) in self.waits().items():
+                    self._state.waits.put(pool, on_time_s, whole_s, now)
+                await anyio.sleep(TICK_S)
 
     def queue_lengths(self) -> dict[str, int]:
         """Returns the waiting pieces by pool."""
         return {pool: len(queue) for pool, queue in self._queues.items()}
 
+    def waits(self) -> dict[str, tuple[float, float]]:
+        """Returns the waiting times of the queues in use, by pool."""
+        now = self._state.clock()
+        return {
+            pool: (queue.wait_s(now, on_time=True), queue.wait_s(now))
+            for pool, queue in self._queues.items()
+            if len(queue) or queue.in_progress()
+        }
+
     @property
     def busy(self) -> bool:
         """Whether pieces wait or calls are in progress."""
@@ -313,9 +326,7 @@
             self.release(pool, unneeded)
         async with anyio.create_task_group() as tasks:
             for (address, ticket), results in done.items():
-                tasks.start_soon(
-                    self._deliver, pool, address, ticket, results
-                )
+                tasks.start_soon(self._deliver, pool, address, ticket, results)
 
     async def _deliver_failures(
         self, pieces: Sequence[Piece], failure: str
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -21,6 +21,7 @@
 ROWS_MAX = 8
 LOADS_MAX = 16
 LEAVING_MAX = 8
+WAITS_MAX = 8
 # A reply to a message between instances takes milliseconds; a silent
 # connection is closed after this time.
 REPLY_S = 0.4
@@ -38,6 +39,9 @@
     def leaving(self) -> Iterable[message.LeavingUpstream]:
         """Returns upstreams seen leaving of late."""
 
+    def waits(self) -> Iterable[message.PoolWait]:
+        """Returns the waiting times of the queues that it keeps."""
+
     def hear(self, sender: str, gossip: message.Gossip) -> None:
         """Takes the gossip of another instance."""
 
@@ -172,10 +176,15 @@
     def _encode(self, rows: list[message.PeerRow]) -> bytes:
         loads = list(self._reporter.loads()) if self._reporter else []
         leaving = list(self._reporter.leaving()) if self._reporter else []
+        waits = list(self._reporter.waits()) if self._reporter else []
         loads, leaving = loads[:LOADS_MAX], leaving[:LEAVING_MAX]
         while True:
             gossip = message.Gossip(
-                sender=self.own_row(), peers=rows, loads=loads, leaving=leaving
+                sender=self.own_row(),
+                peers=rows,
+                loads=loads,
+                leaving=leaving,
+                waits=waits[:WAITS_MAX],
             )
             data = encode(gossip)
             if len(data) <= DATAGRAM_BYTES_MAX or not (rows or loads):
@@ -199,9 +208,7 @@
         if self._reporter is not None:
             self._reporter.hear(gossip.sender.name, gossip)
 
-    def _hear(
-        self, row: message.PeerRow, now: float, *, direct: bool
-    ) -> None:
+    def _hear(self, row: message.PeerRow, now: float, *, direct: bool) -> None:
         peer = Peer(
             row.name,
             row.incarnation,
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -16,6 +16,7 @@
 )
 from applespring.core.route import RoutingDocument
 from applespring.core.verdict import Verdict
+from applespring.core.waits import RETRY_AFTER_MIN_S, excess_s
 from applespring.peer import message
 from applespring.peer.transport import PeerLostError, PeerUnreachableError
 from applespring.relay.keeper import OVERLOADED
@@ -120,6 +121,7 @@
             RefusalError: A stage cannot be done; the request has not run.
         """
         call_s = expected_calls(run.chain, document)
+        self._check_waits(run.chain, call_s, aim_at, deadline_at)
         resubmits = 0
         whole = False
         tickets: set[int] = set()
@@ -190,6 +192,36 @@
             if not whole:
                 self.abandon(req, run)
 
+    def _check_waits(
+        self,
+        chain: Chain,
+        call_s: Mapping[int, float],
+        aim_at: float,
+        deadline_at: float,
+    ) -> None:
+        """Refuses a request that its stages would hold for too long.
+
+        Raises:
+            RefusalError: It should come back later.
+        """
+        now = self._state.clock()
+        excess = excess_s(
+            chain,
+            call_s,
+            self._state.waits,
+            run_s=RUN_S,
+            aim_in_s=aim_at - now,
+            stays_s=deadline_at - now,
+            now=now,
+        )
+        if excess > 0.0:
+            raise RefusalError(
+                reason.OVERLOADED,
+                Verdict.NOT_RUN,
+                f"the stages would end {excess:.2f} s too late",
+                retry_after_s=max(RETRY_AFTER_MIN_S, excess),
+            )
+
     def abandon(self, req: CallerRequest, run: StageRun) -> None:
         """Withdraws what waits for a request and releases its results."""
         self.release_rest(run)
@@ -247,9 +279,9 @@
             if not self._peers.table.is_reachable(
                 ticket.keeper, ticket.incarnation, now
             ):
-                logger.bind(
-                    event="keeper_lost", keeper=ticket.keeper
-                ).warning("pieces are submitted again")
+                logger.bind(event="keeper_lost", keeper=ticket.keeper).warning(
+                    "pieces are submitted again"
+                )
                 lost.setdefault(ticket.stage, set()).update(ticket.missing)
                 tickets.discard(number)
                 self._tickets.pop(number, None)
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -5,6 +5,7 @@
 from applespring.core.catalog import Catalog
 from applespring.core.engineboard import EngineBoard
 from applespring.core.route import RoutingDocument
+from applespring.core.waits import WaitTable
 from applespring.core.window import AttemptWindow
 from applespring.relay.settings import RelaySettings
 
@@ -20,6 +21,7 @@
         catalog: Upstreams of the registry.
         entries_read_at: When the registry last confirmed them, or -1.
         engines: Load and health of engines.
+        waits: Waiting times of stage pools, by pool.
         leaving: Whether this instance is shutting down.
         requests: Requests being handled.
         clock: Steady clock in seconds that counts suspended time.
@@ -33,6 +35,7 @@
         "catalog",
         "entries_read_at",
         "engines",
+        "waits",
         "leaving",
         "requests",
         "clock",
@@ -49,6 +52,7 @@
         self.catalog = Catalog()
         self.entries_read_at = -1.0
         self.engines = EngineBoard()
+        self.waits = WaitTable()
         self.leaving = False
         self.requests = 0
         self.clock = clock
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -18,7 +18,7 @@
 from applespring.relay.peers import Peers
 from applespring.relay.plain import BODY_BYTES_MAX, NOT_RUN_MAX, _share
 from applespring.relay.protocol import Protocol
-from applespring.relay.staging import Staging, StageRun
+from applespring.relay.staging import StageRun, Staging
 from applespring.relay.state import State
 
 # A resumable stream without an event for this long goes on elsewhere; callers
@@ -34,8 +34,6 @@
 SWITCH_S = 0.05
 
 
-
-
 class StreamForwarder:
     """Executes the stages of a request and forwards its stream."""
 
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -13,6 +13,7 @@
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.peer import message
 from applespring.relay.client import UpstreamClient
+from applespring.relay.keeper import Keeper
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.plain import PlainForwarder
@@ -25,6 +26,8 @@
 EXPIRE_S = 0.2
 # Leaving upstreams are told to others for this long.
 LEAVING_TOLD_S = 10.0
+# Longest waiting time that is told; a pool without upstreams waits forever.
+WAIT_TOLD_MAX_S = 60.0
 # A peer's newer document is fetched this often until it is in force.
 FETCH_S = 0.1
 
@@ -39,6 +42,7 @@
         peers: Peers,
         client: UpstreamClient,
         plain: PlainForwarder,
+        keeper: Keeper,
         metrics: RelayMetrics,
     ) -> None:
         self._state = state
@@ -46,6 +50,7 @@
         self._peers = peers
         self._client = client
         self._plain = plain
+        self._keeper = keeper
         self._metrics = metrics
         self._away: set[str] = set()
         self._leaving: dict[tuple[str, int], float] = {}
@@ -253,10 +258,27 @@
         """See `Reporter.leaving`."""
         return []
 
+    def waits(self) -> list[message.PoolWait]:
+        """See `Reporter.waits`."""
+        return [
+            message.PoolWait(
+                pool=pool,
+                on_time_s=min(on_time_s, WAIT_TOLD_MAX_S),
+                whole_s=min(whole_s, WAIT_TOLD_MAX_S),
+            )
+            for pool, (on_time_s, whole_s) in self._keeper.waits().items()
+        ]
+
     def hear(self, sender: str, gossip: message.Gossip) -> None:
         """See `Reporter.hear`."""
+        now = self._state.clock()
         self._state.engines.hear(
             sender,
-            {load.upstream: (load.requests, load.tokens) for load in gossip.loads},
-            self._state.clock(),
+            {
+                load.upstream: (load.requests, load.tokens)
+                for load in gossip.loads
+            },
+            now,
         )
+        for wait in gossip.waits:
+            self._state.waits.put(wait.pool, wait.on_time_s, wait.whole_s, now)
