Leave out failure domains that a partition has cut off

Change: a failure domain whose instances are all silent and whose last call was not answered is left out by queues, engines and plain pools.

--- a/src/applespring/core/peertable.py
+++ b/src/applespring/core/peertable.py
@@ -135,6 +135,15 @@
             and now - peer.direct_at <= SILENCE_S
         ]
 
+    def silent_domains(self, now: float) -> set[str]:
+        """Returns the failure domains whose known instances are all silent."""
+        domains = {peer.failure_domain for peer in self._peers.values()}
+        return domains - {
+            peer.failure_domain
+            for peer in self._peers.values()
+            if now - peer.direct_at <= SILENCE_S
+        }
+
     def rank_keepers(
         self, subject: str, now: float, *, self_live: bool
     ) -> list[str]:
--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -28,7 +28,9 @@
 class Store:
     """Reads keys of the platform's store."""
 
-    def __init__(self, transport: httpx.AsyncBaseTransport, address: str):
+    def __init__(
+        self, transport: httpx.AsyncBaseTransport, address: str
+    ) -> None:
         self._transport = transport
         self.address = address
 
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -3,7 +3,7 @@
 import socket
 import ssl
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
 import anyio
@@ -11,6 +11,7 @@
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, StageError
+from applespring.core.reach import DomainReach
 from applespring.core.verdict import Verdict
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
 
@@ -75,9 +76,17 @@
 class UpstreamClient:
     """Opens calls to upstreams and says whether they may have run."""
 
-    def __init__(self, protocol: Protocol, tls: ssl.SSLContext) -> None:
+    def __init__(
+        self,
+        protocol: Protocol,
+        tls: ssl.SSLContext,
+        reach: DomainReach,
+        clock: Callable[[], float],
+    ) -> None:
         self._protocol = protocol
         self._tls = tls
+        self._reach = reach
+        self._clock = clock
         self._pools: OrderedDict[tuple[str, int], httpx.AsyncHTTPTransport] = (
             OrderedDict()
         )
@@ -125,12 +134,16 @@
             },
         )
         pool = await self._pool(upstream, connections_max)
+        answered = False
         try:
             resp = await pool.handle_async_request(request)
+            answered = True
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
             raise fail(FailureKind.CONNECT, type(exc).__name__) from exc
         except (httpx.HTTPError, OSError) as exc:
             raise fail(FailureKind.RESET, type(exc).__name__) from exc
+        finally:
+            self._reach.record(upstream.failure_domain, answered, self._clock())
         whole = False
         try:
             raw = resp.headers.raw
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -65,12 +65,15 @@
         self.metrics = RelayMetrics()
         self._log = log
         self._reload = reload_settings
-        self._client = UpstreamClient(protocol, tls)
+        self._client = UpstreamClient(
+            protocol, tls, self.state.reach, read_clock
+        )
         self.peers = Peers(
             settings.name,
             time.time_ns() // 1_000_000,
             settings.failure_domain,
             settings.peer_address,
+            self.state.peers,
             SocketTransport(host, port, close_silent=True),
             read_clock,
         )
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -137,7 +137,7 @@
             return message.StageAck(accepted=False, reason=UNKNOWN_POOL)
         if self._state.leaving:
             return message.StageAck(accepted=False, reason=GONE_FROM_HERE)
-        queue.set_upstreams(self._state.catalog.ready(msg.pool))
+        queue.set_upstreams(self._state.usable(msg.pool))
         if not msg.begun and not queue.admits(msg.deadline_s, now):
             wait_s = min(queue.wait_s(now), msg.deadline_s)
             return message.StageAck(
@@ -226,7 +226,7 @@
         while True:
             self._wake[pool] = anyio.Event()
             now = self._state.clock()
-            queue.set_upstreams(self._state.catalog.ready(pool))
+            queue.set_upstreams(self._state.usable(pool))
             overdue = queue.take_overdue(now)
             if overdue:
                 await self._deliver_failures(overdue, PieceReply.LATE)
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -66,10 +66,11 @@
         incarnation: int,
         failure_domain: str,
         address: str,
+        table: PeerTable,
         transport: Transport,
         clock: Callable[[], float],
     ) -> None:
-        self.table = PeerTable(name)
+        self.table = table
         self.name = name
         self.incarnation = incarnation
         self.address = address
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -5,8 +5,10 @@
 from loguru import logger
 
 from applespring.core import reason
+from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.plainboard import PlainBoard
+from applespring.core.route import PoolSpec
 from applespring.core.verdict import Verdict, combine
 from applespring.relay.client import UpstreamClient
 from applespring.relay.exchange import Exchange
@@ -79,7 +81,7 @@
             now = clock()
             left = exchange.deadline_at - now
             upstream = self.board.choose(
-                self._state.catalog.ready(exchange.pool),
+                self._state.usable(exchange.pool),
                 self._state.settings.failure_domain,
                 tried,
                 now,
@@ -161,7 +163,7 @@
         raise RefusalError(reason.UPSTREAM_FAILED, verdict, detail)
 
     async def _attempt(
-        self, exchange: Exchange, upstream, limit_s: float
+        self, exchange: Exchange, upstream: ListedUpstream, limit_s: float
     ) -> _Whole:
         """Sends the request to one upstream and reads its whole answer.
 
@@ -193,7 +195,7 @@
                     headers,
                     exchange.req.body,
                     request_id=exchange.req.request_id,
-                    connections_max=_share(pool, self._peers),
+                    connections_max=connection_share(pool, self._peers),
                 ) as answer:
                     body = await answer.read(BODY_BYTES_MAX)
             not_run = answer.reply.not_run
@@ -242,7 +244,7 @@
             ).info("attempt ended")
 
 
-def _share(pool, peers: Peers) -> int:
+def connection_share(pool: PoolSpec | None, peers: Peers) -> int:
     """Returns the connections that this instance may have to an upstream."""
     total = pool.connections_max if pool else 100
     return max(4, int(0.8 * total / (1 + len(peers.table.known()))))
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 
-from applespring.core.catalog import Catalog
+from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engineboard import EngineBoard
+from applespring.core.peertable import PeerTable
+from applespring.core.reach import DomainReach
 from applespring.core.route import RoutingDocument
 from applespring.core.waits import WaitTable
 from applespring.core.window import AttemptWindow
@@ -21,6 +23,8 @@
         catalog: Upstreams of the registry.
         entries_read_at: When the registry last confirmed them, or -1.
         engines: Load and health of engines.
+        reach: Failure domains that answer calls.
+        peers: The other instances.
         waits: Waiting times of stage pools, by pool.
         leaving: Whether this instance is shutting down.
         requests: Requests being handled.
@@ -36,6 +40,8 @@
         "entries_read_at",
         "engines",
         "waits",
+        "reach",
+        "peers",
         "leaving",
         "requests",
         "clock",
@@ -53,6 +59,8 @@
         self.entries_read_at = -1.0
         self.engines = EngineBoard()
         self.waits = WaitTable()
+        self.reach = DomainReach()
+        self.peers = PeerTable(settings.name)
         self.leaving = False
         self.requests = 0
         self.clock = clock
@@ -68,6 +76,15 @@
             )
         return window
 
+    def usable(self, pool: str) -> list[ListedUpstream]:
+        """Returns the upstreams of a pool that take work and can be reached.
+
+        The own failure domain is never taken as cut off.
+        """
+        silent = self.peers.silent_domains(self.clock())
+        silent.discard(self.settings.failure_domain)
+        return self.reach.filter(self.catalog.ready(pool), silent)
+
     @property
     def ready(self) -> bool:
         """Whether new callers should come here."""
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -9,14 +9,20 @@
 from applespring.core import reason
 from applespring.core.catalog import ListedUpstream
 from applespring.core.chain import Chain
+from applespring.core.engineboard import EngineBoard
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.events import EventSplitter
 from applespring.core.verdict import Verdict
+from applespring.core.window import AttemptWindow
 from applespring.relay.client import Answer, UpstreamClient
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
-from applespring.relay.plain import BODY_BYTES_MAX, NOT_RUN_MAX, _share
+from applespring.relay.plain import (
+    BODY_BYTES_MAX,
+    NOT_RUN_MAX,
+    connection_share,
+)
 from applespring.relay.protocol import Protocol
 from applespring.relay.staging import StageRun, Staging
 from applespring.relay.state import State
@@ -86,7 +92,7 @@
     def _engines(
         self, exchange: Exchange, tried: Sequence[str]
     ) -> list[ListedUpstream]:
-        ready = self._state.catalog.ready(exchange.pool)
+        ready = self._state.usable(exchange.pool)
         return [u for u in ready if u.name not in tried] or ready
 
     async def _forward(self, exchange: Exchange, run: StageRun) -> None:
@@ -159,7 +165,7 @@
     def _sharers(self) -> int:
         return 1 + len(self._peers.table.reachable(self._state.clock()))
 
-    def _may_add(self, window, exc: StageError) -> bool:
+    def _may_add(self, window: AttemptWindow, exc: StageError) -> bool:
         """Returns whether a request that did not run may go elsewhere."""
         if exc.kind is FailureKind.CONNECT:
             return True
@@ -206,7 +212,7 @@
                 headers,
                 req.body,
                 request_id=req.request_id,
-                connections_max=_share(pool, self._peers),
+                connections_max=connection_share(pool, self._peers),
             ) as answer:
                 if answer.status != 200 or answer.reply.not_run:
                     outcome = f"status_{answer.status}"
@@ -350,7 +356,7 @@
     def __init__(self, unread: int) -> None:
         self._unread = unread
 
-    def done(self, engines, name: str, now: float) -> None:
+    def done(self, engines: EngineBoard, name: str, now: float) -> None:
         """Notes, once, that the prompt has been read."""
         if self._unread:
             engines.read(name, self._unread, now)
