Open a stage of a request only when all its results fit

Its memory for results is full of parts of requests whose other parts wait for the same memory; the rule that all results must fit covered large results alone. Change: the rule holds for each stage and size, and the rest of an opened stage goes first even when it is late. Two scenarios fail without it.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -76,3 +76,21 @@
   Scenario: A piece that cannot be done in time is given up at once
     When request a offers 1 piece of 8 kB at 0.0 with its deadline at 0.1
     Then the piece is overdue at 0.0
+
+  Scenario: A later stage does not open more requests than its room holds
+    Load pattern: scale-1 at kabine-obala after a worker of the stage has left;
+    calls held 2 to 10 pieces of 15 while 140 waited, since parts of many
+    requests filled the memory.
+    Given a stage pool of 2 upstreams in koper, izola with 15 pieces a call, 150 ms a call, 9 ms a piece, 1 MB
+    When 20 begun requests each offer 8 pieces of 60 kB at 0.0
+    And every call ends and its results stay until nothing more is called
+    Then only whole requests of 8 pieces have results
+    And at least 4 requests have results
+
+  Scenario: A late request that is opened is finished first
+    Given the upstreams in izola, piran are busy
+    When request late offers 6 pieces of 8 kB at 0.0 with its aim at 0.2
+    And the next calls are made at 0.0
+    And request fresh offers 4 pieces of 8 kB at 0.1
+    And the first call ends at 0.3
+    Then the call to one upstream holds pieces of late, late, fresh, fresh
--- a/features/steps/relay_batch_steps.py
+++ b/features/steps/relay_batch_steps.py
@@ -40,10 +40,11 @@
 
 
 @given(
-    "a stage pool of 3 upstreams in {domains} with {batch:d} pieces a call, "
+    "a stage pool of {count:d} upstreams in {domains} with {batch:d} pieces a call, "
     "{call:d} ms a call, {piece:d} ms a piece, {room:d} MB"
 )
-def given_pool(context, domains, batch, call, piece, room):
+def given_pool(context, count, domains, batch, call, piece, room):
+    assert len(names(domains)) == count
     spec = BatchSpec(1, batch, call / 1e3, piece / 1e3, room * 1e6, 4.0)
     context.queue = BatchQueue(spec)
     context.upstreams = {
@@ -107,6 +108,12 @@
 use_step_matcher("parse")
 
 
+@when("{number:d} begun requests each offer {count:d} pieces of 60 kB at 0.0")
+def when_begun(context, number, count):
+    for n in range(number):
+        offer(context, f"r{n}", count, 60e3, 0.0, begun=True)
+
+
 @when("the next calls are made at {at:g}")
 def when_made(context, at):
     context.calls += context.queue.next_calls(at)
@@ -198,7 +205,13 @@
 
 @then("only whole requests have results")
 def then_whole(context):
-    assert all(len(made) == 5 for made in context.made.values()), context.made
+    then_whole_of(context, 5)
+
+
+@then("only whole requests of {count:d} pieces have results")
+def then_whole_of(context, count):
+    made = context.made
+    assert all(len(handles) == count for handles in made.values()), made
 
 
 @then("at least {count:d} requests have results")
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -54,6 +54,8 @@
         deadline_at: Time by which it must be done.
         result_bytes: Approximate size of its result.
         begun: Whether work has been spent on its request.
+        opened: Whether another piece of its stage has been called, so that
+            results of the stage take up room until all are made.
         arrived_at: When it was offered.
         attempts: Calls that it was part of.
     """
@@ -71,6 +73,7 @@
         "deadline_at",
         "result_bytes",
         "begun",
+        "opened",
         "arrived_at",
         "attempts",
     )
@@ -104,6 +107,7 @@
         self.deadline_at = deadline_at
         self.result_bytes = result_bytes
         self.begun = begun
+        self.opened = False
         self.arrived_at = arrived_at
         self.attempts = 0
 
@@ -270,8 +274,8 @@
         return calls
 
     def _rank(self, piece: Piece, now: float) -> tuple:
-        if self._can_be_on_time(piece, now):
-            tier = 0 if piece.begun else 1
+        if piece.opened or self._can_be_on_time(piece, now):
+            tier = 0 if piece.opened or piece.begun else 1
             return (tier, piece.priority, piece.aim_at, piece.arrived_at)
         # Late requests are served as capacity is left, begun ones first since
         # their results expire.
@@ -294,8 +298,8 @@
                 break
             if piece.result_bytes > room:
                 continue
-            if not piece.begun and piece.large:
-                needed = self._queued_bytes(piece.request)
+            if not piece.opened and piece.result_bytes:
+                needed = self._queued_bytes(piece)
                 if needed > spare and not self._is_empty(now):
                     continue
             elsewhere = (
@@ -305,9 +309,9 @@
             )
             if elsewhere and now < piece.arrived_at + DOMAIN_WAIT_S:
                 continue
-            if not piece.begun:
-                spare -= self._queued_bytes(piece.request)
-                self._mark_begun(piece.request)
+            if not piece.opened:
+                spare -= self._queued_bytes(piece)
+                self._open(piece)
             taken.append(piece)
             room -= piece.result_bytes
         if not taken:
@@ -323,32 +327,39 @@
         return call
 
     def _spare_bytes(self, now: float) -> float:
-        """Returns the room that requests not begun may take.
+        """Returns the room that stages not opened may take.
 
-        Large results of a request are of use only together. A request is
-        begun only if all of them fit beside what begun requests still need,
-        so that begun requests never wait for each other's room.
+        The results of a stage are of use only together. A stage is opened
+        only if all of them fit beside what opened ones still need, so that
+        opened stages never wait for each other's room.
         """
         free = sum(
             self.spec.room_bytes - lane.used_bytes(now)
             for lane in self._lanes.values()
         )
-        owed = sum(p.result_bytes for p in self._pieces if p.begun)
-        return free - owed
+        return free - sum(p.result_bytes for p in self._pieces if p.opened)
+
+    def _siblings(self, piece: Piece) -> list[Piece]:
+        """Returns the queued pieces of the same stage of the same request."""
+        return [
+            p
+            for p in self._pieces
+            if p.request == piece.request and p.stage == piece.stage
+        ]
+
+    def _queued_bytes(self, piece: Piece) -> float:
+        return sum(p.result_bytes for p in self._siblings(piece))
 
-    def _queued_bytes(self, request: str) -> float:
-        return sum(p.result_bytes for p in self._pieces if p.request == request)
+    def _open(self, piece: Piece) -> None:
+        for sibling in self._siblings(piece):
+            sibling.opened = True
+            sibling.begun = True
 
     def _is_empty(self, now: float) -> bool:
         """Returns whether no room is taken, so that waiting cannot help."""
         return not any(
             lane.used_bytes(now) for lane in self._lanes.values()
-        ) and not any(p.begun for p in self._pieces)
-
-    def _mark_begun(self, request: str) -> None:
-        for piece in self._pieces:
-            if piece.request == request:
-                piece.begun = True
+        ) and not any(p.opened for p in self._pieces)
 
     def _nominal_s(self, pieces: int) -> float:
         return self.spec.call_s + pieces * self.spec.piece_s
