--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -17,7 +17,7 @@
 LARGE_RESULT_BYTES = 500_000
 # Time for which a large piece waits for an upstream in its own failure
 # domain before another one may take it; about one call of a stage pool.
-DOMAIN_WAIT_S = 0.1
+DOMAIN_WAIT_S = 0.25
 # Most attempts of a piece after failures of its upstream.
 PIECE_ATTEMPTS_MAX = 4
 # Pause of an upstream that refused a call or failed it.
