Prefer for each stage the failure domain of its inputs

Change: a stage prefers the domain that holds most bytes of its inputs, else the home of the prompt; a piece is left to an idle upstream of its domain; only final results weigh on the choice of an engine.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -8,7 +8,7 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.route import BatchSpec
@@ -18,6 +18,8 @@
 # Time for which a large piece waits for an upstream in its own failure
 # domain before another one may take it; about one call of a stage pool.
 DOMAIN_WAIT_S = 0.25
+# The same for a piece with small results, which moves fewer bytes.
+SMALL_DOMAIN_WAIT_S = 0.03
 # Most attempts of a piece after failures of its upstream.
 PIECE_ATTEMPTS_MAX = 4
 # Pause of an upstream that refused a call or failed it.
@@ -265,10 +267,13 @@
         ]
         # The fastest idle upstream gets the most urgent pieces.
         lanes.sort(key=lambda lane: (lane.pace, lane.upstream.name))
+        idle = [lane.upstream.failure_domain for lane in lanes]
         for lane in lanes:
             if not self._pieces:
                 break
-            call = self._fill(lane, now)
+            # Pieces for the domain of another idle upstream are left to it.
+            idle.remove(lane.upstream.failure_domain)
+            call = self._fill(lane, now, set(idle))
             if call is not None:
                 calls.append(call)
         return calls
@@ -282,7 +287,9 @@
         tier = 2 if piece.begun else 3
         return (tier, 0, piece.deadline_at, piece.arrived_at)
 
-    def _fill(self, lane: _Lane, now: float) -> Call | None:
+    def _fill(
+        self, lane: _Lane, now: float, idle: Container[str]
+    ) -> Call | None:
         """Takes the pieces of the next call of an idle upstream."""
         room = self.spec.room_bytes - lane.used_bytes(now)
         domain = lane.upstream.failure_domain
@@ -302,13 +309,11 @@
                 needed = self._queued_bytes(piece)
                 if needed > spare and not self._is_empty(now):
                     continue
-            elsewhere = (
-                piece.large
-                and piece.failure_domain != domain
-                and piece.failure_domain in domains
-            )
-            if elsewhere and now < piece.arrived_at + DOMAIN_WAIT_S:
-                continue
+            wanted = piece.failure_domain
+            if wanted != domain and wanted in domains:
+                wait_s = DOMAIN_WAIT_S if piece.large else SMALL_DOMAIN_WAIT_S
+                if wanted in idle or now < piece.arrived_at + wait_s:
+                    continue
             if not piece.opened:
                 spare -= self._queued_bytes(piece)
                 self._open(piece)
@@ -465,11 +470,13 @@
             for lane in self._lanes.values()
             if lane.paused_until > now
         ]
-        times += [
-            piece.arrived_at + DOMAIN_WAIT_S
-            for piece in self._pieces
-            if piece.large and piece.arrived_at + DOMAIN_WAIT_S > now
-        ]
+        for piece in self._pieces:
+            if piece.failure_domain:
+                times += [
+                    piece.arrived_at + wait_s
+                    for wait_s in (DOMAIN_WAIT_S, SMALL_DOMAIN_WAIT_S)
+                    if piece.arrived_at + wait_s > now
+                ]
         return min(times, default=math.inf)
 
     def capacity(self, now: float) -> float:
--- a/src/applespring/core/chain.py
+++ b/src/applespring/core/chain.py
@@ -122,12 +122,15 @@
     def _is_final(self, index: int) -> bool:
         return not any(index in step.after for step in self.steps.values())
 
+    def final_stages(self) -> list[int]:
+        """Returns the stages whose results the request itself takes."""
+        return [index for index in sorted(self.steps) if self._is_final(index)]
+
     def final_handles(self) -> list[str]:
         """Returns the results that the request itself takes, in order."""
         return [
             handle
-            for index in sorted(self.steps)
-            if self._is_final(index)
+            for index in self.final_stages()
             for handle in self.handles(index)
         ]
 
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -1,7 +1,7 @@
 """Runs the stages of a request by submitting their pieces to keepers."""
 
 import itertools
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import anyio
 from anyio.abc import TaskGroup
@@ -34,6 +34,8 @@
 RUN_S = 0.25
 # A request given up in its stages may come back after this time.
 LATE_RETRY_S = 0.5
+# Bytes of results or inputs of a stage that are worth a preferred domain.
+DOMAIN_BYTES_MIN = 100_000
 # Part of a full call that a stage is expected to take.
 STAGE_FACTOR = 1.1
 
@@ -65,19 +67,40 @@
 
     Attributes:
         chain: Their progress.
-        domains: Bytes of final results by failure domain.
+        made: Bytes of results of each stage by failure domain.
         changed: Set when results have arrived.
         failures: Failed pieces that arrived since the last look.
     """
 
-    __slots__ = ("chain", "domains", "changed", "failures")
+    __slots__ = ("chain", "made", "changed", "failures")
 
     def __init__(self, chain: Chain) -> None:
         self.chain = chain
-        self.domains: dict[str, float] = {}
+        self.made: dict[int, dict[str, float]] = {}
         self.changed = anyio.Event()
         self.failures: list[tuple[int, int, str]] = []
 
+    def input_domains(self, stages: Iterable[int]) -> dict[str, float]:
+        """Returns the bytes of results of some stages by failure domain."""
+        total: dict[str, float] = {}
+        for stage in stages:
+            for domain, size in self.made.get(stage, {}).items():
+                total[domain] = total.get(domain, 0.0) + size
+        return total
+
+    def final_domains(self) -> dict[str, float]:
+        """Returns the bytes that the request itself takes, by domain."""
+        return self.input_domains(self.chain.final_stages())
+
+    def choose_domain(self, index: int, home: str) -> str:
+        """Returns where a stage should be executed, or "" for anywhere."""
+        step = self.chain.steps[index]
+        inputs = self.input_domains(step.after)
+        if sum(inputs.values()) >= DOMAIN_BYTES_MIN:
+            return max(inputs, key=lambda domain: (inputs[domain], domain))
+        made = step.result_bytes * self.chain.counts[index]
+        return home if made >= DOMAIN_BYTES_MIN else ""
+
 
 class Staging:
     """Submits the stages of this instance's requests."""
@@ -320,7 +343,7 @@
             aim_s=aim_at - now - rest,
             run_s=rest,
             priority=max(0, priority),
-            failure_domain=failure_domain,
+            failure_domain=run.choose_domain(index, failure_domain),
             result_bytes=step.result_bytes,
             begun=begun,
             inputs=tuple(
@@ -392,9 +415,8 @@
                 run.chain.finish(ticket.stage, result.segment, result.handle)
                 step = run.chain.steps[ticket.stage]
                 domain = result.failure_domain
-                run.domains[domain] = (
-                    run.domains.get(domain, 0.0) + step.result_bytes
-                )
+                made = run.made.setdefault(ticket.stage, {})
+                made[domain] = made.get(domain, 0.0) + step.result_bytes
             else:
                 run.failures.append(
                     (ticket.stage, result.segment, result.failure)
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -112,7 +112,7 @@
                 self._engines(exchange, tried),
                 subject=_subject(exchange),
                 parts=parts,
-                inputs=run.domains,
+                inputs=run.final_domains(),
                 now=now,
             )
             if upstream is None or len(tried) > NOT_RUN_MAX:
