Weigh shared tokens that another engine holds

Change: a shared token that an engine lacks costs 30 us beside its time; an engine is silent after 1.5 s.

--- a/src/applespring/core/engineboard.py
+++ b/src/applespring/core/engineboard.py
@@ -15,12 +15,15 @@
 # What it is worth to keep a byte of results in its failure domain, as time:
 # a result of 3 MB counts like 60 ms.
 CROSS_S_PER_BYTE = 2e-8
+# What reading a shared token again costs beside its time: engines that read
+# what another one holds have less memory and time for everyone else.
+MISS_S_PER_TOKEN = 3e-5
 # Gossip about load older than this is ignored.
 LOAD_MAX_AGE_S = 1.5
 # Prompt parts remembered for each engine.
 PARTS_MAX = 4000
 # An engine with requests but without any progress for this time is avoided.
-SILENT_S = 0.8
+SILENT_S = 1.5
 # Pause after a failure, doubled with each further one.
 FAILED_PAUSE_S = 0.5
 FAILED_PAUSE_MAX_S = 8.0
@@ -180,11 +183,13 @@
         now: float,
     ) -> float:
         name = upstream.name
-        if home is not None and name == home.name and parts:
+        own = parts[-1][1] if parts else 0
+        if home is not None and name == home.name:
             # Other instances send the same prefix here.
-            unread = parts[-1][1]
+            unread = own
         else:
             unread = self.unread(name, parts, now)
+        missed = max(0, unread - own)
         requests, waiting = self._load(name, now)
         crossing = sum(
             size
@@ -193,6 +198,7 @@
         )
         return (
             (waiting + unread) / PREFILL_TOKENS_PER_S
+            + missed * MISS_S_PER_TOKEN
             + requests * RUNNING_S
             + crossing * CROSS_S_PER_BYTE
         )
