Take on more requests that will be late

Change: a late request may wait 0.65 of its time at a queue and 0.75 in all, and 0.4 of a pool's capacity counts as left for late pieces.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -31,13 +31,13 @@
 # Weight of the newest call in the estimate of an upstream's speed.
 SPEED_WEIGHT = 0.3
 # Share of a request's remaining time that waiting may take.
-WAIT_SHARE = 0.5
+WAIT_SHARE = 0.65
 # Part of a full call that an arriving piece waits for an upstream to come idle.
 RESIDUAL_SHARE = 0.5
 # Window of the estimate of arrivals.
 ARRIVAL_WINDOW_S = 2.0
 # Least share of the capacity that is taken to be left for late pieces.
-LATE_SHARE_MIN = 0.2
+LATE_SHARE_MIN = 0.4
 
 
 class Piece:
--- a/src/applespring/core/waits.py
+++ b/src/applespring/core/waits.py
@@ -9,7 +9,7 @@
 WAIT_MAX_AGE_S = 1.0
 # Part of the time that a caller stays which the stages of a request that will
 # be late may be expected to take.
-LATE_SHARE = 0.6
+LATE_SHARE = 0.75
 # Shortest time to come back after.
 RETRY_AFTER_MIN_S = 0.3
 
