Test forwarding, stages across instances and the relay's decisions; one operators' page

Cause: the relay's forwarding, staging and membership had no tests, and an operator had no way from a request's id to its cause.

--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -4,8 +4,8 @@
 
   Scenario: Every metric is documented and its labels are bounded
     When the "obalne" fleet serves every kind of request and is scraped
-    Then every scraped metric is in docs/operating.md with its labels
-    And every metric in docs/operating.md is declared by an instance
+    Then every scraped metric is in docs/OPERATIONS.md with its labels
+    And every metric in docs/OPERATIONS.md is declared by an instance
     And every scraped label value comes from the document or the documentation
 
   Scenario Outline: Each submission has one outcome in the metrics
--- a/features/operating.feature
+++ b/features/operating.feature
@@ -3,15 +3,15 @@
   and cannot look up.
 
   Scenario: Every setting of the entry instance with its range and default
-    Then docs/operating.md lists every flag of applespring-entry with its default
-    And docs/operating.md states the bounds of every number in the flags
+    Then docs/OPERATIONS.md lists every flag of applespring-entry with its default
+    And docs/OPERATIONS.md states the bounds of every number in the flags
 
   Scenario: Every reason code with its status and whether it counts
-    Then docs/operating.md lists every reason code with its status
-    And docs/operating.md says for every reason code whether it counts
+    Then docs/OPERATIONS.md lists every reason code with its status
+    And docs/OPERATIONS.md says for every reason code whether it counts
 
   Scenario: Every condition and every action of rules
-    Then docs/operating.md lists exactly the conditions and actions of rules
+    Then docs/OPERATIONS.md lists exactly the conditions and actions of rules
 
   Scenario: The fixed words are explained
     Then docs/glossary.md explains "instance, failure domain, client account, upstream"
--- /dev/null
+++ b/features/relay_parts.feature
@@ -0,0 +1,104 @@
+Feature: Decisions of a relay instance
+  Guards against retries beyond the fleet's allowance, prefixes that wander
+  between engines, engines that are silent, failure domains that a partition
+  cut off, streams cut inside an event, and logs that block or lose silently.
+
+  Scenario: Added attempts stay within the part of the instance
+    Load pattern: clients that repeat at once while every attempt fails.
+    Given an allowance of 0.2 a request and 54 beside in 10 s
+    When 100 requests come at 0 and each asks for an added attempt among 7 instances
+    Then at most 16 are granted
+    And none is granted at 5
+    And one is granted at 11 after 20 more requests
+
+  Scenario: Events are passed on whole
+    Given the stream "id: 1|data: a||id: 2|da" comes in pieces of 3 bytes
+    Then the events up to 1 are passed on
+    And an unfinished event is held
+
+  Scenario: The home of a prefix is the same for every instance
+    Given engines a, b, c and two instances with different histories
+    Then both choose the same home for 50 prefixes
+    And the homes are spread over a, b, c
+
+  Scenario: A shared prompt goes to its home though another engine is idle
+    Given engines a, b, c and two instances with different histories
+    When the home of a prefix of 13300 tokens has 3 requests
+    Then the request goes to the home
+
+  Scenario: A home with a long queue of prompts is left
+    Load pattern: many users ask about one thing.
+    Given engines a, b, c and two instances with different histories
+    When the home of a prefix of 13300 tokens has 60000 tokens to read
+    Then the request goes elsewhere
+
+  Scenario: The load that peers tell counts
+    Given engines a, b, c and two instances with different histories
+    When a peer tells that the home of a prefix of 13300 tokens has 60000 tokens to read
+    Then the request goes elsewhere
+    And 2 s later it goes to the home
+
+  Scenario: An engine that is silent or failed is left for a time
+    Given engines a, b, c and two instances with different histories
+    When a request at the home of a prefix fails at 0
+    Then the request goes elsewhere
+    And 1 s later it goes to the home
+
+  Scenario: The engine is near large results when it holds nothing
+    Given engines a, b, c and two instances with different histories
+    Then a request without prefix and with 9 MB of results in the domain of c goes to c
+
+  Scenario Outline: When a failure domain counts as cut off
+    Given the instances of izola are <instances> and the last call there was <call>
+    Then the upstreams of izola are <used>
+
+    Examples:
+      | instances | call       | used     |
+      | silent    | unanswered | left out |
+      | silent    | answered   | used     |
+      | heard     | unanswered | used     |
+
+  Scenario: Upstreams are used when all are cut off
+    Given the instances of izola are silent and the last call there was unanswered
+    Then the upstreams of izola are used when there are no others
+
+  Scenario: A chain that fits its time begins
+    Given stages of 0.3 s each and waits of 0.1 s
+    Then a request with an aim of 1.5 s may begin
+
+  Scenario: A chain behind a long queue at a later stage does not begin
+    Load pattern: scale-1 at kabine-obala, where a worker of the second stage
+    leaves and hundreds of pieces wait for it.
+    Given stages of 0.3 s each and waits of 0.1 s
+    And the second stage has a wait of 6 s
+    Then a request with an aim of 1.5 s is 2.85 s too late
+
+  Scenario: Old word of a wait is forgotten
+    Given stages of 0.3 s each and waits of 0.1 s
+    And the second stage has a wait of 6 s
+    When 2 s pass
+    Then a request with an aim of 1.5 s may begin
+
+  Scenario: An instance that starts anew is another one
+    Given a peer with incarnation 1 heard at 0
+    When the peer is heard with incarnation 2 at 0.5
+    Then incarnation 1 cannot be reached and incarnation 2 can
+    And a late word of incarnation 1 changes nothing
+
+  Scenario: A silent peer keeps no queue
+    Given a peer with incarnation 1 heard at 0
+    Then it may keep a queue at 0.9
+    And it may not keep a queue at 1.2
+
+  Scenario: A leaving peer keeps no queue
+    Given a peer with incarnation 1 heard at 0
+    When it says that it is leaving at 0.5
+    Then it may not keep a queue at 0.6
+
+  Scenario: The log never blocks and says what it left out
+    Given a log whose reader stands still
+    When 5000 lines and then 100 warnings are logged
+    Then nothing blocks
+    And at most 2000 lines wait, the warnings among them
+    When the reader reads on
+    Then the number of lines left out is logged
--- /dev/null
+++ b/features/relay_staging.feature
@@ -0,0 +1,58 @@
+Feature: Stages across instances
+  Guards against pieces lost with the instance that keeps a queue, stages of
+  requests whose callers have left, and instances that follow an old document.
+
+  Scenario: The stages of a request are executed in order by one keeper
+    Given relay instances one, two, three with 2 stage upstreams and an engine
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller gets an answer
+    And the engine got the results of the last stage of each request
+    And only one instance keeps the queue
+    And pieces of different requests shared a call
+    And every result was released
+
+  Scenario Outline: The keeper of the queue is lost
+    Given relay instances one, two, three with 2 stage upstreams and an engine
+    When the keeper <fate> 0.1 s after a caller of another instance sent a staged request
+    Then every caller gets an answer
+
+    Examples:
+      | fate            |
+      | is killed       |
+      | is cut off      |
+      | begins to leave |
+
+  Scenario: Each side of a partition executes its own stages
+    Given relay instances one, two, three with 2 stage upstreams and an engine
+    When instance one is cut off from the others for 5 s
+    And a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller gets an answer
+
+  Scenario: The caller leaves before its stages are done
+    Given relay instances one, two, three with 2 stage upstreams and an engine
+    When a caller sends a staged request with 8,1 pieces and leaves after 0.1 s
+    Then at most one call is made after it left
+    And every result was released
+    And no engine is asked
+
+  Scenario: Requests that would wait too long are refused at once
+    Load pattern: a burst of four times what the stage can do.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When 60 callers send staged requests with 4,1 pieces over 1 s
+    Then some are refused within 0.1 s as not run and told when to come back
+    And no request that was refused had a piece called
+
+  Scenario: An instance cut off from the registry gets the document from a peer
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When the registry is away for instance two and version 8 is published
+    Then instance two has version 8 within 2 s
+
+  Scenario: An older document never replaces a newer one
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When version 9 is published, and then version 8
+    Then every instance has version 9
+
+  Scenario: An instance that starts while the registry is away asks its peers
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When the registry is away and instance four starts
+    Then instance four has the document within 2 s
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -106,7 +106,7 @@
     run_site(site, scenario)
 
 
-@then("every scraped metric is in docs/operating.md with its labels")
+@then("every scraped metric is in docs/OPERATIONS.md with its labels")
 def then_documented(context):
     rows = read_rows("Metrics")
     for name, series in context.samples.items():
@@ -117,7 +117,7 @@
         assert used == documented, (name, used, documented)
 
 
-@then("every metric in docs/operating.md is declared by an instance")
+@then("every metric in docs/OPERATIONS.md is declared by an instance")
 def then_declared(context):
     assert set(read_rows("Metrics")) == context.families, (
         set(read_rows("Metrics")) ^ context.families
--- a/features/steps/operating_steps.py
+++ b/features/steps/operating_steps.py
@@ -28,7 +28,7 @@
 
 
 @then(
-    "docs/operating.md lists every flag of applespring-entry with its default"
+    "docs/OPERATIONS.md lists every flag of applespring-entry with its default"
 )
 def then_flags(context):
     rows = read_rows("Settings of applespring-entry")
@@ -39,7 +39,7 @@
         assert rows[option][1] == wanted, (option, rows[option][1], wanted)
 
 
-@then("docs/operating.md states the bounds of every number in the flags")
+@then("docs/OPERATIONS.md states the bounds of every number in the flags")
 def then_bounds(context):
     rows = read_rows("Settings of applespring-entry")
     for option, hint, _ in flags():
@@ -52,7 +52,7 @@
                 )
 
 
-@then("docs/operating.md lists every reason code with its status")
+@then("docs/OPERATIONS.md lists every reason code with its status")
 def then_reasons(context):
     rows = read_rows("Reason codes")
     wanted = {reason.code: str(reason.status) for reason in all_reasons()}
@@ -61,7 +61,7 @@
     assert all(len(cells) == 5 and all(cells) for cells in rows.values())
 
 
-@then("docs/operating.md says for every reason code whether it counts")
+@then("docs/OPERATIONS.md says for every reason code whether it counts")
 def then_counts(context):
     rows = read_rows("Reason codes")
     for reason in all_reasons():
@@ -69,7 +69,7 @@
         assert rows[reason.code][2] == wanted, reason.code
 
 
-@then("docs/operating.md lists exactly the conditions and actions of rules")
+@then("docs/OPERATIONS.md lists exactly the conditions and actions of rules")
 def then_rules(context):
     rows = read_rows("Rules")
     assert set(rows) == set(CONDITIONS) | set(ACTIONS), (
--- a/features/steps/relay_batch_steps.py
+++ b/features/steps/relay_batch_steps.py
@@ -40,8 +40,8 @@
 
 
 @given(
-    "a stage pool of {count:d} upstreams in {domains} with {batch:d} pieces a call, "
-    "{call:d} ms a call, {piece:d} ms a piece, {room:d} MB"
+    "a stage pool of {count:d} upstreams in {domains} with {batch:d} pieces "
+    "a call, {call:d} ms a call, {piece:d} ms a piece, {room:d} MB"
 )
 def given_pool(context, count, domains, batch, call, piece, room):
     assert len(names(domains)) == count
--- /dev/null
+++ b/features/steps/relay_forward_steps.py
@@ -0,0 +1,247 @@
+"""Steps about forwarding requests and streams."""
+
+import json
+
+import anyio
+import httpx
+from behave import given, then, when
+
+from features.fixtures.relay_world import SIGNED, RelayWorld, events
+from features.fixtures.virtual import run_virtual
+
+FAILURES = {
+    "refuse": "refuse",
+    "reset": "reset",
+    "silent": "silent",
+    "full": (503, {"Not-Executed": "1"}, [b""]),
+    "other": (200, {**SIGNED, "Request-Id": "another"}, [b"wrong"]),
+    "unsigned": (200, {}, [b"forged"]),
+    "truncated": (200, SIGNED, [b"half", httpx.ReadError("cut")]),
+    "error": (500, SIGNED, [b"failed"]),
+    "bare 503": (503, SIGNED, [b"busy"]),
+}
+BROKEN = httpx.RemoteProtocolError("cut")
+
+
+class FirstAsked:
+    """Gives its steps to the upstreams in the order in which they are asked."""
+
+    def __init__(self, steps):
+        self.steps = steps
+
+    def __bool__(self):
+        return bool(self.steps)
+
+    def pop(self, _):
+        """Returns the next step."""
+        return self.steps.pop(0)
+
+
+def prepare(context, pool, names):
+    context.world = RelayWorld()
+    context.steps = []
+    for name in names.split(", "):
+        upstream = context.world.add_upstream(name, pool)
+        upstream.script = FirstAsked(context.steps)
+    context.away_s = 0.0
+    context.ready = True
+    context.before = []
+
+
+@given("a relay with the plain upstreams {names}")
+def given_plain(context, names):
+    prepare(context, "plain", names)
+
+
+@given("a relay with the engines {names}")
+def given_engines(context, names):
+    prepare(context, "engines", names)
+
+
+@given("a relay that has not read the registry")
+def given_not_ready(context):
+    prepare(context, "plain", "a")
+    context.ready = False
+
+
+@given('the first upstream that is asked does "{failure}"')
+def given_failure(context, failure):
+    context.steps.append(FAILURES[failure])
+
+
+@given("then every upstream is full")
+def given_full(context):
+    for upstream in context.world.upstreams.values():
+        upstream.default = FAILURES["full"]
+
+
+@given("every upstream is down")
+def given_down(context):
+    for upstream in context.world.upstreams.values():
+        upstream.down = True
+
+
+@given("the registry is away for {seconds:d} s")
+def given_away(context, seconds):
+    context.away_s = float(seconds)
+
+
+@given("the engine sends the events {first:d} to {last:d} and ends")
+@given("the next engine sends the events {first:d} to {last:d} and ends")
+def given_events(context, first, last):
+    context.steps.append((200, SIGNED, events(first, last)))
+
+
+@given("the engine sends the events {first:d} to {last:d} and breaks")
+def given_breaks(context, first, last):
+    context.steps.append((200, SIGNED, [*events(first, last), BROKEN]))
+
+
+@given(
+    "the engine sends the events {first:d} to {last:d} and breaks inside "
+    "event {part:d}"
+)
+def given_breaks_inside(context, first, last, part):
+    half = events(part, part)[0][:5]
+    chunks = [*events(first, last), half, BROKEN]
+    context.steps.append((200, SIGNED, chunks))
+
+
+@given("the engine sends the events {first:d} to {last:d} and falls silent")
+def given_silent(context, first, last):
+    chunks = [*events(first, last), 1e6]
+    context.steps.append((200, SIGNED, chunks))
+
+
+def play(context, kind, count=1, **options):
+    """Runs a world in which a caller sends requests."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            parts = await context.world.start("one", tasks)
+            if context.ready:
+                await anyio.sleep(0.5)
+            else:
+                parts.state.document = None
+            for step in context.before:
+                step()
+                await anyio.sleep(0.5)
+            if context.away_s:
+                context.world.registries["one"].away = True
+                await anyio.sleep(context.away_s)
+            began = anyio.current_time()
+            for _ in range(count):
+                context.reply = await context.world.request(
+                    "one", f"/{kind}/x", **options
+                )
+            context.took_s = context.reply.ended_at - began
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@when("upstream {name} leaves the registry")
+def when_leaves(context, name):
+    def leave():
+        context.world.listed.pop(name)
+        context.world.removed.append(name)
+
+    context.before.append(leave)
+
+
+@when("a caller sends a {kind:w} request")
+def when_sends(context, kind):
+    play(context, kind)
+
+
+@when("a caller sends {count:d} unsafe requests")
+def when_sends_many(context, count):
+    play(context, "unsafe", count)
+
+
+@when("a caller sends a {kind:w} request with the key {key:w}")
+def when_key(context, kind, key):
+    play(context, kind, key=key)
+
+
+@when("a caller sends a {kind:w} request and leaves after {ms:d} ms")
+def when_leaves_after(context, kind, ms):
+    play(context, kind, leave_after=ms / 1e3)
+
+
+@when("a caller sends a {kind:w} request with a deadline of {ms:d} ms")
+def when_deadline(context, kind, ms):
+    play(context, kind, deadline_ms=ms)
+
+
+@then("it gets {status:d} and {count:d} upstreams got it")
+def then_gets(context, status, count):
+    runs = context.world.runs()
+    assert context.reply.status == status, context.reply.body
+    assert len(runs) == count, [a.upstream for a in runs]
+    if status == 200:
+        last = runs[-1].upstream.encode()
+        assert context.reply.body == b"answer of " + last
+
+
+@then("{count:d} upstreams got it")
+def then_count(context, count):
+    assert len(context.world.runs()) == count
+
+
+@then('the verdict is ""')
+def then_no_verdict(context):
+    assert b"verdict" not in context.reply.body
+
+
+@then('the verdict is "{verdict}"')
+def then_verdict(context, verdict):
+    assert json.loads(context.reply.body)["verdict"] == verdict
+
+
+@then("it is told when to come back")
+def then_retry_after(context):
+    assert float(context.reply.headers[b"retry-after"]) > 0
+
+
+@then("no upstream but {name} got any")
+def then_only(context, name):
+    assert {a.upstream for a in context.world.arrivals} == {name}
+
+
+@then("the request ends at {ms:d} ms")
+def then_ends(context, ms):
+    assert abs(context.took_s - ms / 1e3) < 0.01, context.took_s
+    assert context.reply.status is None
+
+
+@then("each upstream got a deadline of at most {ms:d} ms")
+def then_deadlines(context, ms):
+    left = [int(a.headers["Request-Deadline"]) for a in context.world.runs()]
+    assert len(left) == 2
+    assert left[1] <= left[0] <= ms
+
+
+@then("it gets the events {first:d} to {last:d} and the end")
+def then_events(context, first, last):
+    assert context.reply.body == b"".join(events(first, last))
+    assert context.reply.ended and not context.reply.cut
+
+
+@then("it gets the events {first:d} to {last:d} and no end")
+def then_no_end(context, first, last):
+    assert context.reply.body == b"".join(events(first, last))
+    assert context.reply.cut and not context.reply.ended
+
+
+@then("the second engine was asked to go on after {event:d}")
+def then_after(context, event):
+    second = context.world.runs()[1]
+    assert second.headers["Last-Event-Id"] == str(event)
+
+
+@then("the first engine's connection was closed before")
+def then_closed(context):
+    first, second = context.world.runs()
+    assert first in context.world.closed
+    assert second.at > first.at
--- /dev/null
+++ b/features/steps/relay_staging_steps.py
@@ -0,0 +1,272 @@
+"""Steps about stages and documents across instances."""
+
+import json
+
+import anyio
+from behave import given, then, when
+
+from features.fixtures.relay_world import SIGNED, RelayWorld, events
+from features.fixtures.virtual import run_virtual
+
+PLAY_LIMIT_S = 60
+
+
+@given("relay instances {names} with {count:d} stage upstreams and an engine")
+def given_world(context, names, count):
+    context.names = names.split(", ")
+    context.world = RelayWorld()
+    for n in range(count):
+        context.world.add_upstream(f"s{n}", "stage")
+    engine = context.world.add_upstream("engine", "engines")
+    engine.default = (200, SIGNED, events(1, 2))
+    context.replies = {}
+
+
+def play(context, act, seconds=6.0):
+    """Starts the instances, runs an act, and ends after some time."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            for name in context.names:
+                await context.world.start(name, tasks)
+            await anyio.sleep(1.0)
+            with anyio.fail_after(PLAY_LIMIT_S):
+                await act(tasks)
+                await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+def send(context, tasks, instance, request, counts, **options):
+    """Sends a staged request in a task of its own."""
+
+    async def ask():
+        context.replies[request] = await context.world.request(
+            instance,
+            "/staged/x",
+            request=request,
+            headers=[
+                (b"segments", counts.encode()),
+                (b"segment-key", b"k"),
+            ],
+            **options,
+        )
+
+    tasks.start_soon(ask)
+
+
+def find_keeper(context):
+    ranked = context.world.instances["one"].state.peers.rank_keepers(
+        "stage", anyio.current_time(), self_live=True
+    )
+    return ranked[0]
+
+
+@when("a caller sends a staged request with {counts} pieces to each instance")
+def when_each(context, counts):
+    async def act(tasks):
+        for cut in getattr(context, "cuts", ()):
+            context.world.network.cut(*cut)
+            await anyio.sleep(1.5)
+        for n, name in enumerate(context.names):
+            send(context, tasks, name, f"r{n}", counts)
+
+    play(context, act)
+
+
+@when("instance {name} is cut off from the others for {seconds:d} s")
+def when_cut(context, name, seconds):
+    del seconds
+    others = [n for n in context.names if n != name]
+    context.cuts = [([name], others)]
+
+
+@when(
+    "the keeper {fate} 0.1 s after a caller of another instance sent a "
+    "staged request"
+)
+def when_lost(context, fate):
+    async def act(tasks):
+        keeper = find_keeper(context)
+        other = next(n for n in context.names if n != keeper)
+        send(context, tasks, other, "r0", "2,2")
+        await anyio.sleep(0.1)
+        parts = context.world.instances[keeper]
+        if fate == "is killed":
+            context.world.kill(keeper)
+        elif fate == "is cut off":
+            others = [n for n in context.names if n != keeper]
+            context.world.network.cut([keeper], others)
+        else:
+            parts.state.leaving = True
+            parts.peers.leaving = True
+            await parts.peers.announce()
+            await parts.keeper.hand_back()
+
+    play(context, act)
+
+
+@when(
+    "a caller sends a staged request with {counts} pieces and leaves after "
+    "{seconds:g} s"
+)
+def when_leaves(context, counts, seconds):
+    async def act(tasks):
+        send(context, tasks, "one", "r0", counts, leave_after=seconds)
+        await anyio.sleep(seconds + 0.1)
+        context.calls_at_leave = len(context.world.calls)
+
+    play(context, act)
+
+
+@when(
+    "{count:d} callers send staged requests with {counts} pieces over "
+    "{seconds:g} s"
+)
+def when_burst(context, count, counts, seconds):
+    async def act(tasks):
+        for n in range(count):
+            name = context.names[n % len(context.names)]
+            context.began = getattr(context, "began", {})
+            context.began[f"r{n}"] = anyio.current_time()
+            send(context, tasks, name, f"r{n}", counts)
+            await anyio.sleep(seconds / count)
+
+    play(context, act, 15.0)
+
+
+@when(
+    "the registry is away for instance {name} and version {version:d} is "
+    "published"
+)
+def when_published_away(context, name, version):
+    async def act(tasks):
+        del tasks
+        context.world.registries[name].away = True
+        await anyio.sleep(0.5)
+        context.world.version = version
+        context.world.publish()
+
+    play(context, act, 2.0)
+
+
+@when("version {newer:d} is published, and then version {older:d}")
+def when_two(context, newer, older):
+    async def act(tasks):
+        del tasks
+        for version in (newer, older):
+            context.world.version = version
+            context.world.publish()
+            await anyio.sleep(1.0)
+
+    play(context, act, 1.0)
+
+
+@when("the registry is away and instance {name} starts")
+def when_starts(context, name):
+    async def act(tasks):
+        await context.world.start(name, tasks)
+        context.world.registries[name].away = True
+
+    play(context, act, 2.0)
+
+
+@then("instance {name} has version {version:d} within 2 s")
+def then_version(context, name, version):
+    assert context.world.instances[name].state.document.version == version
+
+
+@then("instance {name} has the document within 2 s")
+def then_document(context, name):
+    assert context.world.instances[name].state.document is not None
+
+
+@then("every instance has version {version:d}")
+def then_every(context, version):
+    found = [p.state.document.version for p in context.world.instances.values()]
+    assert set(found) == {version}, found
+
+
+@then("every caller gets an answer")
+def then_answers(context):
+    assert context.replies
+    for reply in context.replies.values():
+        assert reply.status == 200, (reply.status, reply.body)
+        assert reply.body == b"".join(events(1, 2)) and reply.ended
+
+
+@then("the engine got the results of the last stage of each request")
+def then_inputs(context):
+    for request in context.replies:
+        (run,) = context.world.runs(request)
+        handles = run.headers["Inputs"].split(",")
+        names = [h.partition("/")[2] for h in handles]
+        assert names == [f"{request}-1-0", f"{request}-1-1"], names
+
+
+@then("only one instance keeps the queue")
+def then_one_keeper(context):
+    keepers = [
+        name
+        for name, parts in context.world.instances.items()
+        if "stage" in parts.keeper.queue_lengths()
+    ]
+    assert len(keepers) == 1, keepers
+
+
+@then("pieces of different requests shared a call")
+def then_shared(context):
+    shared = [{i["id"] for i in items} for _, items in context.world.calls]
+    assert max(map(len, shared)) > 1, shared
+
+
+@then("every result was released")
+def then_released(context):
+    made = {
+        f"{i['id']}-{i['stage']}-{i['segment']}"
+        for _, items in context.world.calls
+        for i in items
+    }
+    released = {
+        handle.partition("/")[2]
+        for a in context.world.arrivals
+        if a.target == "/stage-free"
+        for handle in json.loads(a.body)["handles"]
+    }
+    assert made and made == released, made ^ released
+
+
+@then("at most one call is made after it left")
+def then_no_calls(context):
+    assert len(context.world.calls) <= context.calls_at_leave + 1
+
+
+@then("no engine is asked")
+def then_no_engine(context):
+    assert not context.world.runs("r0")
+
+
+@then(
+    "some are refused within {seconds:g} s as not run and told when to come "
+    "back"
+)
+def then_refused(context, seconds):
+    refused = {r: x for r, x in context.replies.items() if x.status == 503}
+    assert refused
+    quick = [
+        reply
+        for request, reply in refused.items()
+        if reply.ended_at - context.began[request] <= seconds
+    ]
+    assert len(quick) == len(refused), (len(quick), len(refused))
+    for reply in quick:
+        assert json.loads(reply.body)["verdict"] == "not_run"
+        assert float(reply.headers[b"retry-after"]) > 0
+
+
+@then("no request that was refused had a piece called")
+def then_no_waste(context):
+    called = {i["id"] for _, items in context.world.calls for i in items}
+    refused = {r for r, x in context.replies.items() if x.status == 503}
+    assert not called & refused, called & refused
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -34,6 +34,28 @@
 ]
 
 
+def make_http_pool(
+    tls: ssl.SSLContext,
+) -> Callable[[ListedUpstream, int], httpx.AsyncBaseTransport]:
+    """Returns a maker of HTTP/1.1 connections that share a TLS context."""
+
+    def make_pool(
+        upstream: ListedUpstream, connections_max: int
+    ) -> httpx.AsyncBaseTransport:
+        del upstream
+        return httpx.AsyncHTTPTransport(
+            verify=tls,
+            limits=httpx.Limits(
+                max_connections=connections_max,
+                max_keepalive_connections=connections_max,
+                keepalive_expiry=IDLE_S,
+            ),
+            socket_options=_SOCKET_OPTIONS,
+        )
+
+    return make_pool
+
+
 class Answer:
     """The answer of an upstream, its body not yet read.
 
@@ -79,15 +101,23 @@
     def __init__(
         self,
         protocol: Protocol,
-        tls: ssl.SSLContext,
         reach: DomainReach,
         clock: Callable[[], float],
+        make_pool: Callable[[ListedUpstream, int], httpx.AsyncBaseTransport],
     ) -> None:
+        """Takes what calls need.
+
+        Args:
+            protocol: How upstreams name things.
+            reach: Is told which failure domains answer.
+            clock: Clock in seconds.
+            make_pool: Makes the connections to an upstream, given their bound.
+        """
         self._protocol = protocol
-        self._tls = tls
+        self._make_pool = make_pool
         self._reach = reach
         self._clock = clock
-        self._pools: OrderedDict[tuple[str, int], httpx.AsyncHTTPTransport] = (
+        self._pools: OrderedDict[tuple[str, int], httpx.AsyncBaseTransport] = (
             OrderedDict()
         )
 
@@ -165,18 +195,10 @@
 
     async def _pool(
         self, upstream: ListedUpstream, connections_max: int
-    ) -> httpx.AsyncHTTPTransport:
+    ) -> httpx.AsyncBaseTransport:
         pool = self._pools.get(upstream.identity)
         if pool is None:
-            pool = httpx.AsyncHTTPTransport(
-                verify=self._tls,
-                limits=httpx.Limits(
-                    max_connections=connections_max,
-                    max_keepalive_connections=connections_max,
-                    keepalive_expiry=IDLE_S,
-                ),
-                socket_options=_SOCKET_OPTIONS,
-            )
+            pool = self._make_pool(upstream, connections_max)
             self._pools[upstream.identity] = pool
             if len(self._pools) > POOLS_MAX:
                 _, oldest = self._pools.popitem(last=False)
@@ -184,13 +206,6 @@
         self._pools.move_to_end(upstream.identity)
         return pool
 
-    async def forget(self, identity: tuple[str, int]) -> None:
-        """Closes the idle connections of an upstream that is gone."""
-        pool = self._pools.get(identity)
-        if pool is not None and not pool._pool.connections:  # noqa: SLF001
-            del self._pools[identity]
-            await pool.aclose()
-
     async def aclose(self) -> None:
         """Closes every connection."""
         for pool in self._pools.values():
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -14,20 +14,13 @@
 
 from applespring.core.errors import SettingsError
 from applespring.peer.link import SocketTransport, split_address
-from applespring.relay.client import USER_TIMEOUT_MS, UpstreamClient
-from applespring.relay.front import Front, make_text_app
-from applespring.relay.keeper import Keeper
+from applespring.relay.client import USER_TIMEOUT_MS, make_http_pool
+from applespring.relay.front import make_text_app
 from applespring.relay.log import LogWriter
-from applespring.relay.metrics import RelayMetrics
-from applespring.relay.peers import Peers
-from applespring.relay.plain import PlainForwarder
+from applespring.relay.parts import RelayParts
 from applespring.relay.protocol import Protocol
 from applespring.relay.registry import Registry
 from applespring.relay.settings import RelaySettings
-from applespring.relay.staging import Staging
-from applespring.relay.state import State
-from applespring.relay.streams import StreamForwarder
-from applespring.relay.watch import Watcher
 
 BACKLOG = 512
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
@@ -41,6 +34,8 @@
 CLOSE_S = 0.3
 POLL_S = 0.05
 SETTINGS_S = 1.0
+# Idle connections to the registry are kept this long.
+STORE_IDLE_S = 5.0
 
 
 def read_clock() -> float:
@@ -61,55 +56,27 @@
     ) -> None:
         tls = httpx.create_ssl_context(trust_env=False)
         host, port = split_address(settings.peer_address)
-        self.state = State(settings, read_clock)
-        self.metrics = RelayMetrics()
         self._log = log
         self._reload = reload_settings
-        self._client = UpstreamClient(
-            protocol, tls, self.state.reach, read_clock
-        )
-        self.peers = Peers(
-            settings.name,
-            time.time_ns() // 1_000_000,
-            settings.failure_domain,
-            settings.peer_address,
-            self.state.peers,
-            SocketTransport(host, port, close_silent=True),
-            read_clock,
-        )
-        self.peers.seeds = settings.seeds
-        self.keeper = Keeper(
-            self.state, self.peers, self._client, protocol, self.metrics
-        )
-        self._staging = Staging(self.state, self.peers)
-        plain = PlainForwarder(
-            self.state, self._client, protocol, self.peers, self.metrics
-        )
-        streams = StreamForwarder(
-            self.state,
-            self._client,
-            protocol,
-            self.peers,
-            self._staging,
-            self.metrics,
-        )
-        self._front = Front(self.state, protocol, plain, streams, self.metrics)
         store = httpx.AsyncHTTPTransport(
             verify=tls,
-            limits=httpx.Limits(keepalive_expiry=5.0),
+            limits=httpx.Limits(keepalive_expiry=STORE_IDLE_S),
             socket_options=[
                 (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             ],
         )
-        self._watcher = Watcher(
-            self.state,
+        self._parts = RelayParts(
+            settings,
+            protocol,
             make_registry(store, settings.registry_address),
-            self.peers,
-            self._client,
-            plain,
-            self.keeper,
-            self.metrics,
+            SocketTransport(host, port, close_silent=True),
+            read_clock,
+            time.time_ns() // 1_000_000,
+            make_http_pool(tls),
         )
+        self.state = self._parts.state
+        self.peers = self._parts.peers
+        self.keeper = self._parts.keeper
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
@@ -123,17 +90,16 @@
         stop_serving = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._log.run)
-            await tasks.start(self.peers.run)
-            tasks.start_soon(self.keeper.run)
-            tasks.start_soon(self._staging.run)
-            tasks.start_soon(self._watcher.run)
+            await tasks.start(self._parts.run)
             tasks.start_soon(self._watch_settings)
             ended = anyio.Event()
             server = make_server_config(cfg.caller_address)
 
             async def serve_callers() -> None:
                 await hypercorn.asyncio.serve(
-                    self._front, server, shutdown_trigger=stop_serving.wait
+                    self._parts.front,
+                    server,
+                    shutdown_trigger=stop_serving.wait,
                 )
                 ended.set()
 
@@ -166,7 +132,9 @@
     def _metrics_text(self) -> tuple[int, str]:
         now = self.state.clock()
         gauges = {
-            ("document_version",): float(self._watcher.document_version()),
+            ("document_version",): float(
+                self._parts.watcher.document_version()
+            ),
             ("document_age_s",): now - self.state.document_read_at,
             ("entries_age_s",): now - self.state.entries_read_at,
             ("requests",): float(self.state.requests),
@@ -175,8 +143,8 @@
         }
         for pool, length in self.keeper.queue_lengths().items():
             gauges[(f"queue_{pool}",)] = float(length)
-        self.metrics.gauges.replace(gauges)
-        return 200, self.metrics.render()
+        self._parts.metrics.gauges.replace(gauges)
+        return 200, self._parts.metrics.render()
 
     async def _follow_limits(self, server: Config) -> None:
         """Applies the document's idle limit to connections of callers."""
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -12,7 +12,6 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.peer import message
-from applespring.relay.client import UpstreamClient
 from applespring.relay.keeper import Keeper
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
@@ -40,7 +39,6 @@
         state: State,
         registry: Registry,
         peers: Peers,
-        client: UpstreamClient,
         plain: PlainForwarder,
         keeper: Keeper,
         metrics: RelayMetrics,
@@ -48,7 +46,6 @@
         self._state = state
         self._registry = registry
         self._peers = peers
-        self._client = client
         self._plain = plain
         self._keeper = keeper
         self._metrics = metrics
--- a/tools/incidents.py
+++ b/tools/incidents.py
@@ -1,4 +1,4 @@
-"""Makes the incidents of docs/operating.md in a fleet in virtual time.
+"""Makes the incidents of docs/OPERATIONS.md in a fleet in virtual time.
 
 `python tools/incidents.py NAME` runs the fleet of examples/obalne.toml, with
 engines of 2 slots, for 90 s of virtual time: 30 s undisturbed, 30 s of the
