Ask for the free room after a refusal; drop pieces whose inputs expire

A keeper that takes over knows nothing of the results that the one before had ordered, and late pieces wait longer than their inputs are kept. Change: after a refusal for want of room the keeper asks the upstream how much is free; pieces wait at most 0.75 of the time for which inputs are kept.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -28,6 +28,8 @@
 FAILED_PAUSE_MAX_S = 4.0
 # Pause after an upstream reported that it has no room for results.
 ROOM_PAUSE_S = 0.2
+# Results that another keeper ordered are on average half as old as they get.
+FOREIGN_TTL_SHARE = 0.5
 # Weight of the newest call in the estimate of an upstream's speed.
 SPEED_WEIGHT = 0.3
 # Share of a request's remaining time that waiting may take.
@@ -158,6 +160,7 @@
         "pace",
         "results",
         "booked",
+        "foreign",
     )
 
     def __init__(self, upstream: ListedUpstream) -> None:
@@ -168,13 +171,18 @@
         self.pace = 1.0
         self.results: dict[str, tuple[float, float]] = {}
         self.booked = 0.0
+        # Bytes of results that this queue did not order, and until when.
+        self.foreign = (0.0, -math.inf)
 
     def used_bytes(self, now: float) -> float:
         """Returns the memory taken by results and by calls in progress."""
         for handle, (_, until) in list(self.results.items()):
             if until <= now:
                 del self.results[handle]
-        return self.booked + sum(size for size, _ in self.results.values())
+        size, until = self.foreign
+        foreign = size if now < until else 0.0
+        own = sum(size for size, _ in self.results.values())
+        return self.booked + own + foreign
 
 
 class BatchQueue:
@@ -447,11 +455,29 @@
         lane = self._lanes.get(call.upstream.name)
         if lane is not None:
             lane.paused_until = max(lane.paused_until, now + ROOM_PAUSE_S)
+        piece.opened = False
         if piece.attempts >= PIECE_ATTEMPTS_MAX:
             return False
         self._pieces.append(piece)
         return True
 
+    def set_free_bytes(self, name: str, free: float, now: float) -> None:
+        """Takes the room that an upstream reports to be free.
+
+        What is taken beyond the queue's own results belongs to a keeper before
+        this one, or to calls that were given up; it expires like any result.
+        """
+        lane = self._lanes.get(name)
+        if lane is None:
+            return
+        lane.foreign = (0.0, -math.inf)
+        used = self.spec.room_bytes - free
+        foreign = max(0.0, used - lane.used_bytes(now))
+        lane.foreign = (
+            foreign,
+            now + FOREIGN_TTL_SHARE * self.spec.result_ttl_s,
+        )
+
     def _forget_abandoned(self) -> None:
         if self._abandoned:
             self._abandoned &= {
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -54,6 +54,7 @@
 _KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 _JSON = [(b"Content-Type", b"application/json")]
 _PRIORITY_MAX = 9
+_MB = 1_000_000
 _FAILURES = frozenset(
     [PieceReply.LATE, PieceReply.GONE, PieceReply.ROOM, PieceReply.ERROR]
 )
@@ -209,6 +210,17 @@
         body = orjson.dumps({"handles": list(handles)})
         return "/stage-free", list(_JSON), body
 
+    def encode_report(self) -> tuple[str, list[tuple[bytes, bytes]]]:
+        """See `Protocol.encode_report`."""
+        return "/report", []
+
+    def decode_report(self, body: bytes) -> float:
+        """See `Protocol.decode_report`."""
+        try:
+            return float(orjson.loads(body)["freeMb"]) * _MB
+        except (ValueError, KeyError, TypeError) as exc:
+            raise MessageError(f"a report is malformed: {exc!r}") from exc
+
     def handle_address(self, handle: str) -> str:
         """See `Protocol.handle_address`."""
         return handle.partition("/")[0]
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -35,6 +35,9 @@
 # The queue is looked at this often even when nothing happens, for deadlines.
 TICK_S = 0.1
 RELEASE_S = 1.0
+REPORT_S = 0.5
+# Part of the time for which results are kept that pieces made of them wait.
+INPUT_SHARE = 0.75
 ANSWER_BYTES_MAX = 4 * 1024 * 1024
 
 GONE_FROM_HERE = "moved"
@@ -147,6 +150,10 @@
             )
         origin = _Origin(msg.origin_address, msg.ticket)
         inputs = [i.handle for i in msg.inputs]
+        stays_s = msg.deadline_s
+        if inputs:
+            # Inputs expire at their makers; a piece without them is in vain.
+            stays_s = min(stays_s, INPUT_SHARE * queue.spec.result_ttl_s)
         queue.offer(
             [
                 Piece(
@@ -159,7 +166,7 @@
                     failure_domain=msg.failure_domain,
                     priority=msg.priority,
                     aim_at=now + msg.aim_s,
-                    deadline_at=now + msg.deadline_s,
+                    deadline_at=now + stays_s,
                     result_bytes=msg.result_bytes,
                     begun=msg.begun,
                     arrived_at=now,
@@ -276,7 +283,10 @@
         else:
             self._metrics.stage_calls.inc(pool, "done")
             self._metrics.stage_call_s.observe(took, pool)
-            log.bind(took_s=took, left=len(queue)).info("stage call done")
+            failures = sorted(r.failure for r in replies if r.failure)
+            log.bind(took_s=took, left=len(queue), failures=failures).info(
+                "stage call done"
+            )
             await self._finish(pool, queue, call, replies)
         self._wake[pool].set()
 
@@ -304,6 +314,8 @@
         now = self._state.clock()
         unneeded = queue.succeed(call, [r.handle for r in replies], now)
         dropped = set(unneeded)
+        if any(r.failure == PieceReply.ROOM for r in replies):
+            self._tasks.start_soon(self._ask_room, pool, queue, call.upstream)
         done: dict[tuple[str, int], list[message.PieceResult]] = {}
         for piece, reply in zip(call.pieces, replies, strict=True):
             if reply.handle in dropped:
@@ -328,6 +340,30 @@
             for (address, ticket), results in done.items():
                 tasks.start_soon(self._deliver, pool, address, ticket, results)
 
+    async def _ask_room(
+        self, pool: str, queue: BatchQueue, upstream: ListedUpstream
+    ) -> None:
+        """Corrects what the queue believes of an upstream's free room."""
+        path, headers = self._protocol.encode_report()
+        try:
+            with anyio.move_on_after(REPORT_S):
+                async with self._client.call(
+                    upstream, "GET", path.encode(), headers, b""
+                ) as answer:
+                    body = await answer.read(ANSWER_BYTES_MAX)
+                free = self._protocol.decode_report(body)
+                queue.set_free_bytes(upstream.name, free, self._state.clock())
+                logger.bind(
+                    event="room_corrected",
+                    pool=pool,
+                    upstream=upstream.name,
+                    free_bytes=free,
+                ).info("room of an upstream corrected")
+        except (StageError, MessageError, httpx.HTTPError, OSError) as exc:
+            logger.bind(event="report_failed", upstream=upstream.name).info(
+                "{}", exc
+            )
+
     async def _deliver_failures(
         self, pieces: Sequence[Piece], failure: str
     ) -> None:
--- a/src/applespring/relay/protocol.py
+++ b/src/applespring/relay/protocol.py
@@ -207,6 +207,18 @@
     ) -> tuple[str, list[tuple[bytes, bytes]], bytes]:
         """Returns path, headers and body of the release of results."""
 
+    @abc.abstractmethod
+    def encode_report(self) -> tuple[str, list[tuple[bytes, bytes]]]:
+        """Returns path and headers of the question for free room."""
+
+    @abc.abstractmethod
+    def decode_report(self, body: bytes) -> float:
+        """Returns the bytes that an upstream has free for results.
+
+        Raises:
+            MessageError: The answer does not say.
+        """
+
     @abc.abstractmethod
     def handle_address(self, handle: str) -> str:
         """Returns IP:port of the upstream that holds a result."""
