--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -287,11 +287,9 @@
         return calls
 
     def _rank(self, piece: Piece, now: float) -> tuple:
-        if piece.opened:
-            return (0, piece.priority, piece.aim_at, piece.arrived_at)
-        if self._can_be_on_time(piece, now):
-            fresh = not piece.begun
-            return (1, piece.priority, fresh, piece.aim_at, piece.arrived_at)
+        if piece.opened or self._can_be_on_time(piece, now):
+            tier = 0 if piece.opened or piece.begun else 1
+            return (tier, piece.priority, piece.aim_at, piece.arrived_at)
         # Late requests are served as capacity is left, begun ones first since
         # their results expire.
         tier = 2 if piece.begun else 3
