Gossip for large fleets; keepers on fast links

Change: above 16 others, heartbeats go to 6 others each 0.5 s, word of third instances counts, and silence is 3 s; who did not answer is left out for 1 s; queues are kept on machines with at least half of the best link. Views still differ now and then: queues change hands at 3 s.

--- a/features/steps/relay_parts_steps.py
+++ b/features/steps/relay_parts_steps.py
@@ -295,13 +295,13 @@
 
 @then("it may keep a queue at {now:g}")
 def then_keeps(context, now):
-    ranked = context.peer_table.rank_keepers("p", now, self_live=True)
+    ranked = context.peer_table.rank_keepers("p", now, self_link_mbps=1000.0)
     assert set(ranked) == {"one", "two"}
 
 
 @then("it may not keep a queue at {now:g}")
 def then_keeps_not(context, now):
-    ranked = context.peer_table.rank_keepers("p", now, self_live=True)
+    ranked = context.peer_table.rank_keepers("p", now, self_link_mbps=1000.0)
     assert ranked == ["one"]
 
 
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -58,7 +58,7 @@
 
 def find_keeper(context):
     ranked = context.world.instances["one"].state.peers.rank_keepers(
-        "stage", anyio.current_time(), self_live=True
+        "stage", anyio.current_time(), self_link_mbps=1000.0
     )
     return ranked[0]
 
--- a/src/applespring/core/peertable.py
+++ b/src/applespring/core/peertable.py
@@ -1,12 +1,20 @@
 """The other instances, as heartbeats and what peers pass on tell of them."""
 
 import math
-from collections.abc import Iterable
 
 from applespring.core.placement import rank
 
+# Other instances up to which everyone sends everyone heartbeats. In a larger
+# fleet an instance hears of most others by way of third ones.
+MESH_MAX = 16
 # Four missed heartbeats at the interval of relay/peers.py.
 SILENCE_S = 1.0
+# The same for word that passes through third instances.
+SILENCE_LARGE_S = 3.0
+# An instance that did not answer is not asked again for this long.
+SUSPECT_S = 1.0
+# Part of the best link that an instance must have to keep queues.
+KEEPER_LINK_SHARE = 0.5
 # After this long a silent instance is no longer passed on or remembered.
 FORGET_S = 20.0
 
@@ -29,8 +37,10 @@
         state: LIVE or LEAVING.
         sequence: Number of its newest heartbeat.
         document_version: Routing document that it has in force.
+        link_mbps: Speed of its network link.
         heard_at: When its sequence last advanced here.
         direct_at: When a datagram of its own last arrived.
+        suspect_until: Until when it is left out after it did not answer.
     """
 
     __slots__ = (
@@ -41,8 +51,10 @@
         "state",
         "sequence",
         "document_version",
+        "link_mbps",
         "heard_at",
         "direct_at",
+        "suspect_until",
     )
 
     def __init__(
@@ -54,6 +66,7 @@
         state: str = PeerState.LIVE,
         sequence: int = 0,
         document_version: int = 0,
+        link_mbps: float = 0.0,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -62,8 +75,10 @@
         self.state = state
         self.sequence = sequence
         self.document_version = document_version
+        self.link_mbps = link_mbps
         self.heard_at = -math.inf
         self.direct_at = -math.inf
+        self.suspect_until = -math.inf
 
 
 class PeerTable:
@@ -117,22 +132,40 @@
         """Returns one instance."""
         return self._peers.get(name)
 
+    @property
+    def large(self) -> bool:
+        """Whether the fleet is too large for everyone to hear everyone."""
+        return len(self._peers) > MESH_MAX
+
+    def _is_heard(self, peer: Peer, now: float) -> bool:
+        if self.large:
+            return now - peer.heard_at <= SILENCE_LARGE_S
+        return now - peer.direct_at <= SILENCE_S
+
+    def suspect(self, name: str, now: float) -> None:
+        """Notes that an instance did not answer."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.suspect_until = now + SUSPECT_S
+
     def is_reachable(self, name: str, incarnation: int, now: float) -> bool:
-        """Returns whether an incarnation has been heard directly of late."""
+        """Returns whether an incarnation is heard and has not failed."""
         peer = self._peers.get(name)
         return (
             peer is not None
             and peer.incarnation == incarnation
-            and now - peer.direct_at <= SILENCE_S
+            and now >= peer.suspect_until
+            and self._is_heard(peer, now)
         )
 
     def reachable(self, now: float) -> list[Peer]:
-        """Returns the live instances that have been heard directly of late."""
+        """Returns the live instances that are heard and have not failed."""
         return [
             peer
             for peer in self._peers.values()
             if peer.state == PeerState.LIVE
-            and now - peer.direct_at <= SILENCE_S
+            and now >= peer.suspect_until
+            and self._is_heard(peer, now)
         ]
 
     def silent_domains(self, now: float) -> set[str]:
@@ -141,18 +174,25 @@
         return domains - {
             peer.failure_domain
             for peer in self._peers.values()
-            if now - peer.direct_at <= SILENCE_S
+            if self._is_heard(peer, now)
         }
 
     def rank_keepers(
-        self, subject: str, now: float, *, self_live: bool
+        self, subject: str, now: float, *, self_link_mbps: float | None
     ) -> list[str]:
         """Returns the instances that may keep a queue, best first.
 
-        Every instance computes the same order from the same members. This
-        instance itself is part of it unless it is leaving.
+        Every instance computes the same order from the same members. Those
+        with a slow link come last, since a keeper hears of every request.
+
+        Args:
+            subject: Name of the queue.
+            now: Current time.
+            self_link_mbps: Link of this instance, or None while it is leaving.
         """
-        names: Iterable[str] = [peer.name for peer in self.reachable(now)]
-        if self_live:
-            names = [*names, self._name]
-        return rank(f"queue\x1f{subject}", names)
+        links = {peer.name: peer.link_mbps for peer in self.reachable(now)}
+        if self_link_mbps is not None:
+            links[self._name] = self_link_mbps
+        least = KEEPER_LINK_SHARE * max(links.values(), default=0.0)
+        ranked = rank(f"queue\x1f{subject}", links)
+        return sorted(ranked, key=lambda name: links[name] < least)
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -224,6 +224,7 @@
         "state",
         "sequence",
         "document_version",
+        "link_mbps",
     )
 
 
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -137,6 +137,7 @@
   state @4 :Text;
   sequence @5 :UInt64;
   documentVersion @6 :UInt64;
+  linkMbps @7 :Float32;
 }
 
 struct UpstreamLoad {
--- a/src/applespring/relay/parts.py
+++ b/src/applespring/relay/parts.py
@@ -1,5 +1,6 @@
 """The parts of one relay instance, wired, without servers and signals."""
 
+import random
 from collections.abc import Callable
 
 import anyio
@@ -55,9 +56,11 @@
             incarnation,
             settings.failure_domain,
             settings.peer_address,
+            settings.link_mbps,
             self.state.peers,
             transport,
             clock,
+            random.Random(f"{settings.name} {incarnation}"),
         )
         self.peers.seeds = settings.seeds
         self.keeper = Keeper(
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -1,5 +1,6 @@
 """Gossip between relay instances: who is there, and what they know."""
 
+import random
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
@@ -14,12 +15,16 @@
 from applespring.peer.transport import PeerUnreachableError, Transport
 
 HEARTBEAT_S = 0.25
-# Instances that get a heartbeat directly at each interval. Smaller fleets
-# reach everyone each time.
-FANOUT = 16
-# Rows of other instances in one heartbeat, so that it fits a datagram.
-ROWS_MAX = 8
-LOADS_MAX = 16
+# In a large fleet: interval, and instances that get a heartbeat each time.
+HEARTBEAT_LARGE_S = 0.5
+FANOUT_LARGE = 6
+# Rows of other instances in one heartbeat, so that it fits a datagram: those
+# heard of last, so that news spreads, and any others.
+ROWS_NEWEST = 4
+ROWS_RANDOM = 6
+LOADS_MAX = 8
+# Seeds that are not known yet are asked each so many heartbeats.
+SEED_TURNS = 4
 LEAVING_MAX = 8
 WAITS_MAX = 8
 # A reply to a message between instances takes milliseconds; a silent
@@ -66,9 +71,11 @@
         incarnation: int,
         failure_domain: str,
         address: str,
+        link_mbps: float,
         table: PeerTable,
         transport: Transport,
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self.table = table
         self.name = name
@@ -79,6 +86,8 @@
         self._failure_domain = failure_domain
         self._transport = transport
         self._clock = clock
+        self._link_mbps = link_mbps
+        self._rng = rng
         self._sequence = 0
         self._turn = 0
         self._handlers: dict[type[message.Message], Handler] = {}
@@ -103,11 +112,12 @@
             task_status.started()
             while True:
                 await self._beat()
-                await anyio.sleep(HEARTBEAT_S)
+                large = self.table.large
+                await anyio.sleep(HEARTBEAT_LARGE_S if large else HEARTBEAT_S)
 
     async def announce(self) -> None:
-        """Sends a heartbeat at once, after a change that others need."""
-        await self._beat()
+        """Sends everyone a heartbeat, after a change that others need."""
+        await self._beat(everyone=True)
 
     async def request(
         self, address: str, msg: message.Message
@@ -148,30 +158,33 @@
             state=PeerState.LEAVING if self.leaving else PeerState.LIVE,
             sequence=self._sequence,
             document_version=version,
+            link_mbps=self._link_mbps,
         )
 
-    def _choose(self) -> list[str]:
+    def _choose(self, everyone: bool) -> list[str]:
         """Returns the addresses of this interval's heartbeat."""
         known = sorted(p.address for p in self.table.known())
         chosen = known
-        if len(known) > FANOUT:
-            start = self._turn * FANOUT % len(known)
-            chosen = (known + known)[start : start + FANOUT]
-        # Seeds are asked again while they are silent, now and then.
-        if self._turn % 4 == 0 or not known:
+        if self.table.large and not everyone:
+            chosen = self._rng.sample(known, FANOUT_LARGE)
+        if self._turn % SEED_TURNS == 0 or not known:
             chosen = [*chosen, *(s for s in self.seeds if s not in known)]
         self._turn += 1
         return [address for address in chosen if address != self.address]
 
-    async def _beat(self) -> None:
+    def _choose_rows(self) -> list[message.PeerRow]:
+        """Returns what this heartbeat says of other instances."""
+        known = self.table.known()
+        known.sort(key=lambda peer: -peer.heard_at)
+        newest, rest = known[:ROWS_NEWEST], known[ROWS_NEWEST:]
+        others = self._rng.sample(rest, min(ROWS_RANDOM, len(rest)))
+        return [_to_row(peer) for peer in (*newest, *others)]
+
+    async def _beat(self, *, everyone: bool = False) -> None:
         self._sequence += 1
         self.table.expire(self._clock())
-        known = self.table.known()
-        start = self._turn * ROWS_MAX % len(known) if known else 0
-        rows = [_to_row(p) for p in (known + known)[start : start + ROWS_MAX]]
-        rows = rows[: len(known)]
-        data = self._encode(rows)
-        for address in self._choose():
+        data = self._encode(self._choose_rows())
+        for address in self._choose(everyone):
             await self._transport.send(address, data)
 
     def _encode(self, rows: list[message.PeerRow]) -> bytes:
@@ -218,6 +231,7 @@
             row.state,
             row.sequence,
             row.document_version,
+            row.link_mbps,
         )
         if self.table.hear(peer, now, direct=direct):
             logger.bind(
@@ -251,4 +265,5 @@
         state=peer.state,
         sequence=peer.sequence,
         document_version=peer.document_version,
+        link_mbps=peer.link_mbps,
     )
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -20,6 +20,7 @@
         retry_window_s: Window of that allowance.
         retry_extra: Added attempts allowed beside, for all instances.
         memory_mb: Memory that the process may use.
+        link_mbps: Speed of the machine's network link.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "retry_window_s",
         "retry_extra",
         "memory_mb",
+        "link_mbps",
     )
 
     def __init__(
@@ -54,6 +56,7 @@
         retry_window_s: float = 10.0,
         retry_extra: float = 50.0,
         memory_mb: float = 300.0,
+        link_mbps: float = 1000.0,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -68,3 +71,4 @@
         self.retry_window_s = retry_window_s
         self.retry_extra = retry_extra
         self.memory_mb = memory_mb
+        self.link_mbps = link_mbps
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -282,8 +282,11 @@
 
     def _keepers(self, pool: str) -> list[str]:
         now = self._state.clock()
+        link_mbps = self._state.settings.link_mbps
         ranked = self._peers.table.rank_keepers(
-            pool, now, self_live=not self._state.leaving
+            pool,
+            now,
+            self_link_mbps=None if self._state.leaving else link_mbps,
         )
         return ranked or [self._peers.name]
 
@@ -377,6 +380,7 @@
                 )
             except (PeerUnreachableError, PeerLostError, MessageError) as exc:
                 detail = str(exc)
+                self._peers.table.suspect(name, self._state.clock())
                 logger.bind(
                     event="keeper_unreachable",
                     request=req.request_id,
