Keepers tell everyone their waiting times; an answer confirms an instance

Change: in a large fleet a keeper sends everyone a short heartbeat at each interval; a keeper that answers counts as heard.

--- a/src/applespring/core/peertable.py
+++ b/src/applespring/core/peertable.py
@@ -142,6 +142,14 @@
             return now - peer.heard_at <= SILENCE_LARGE_S
         return now - peer.direct_at <= SILENCE_S
 
+    def confirm(self, name: str, now: float) -> None:
+        """Notes that an instance answered."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.heard_at = max(peer.heard_at, now)
+            peer.direct_at = max(peer.direct_at, now)
+            peer.suspect_until = -math.inf
+
     def suspect(self, name: str, now: float) -> None:
         """Notes that an instance did not answer."""
         peer = self._peers.get(name)
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -184,8 +184,18 @@
         self._sequence += 1
         self.table.expire(self._clock())
         data = self._encode(self._choose_rows())
-        for address in self._choose(everyone):
+        chosen = self._choose(everyone)
+        for address in chosen:
             await self._transport.send(address, data)
+        if self.table.large and not everyone and self._keeps_queues():
+            # Everyone submits to a keeper and needs its waiting times.
+            brief = self._encode([])
+            for peer in self.table.known():
+                if peer.address not in chosen:
+                    await self._transport.send(peer.address, brief)
+
+    def _keeps_queues(self) -> bool:
+        return self._reporter is not None and any(self._reporter.waits())
 
     def _encode(self, rows: list[message.PeerRow]) -> bytes:
         loads = list(self._reporter.loads()) if self._reporter else []
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -387,6 +387,7 @@
                     keeper=name,
                 ).warning("{}", exc)
                 continue
+            self._peers.table.confirm(name, self._state.clock())
             if not isinstance(reply, message.StageAck):
                 detail = f"instance {name} sent no acknowledgement"
                 continue
