Shorten the pause and the memory after a refusal for want of room

Cause: a refusal for want of room paused the upstream for 0.2 s, nearly a call, and the room that a late report showed as taken stayed so for 2 s; sizes of results are approximate, so some refusals are normal. Change: pause 0.05 s; what a report shows beyond the own results holds 0.5 s.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -27,9 +27,10 @@
 FAILED_PAUSE_S = 0.5
 FAILED_PAUSE_MAX_S = 4.0
 # Pause after an upstream reported that it has no room for results.
-ROOM_PAUSE_S = 0.2
-# Results that another keeper ordered are on average half as old as they get.
-FOREIGN_TTL_SHARE = 0.5
+ROOM_PAUSE_S = 0.05
+# How long a report of foreign results holds. Reports lag some hundred ms, so
+# part of what they show is free already; a further refusal asks again.
+FOREIGN_S = 0.5
 # Weight of the newest call in the estimate of an upstream's speed.
 SPEED_WEIGHT = 0.3
 # Share of a request's remaining time that waiting may take.
@@ -473,10 +474,7 @@
         lane.foreign = (0.0, -math.inf)
         used = self.spec.room_bytes - free
         foreign = max(0.0, used - lane.used_bytes(now))
-        lane.foreign = (
-            foreign,
-            now + FOREIGN_TTL_SHARE * self.spec.result_ttl_s,
-        )
+        lane.foreign = (foreign, now + FOREIGN_S)
 
     def _forget_abandoned(self) -> None:
         if self._abandoned:
