Gather changes of entries between watches; remove what nothing reads

Change: 0.2 s between two watches of the entries, 0.8 s in a large fleet; the unused word of leaving upstreams and an unused setting are gone.

--- a/features/relay_parts.feature
+++ b/features/relay_parts.feature
@@ -102,3 +102,20 @@
     And at most 2000 lines wait, the warnings among them
     When the reader reads on
     Then the number of lines left out is logged
+
+  Scenario: A large fleet hears of its members through others
+    Load pattern: 84 instances of which each sends heartbeats to 6 others.
+    Given a table of 84 peers heard through others at 0
+    Then 84 of them are reachable at 2.5
+    And 0 of them are reachable at 3.5
+
+  Scenario: A peer that did not answer is left out for a time
+    Given a peer with incarnation 1 heard at 0
+    When it does not answer at 0.2
+    Then it may not keep a queue at 0.5
+    And after it answers at 0.6 it may keep a queue
+
+  Scenario: Queues are kept on fast links
+    Given a table of 84 peers heard through others at 0
+    When 60 of them have a link of 5 Mbit/s and the others 100 Mbit/s
+    Then the first 24 keepers of every queue have fast links
--- a/features/steps/relay_parts_steps.py
+++ b/features/steps/relay_parts_steps.py
@@ -352,3 +352,47 @@
     assert b"log lines left out" in context.read
     os.close(context.reader)
     os.close(context.fd)
+
+
+@given("a table of {count:d} peers heard through others at {now:g}")
+def given_table(context, count, now):
+    context.peer_table = PeerTable("one")
+    for n in range(count):
+        for sequence in (1, 2):
+            peer = Peer(f"p{n}", 1, f"a{n}:1", "koper", "live", sequence)
+            context.peer_table.hear(peer, now, direct=False)
+
+
+@when(
+    "{count:d} of them have a link of {slow:d} Mbit/s and the others "
+    "{fast:d} Mbit/s"
+)
+def when_links(context, count, slow, fast):
+    for n, peer in enumerate(context.peer_table.known()):
+        peer.link_mbps = slow if n < count else fast
+
+
+@then("{count:d} of them are reachable at {now:g}")
+def then_count_reachable(context, count, now):
+    assert len(context.peer_table.reachable(now)) == count
+
+
+@then("the first {count:d} keepers of every queue have fast links")
+def then_fast(context, count):
+    for subject in ("a", "b", "c"):
+        ranked = context.peer_table.rank_keepers(
+            subject, 0.5, self_link_mbps=None
+        )
+        links = [context.peer_table.get(n).link_mbps for n in ranked]
+        assert links[:count] == [100] * count
+
+
+@when("it does not answer at {now:g}")
+def when_unanswered(context, now):
+    context.peer_table.suspect("two", now)
+
+
+@then("after it answers at {now:g} it may keep a queue")
+def then_confirmed(context, now):
+    context.peer_table.confirm("two", now)
+    then_keeps(context, now)
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -234,12 +234,6 @@
     __slots__ = ("upstream", "requests", "tokens")
 
 
-class LeavingUpstream(Message):
-    """One start of an upstream that takes no new work."""
-
-    __slots__ = ("name", "born_ms")
-
-
 class PoolWait(Message):
     """Waiting time of a queue that the sender keeps, in seconds.
 
@@ -252,14 +246,13 @@
 class Gossip(Message):
     """What a relay instance tells others, sent as a datagram."""
 
-    __slots__ = ("sender", "peers", "loads", "leaving", "waits")
-    DEFAULTS = {"peers": (), "loads": (), "leaving": (), "waits": ()}
+    __slots__ = ("sender", "peers", "loads", "waits")
+    DEFAULTS = {"peers": (), "loads": (), "waits": ()}
     NESTED = {
         "waits": PoolWait,
         "sender": PeerRow,
         "peers": PeerRow,
         "loads": UpstreamLoad,
-        "leaving": LeavingUpstream,
     }
 
 
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -150,8 +150,7 @@
   sender @0 :PeerRow;
   peers @1 :List(PeerRow);
   loads @2 :List(UpstreamLoad);
-  leaving @3 :List(LeavingUpstream);
-  waits @4 :List(PoolWait);
+  waits @3 :List(PoolWait);
 }
 
 struct PoolWait {
@@ -160,11 +159,6 @@
   wholeS @2 :Float32;
 }
 
-struct LeavingUpstream {
-  name @0 :Text;
-  bornMs @1 :UInt64;
-}
-
 struct PieceOrder {
   segment @0 :UInt32;
   key @1 :Text;
--- a/src/applespring/platform/settings.py
+++ b/src/applespring/platform/settings.py
@@ -79,6 +79,5 @@
         retry_ratio=number("bounds.retryBudgetRatio", 0.2),
         retry_window_s=number("bounds.budgetWindowS", 10.0),
         retry_extra=number("bounds.budgetExtraRetries", 50.0),
-        memory_mb=number("limits.memoryMb", 300.0),
         link_mbps=number("limits.linkMbps", 1000.0),
     )
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -25,7 +25,6 @@
 LOADS_MAX = 8
 # Seeds that are not known yet are asked each so many heartbeats.
 SEED_TURNS = 4
-LEAVING_MAX = 8
 WAITS_MAX = 8
 # A reply to a message between instances takes milliseconds; a silent
 # connection is closed after this time.
@@ -41,9 +40,6 @@
     def loads(self) -> Iterable[message.UpstreamLoad]:
         """Returns the instance's own load at upstreams, largest first."""
 
-    def leaving(self) -> Iterable[message.LeavingUpstream]:
-        """Returns upstreams seen leaving of late."""
-
     def waits(self) -> Iterable[message.PoolWait]:
         """Returns the waiting times of the queues that it keeps."""
 
@@ -199,15 +195,13 @@
 
     def _encode(self, rows: list[message.PeerRow]) -> bytes:
         loads = list(self._reporter.loads()) if self._reporter else []
-        leaving = list(self._reporter.leaving()) if self._reporter else []
         waits = list(self._reporter.waits()) if self._reporter else []
-        loads, leaving = loads[:LOADS_MAX], leaving[:LEAVING_MAX]
+        loads = loads[:LOADS_MAX]
         while True:
             gossip = message.Gossip(
                 sender=self.own_row(),
                 peers=rows,
                 loads=loads,
-                leaving=leaving,
                 waits=waits[:WAITS_MAX],
             )
             data = encode(gossip)
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -19,7 +19,6 @@
         retry_ratio: Added attempts allowed for each request of a pool.
         retry_window_s: Window of that allowance.
         retry_extra: Added attempts allowed beside, for all instances.
-        memory_mb: Memory that the process may use.
         link_mbps: Speed of the machine's network link.
     """
 
@@ -36,7 +35,6 @@
         "retry_ratio",
         "retry_window_s",
         "retry_extra",
-        "memory_mb",
         "link_mbps",
     )
 
@@ -55,7 +53,6 @@
         retry_ratio: float = 0.2,
         retry_window_s: float = 10.0,
         retry_extra: float = 50.0,
-        memory_mb: float = 300.0,
         link_mbps: float = 1000.0,
     ) -> None:
         self.name = name
@@ -70,5 +67,4 @@
         self.retry_ratio = retry_ratio
         self.retry_window_s = retry_window_s
         self.retry_extra = retry_extra
-        self.memory_mb = memory_mb
         self.link_mbps = link_mbps
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -23,8 +23,10 @@
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.5
 EXPIRE_S = 0.2
-# Leaving upstreams are told to others for this long.
-LEAVING_TOLD_S = 10.0
+# Pause between two watches of the entries. Each change wakes the watch of
+# every instance, and all calls are priced; upstreams must be left within 2 s.
+GATHER_S = 0.2
+GATHER_LARGE_S = 0.8
 # Longest waiting time that is told; a pool without upstreams waits forever.
 WAIT_TOLD_MAX_S = 60.0
 # A peer's newer document is fetched this often until it is in force.
@@ -50,7 +52,6 @@
         self._keeper = keeper
         self._metrics = metrics
         self._away: set[str] = set()
-        self._leaving: dict[tuple[str, int], float] = {}
         peers.attach(self)
         peers.handle(message.FetchConfig, self._on_fetch)
 
@@ -159,6 +160,9 @@
             self._regain("entries")
             self._state.entries_read_at = self._state.clock()
             self._apply(changes)
+            # Changes that come close together share the next answer.
+            large = self._peers.table.large
+            await anyio.sleep(GATHER_LARGE_S if large else GATHER_S)
 
     def _apply(self, changes: Iterable[EntryChange]) -> None:
         now = self._state.clock()
@@ -251,10 +255,6 @@
             for name, (count, tokens) in ranked
         ]
 
-    def leaving(self) -> list[message.LeavingUpstream]:
-        """See `Reporter.leaving`."""
-        return []
-
     def waits(self) -> list[message.PoolWait]:
         """See `Reporter.waits`."""
         return [
