Hold stage calls to the allowance of added attempts; split the staging

Cause: read as a newcomer: the keeper asked the allowance after a failed call, logged a denial, and sent the pieces again all the same; and submitting a stage took ten arguments in two places. Change: after a denial the pieces are given up and the request is refused as not run; calls that never reached their upstream are not counted.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -61,6 +61,13 @@
     And its call fails 4 times
     Then the piece is given up
 
+  Scenario: A failed call that may not be repeated gives its pieces up
+    Load pattern: a crash of an upstream while the fleet's retries are used up.
+    When requests a, b each offer 1 piece of 8 kB at 0.0
+    And the next call fails at 0.2 and may not be repeated
+    Then 2 pieces are given up
+    And there is no call at 1.0
+
   Scenario: The results of a request that was withdrawn are not kept
     When request a offers 1 piece of 8 kB at 0.0
     And the next calls are made at 0.0
--- a/features/steps/relay_batch_steps.py
+++ b/features/steps/relay_batch_steps.py
@@ -160,6 +160,17 @@
     context.at = at
 
 
+@when("the next call fails at {at:g} and may not be repeated")
+def when_fails_last(context, at):
+    (call,) = context.queue.next_calls(0.0)
+    context.spent = context.queue.fail(call, at, repeat=False)
+
+
+@then("{count:d} pieces are given up")
+def then_given_up(context, count):
+    assert len(context.spent) == count
+
+
 @when("its call fails {count:d} times")
 def when_fails_often(context, count):
     for n in range(count):
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -417,10 +417,21 @@
         return unneeded
 
     def fail(
-        self, call: Call, now: float, *, refused: bool = False
+        self,
+        call: Call,
+        now: float,
+        *,
+        refused: bool = False,
+        repeat: bool = True,
     ) -> list[Piece]:
         """Ends a call that was not answered; its pieces wait again.
 
+        Args:
+            call: The call.
+            now: Current time.
+            refused: Whether the upstream did not run it.
+            repeat: Whether its pieces may be sent again.
+
         Returns:
             The pieces that have had their last attempt.
         """
@@ -440,7 +451,7 @@
                 continue
             if refused:
                 piece.attempts -= 1
-            if piece.attempts >= PIECE_ATTEMPTS_MAX:
+            if not repeat or piece.attempts >= PIECE_ATTEMPTS_MAX:
                 spent.append(piece)
             else:
                 self._pieces.append(piece)
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -294,15 +294,18 @@
         self, pool: str, queue: BatchQueue, call: Call, refused: bool
     ) -> None:
         now = self._state.clock()
-        spent = queue.fail(call, now, refused=refused)
+        # A call that was refused, or never reached its upstream, is not one
+        # of the added attempts.
         window = self._state.window(pool)
-        allowed = window.try_take(now, 1)
-        if not allowed:
+        repeat = refused or window.try_take(now, 1)
+        spent = queue.fail(call, now, refused=refused, repeat=repeat)
+        if not repeat:
             logger.bind(event="retry_denied", pool=pool).warning(
                 "retries of the pool are used up"
             )
         if spent:
-            await self._deliver_failures(spent, PieceReply.ERROR)
+            failure = PieceReply.ERROR if repeat else PieceReply.DENIED
+            await self._deliver_failures(spent, failure)
 
     async def _finish(
         self,
--- a/src/applespring/relay/protocol.py
+++ b/src/applespring/relay/protocol.py
@@ -129,7 +129,8 @@
 
     Attributes:
         handle: Where the result is, or "" when none was made.
-        failure: Why not: late, gone, room or error; "" when it was made.
+        failure: Why not: late, gone, room, error, or denied when a failed call
+            may not be repeated; "" when it was made.
     """
 
     __slots__ = ("handle", "failure")
@@ -138,6 +139,7 @@
     GONE = "gone"
     ROOM = "room"
     ERROR = "error"
+    DENIED = "denied"
 
     def __init__(self, handle: str, failure: str = "") -> None:
         self.handle = handle
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -1,27 +1,27 @@
 """Runs the stages of a request by submitting their pieces to keepers."""
 
 import itertools
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from applespring.core import reason
-from applespring.core.chain import Chain, remaining_s
+from applespring.core.chain import remaining_s
 from applespring.core.errors import (
     ApplespringError,
     MessageError,
     RefusalError,
 )
-from applespring.core.route import RoutingDocument
 from applespring.core.verdict import Verdict
 from applespring.core.waits import RETRY_AFTER_MIN_S, excess_s
 from applespring.peer import message
 from applespring.peer.transport import PeerLostError, PeerUnreachableError
 from applespring.relay.keeper import OVERLOADED
 from applespring.relay.peers import Peers
-from applespring.relay.protocol import CallerRequest, PieceReply
+from applespring.relay.protocol import PieceReply
+from applespring.relay.stagerun import StageRun, Ticket
 from applespring.relay.state import State
 
 # How often the keeper of submitted pieces is checked for life.
@@ -34,72 +34,8 @@
 RUN_S = 0.25
 # A request given up in its stages may come back after this time.
 LATE_RETRY_S = 0.5
-# Bytes of results or inputs of a stage that are worth a preferred domain.
-DOMAIN_BYTES_MIN = 100_000
-# Part of a full call that a stage is expected to take.
-STAGE_FACTOR = 1.1
-
-
-class _Ticket:
-    """Pieces of a stage that a keeper has."""
-
-    __slots__ = ("number", "stage", "keeper", "incarnation", "missing", "run")
-
-    def __init__(
-        self,
-        number: int,
-        stage: int,
-        keeper: str,
-        incarnation: int,
-        missing: Sequence[int],
-        run: "StageRun",
-    ) -> None:
-        self.number = number
-        self.stage = stage
-        self.keeper = keeper
-        self.incarnation = incarnation
-        self.missing = set(missing)
-        self.run = run
-
-
-class StageRun:
-    """The stages of one request while they are executed.
-
-    Attributes:
-        chain: Their progress.
-        made: Bytes of results of each stage by failure domain.
-        changed: Set when results have arrived.
-        failures: Failed pieces that arrived since the last look.
-    """
-
-    __slots__ = ("chain", "made", "changed", "failures")
-
-    def __init__(self, chain: Chain) -> None:
-        self.chain = chain
-        self.made: dict[int, dict[str, float]] = {}
-        self.changed = anyio.Event()
-        self.failures: list[tuple[int, int, str]] = []
-
-    def input_domains(self, stages: Iterable[int]) -> dict[str, float]:
-        """Returns the bytes of results of some stages by failure domain."""
-        total: dict[str, float] = {}
-        for stage in stages:
-            for domain, size in self.made.get(stage, {}).items():
-                total[domain] = total.get(domain, 0.0) + size
-        return total
-
-    def final_domains(self) -> dict[str, float]:
-        """Returns the bytes that the request itself takes, by domain."""
-        return self.input_domains(self.chain.final_stages())
-
-    def choose_domain(self, index: int, home: str) -> str:
-        """Returns where a stage should be executed, or "" for anywhere."""
-        step = self.chain.steps[index]
-        inputs = self.input_domains(step.after)
-        if sum(inputs.values()) >= DOMAIN_BYTES_MIN:
-            return max(inputs, key=lambda domain: (inputs[domain], domain))
-        made = step.result_bytes * self.chain.counts[index]
-        return home if made >= DOMAIN_BYTES_MIN else ""
+# The same after a stage that failed too often.
+FAILED_RETRY_S = 1.0
 
 
 class Staging:
@@ -109,7 +45,7 @@
         self._state = state
         self._peers = peers
         self._numbers = itertools.count(1)
-        self._tickets: dict[int, _Ticket] = {}
+        self._tickets: dict[int, Ticket] = {}
         self._tasks: TaskGroup | None = None
         peers.handle(message.StageDone, self._on_done)
 
@@ -118,110 +54,90 @@
         async with anyio.create_task_group() as self._tasks:
             await anyio.sleep_forever()
 
-    async def execute(
-        self,
-        req: CallerRequest,
-        run: StageRun,
-        *,
-        document: RoutingDocument,
-        priority: int,
-        aim_at: float,
-        deadline_at: float,
-        failure_domain: str,
-    ) -> None:
-        """Executes every stage.
-
-        Args:
-            req: The request.
-            run: Its stages; results are collected there.
-            document: Document in force at its arrival.
-            priority: Its rank.
-            aim_at: When its answer should begin.
-            deadline_at: When its caller leaves.
-            failure_domain: Where large results should be.
+    async def execute(self, run: StageRun) -> None:
+        """Executes every stage of a request.
 
         Raises:
             RefusalError: A stage cannot be done; the request has not run.
         """
-        call_s = expected_calls(run.chain, document)
-        self._check_waits(run.chain, call_s, aim_at, deadline_at)
-        resubmits = 0
+        self._check_waits(run)
         whole = False
-        tickets: set[int] = set()
         try:
             while not run.chain.done:
-                for index in run.chain.due():
-                    run.chain.begin(index)
-                    await self._submit(
-                        req,
-                        run,
-                        index,
-                        run.chain.missing(index),
-                        call_s=call_s,
-                        priority=priority,
-                        aim_at=aim_at,
-                        deadline_at=deadline_at,
-                        failure_domain=failure_domain,
-                        tickets=tickets,
-                    )
+                await self._submit_due(run)
                 with anyio.move_on_after(CHECK_S):
                     await run.changed.wait()
                 run.changed = anyio.Event()
-                lost = self._take_lost(tickets)
-                for stage, segment, failure in run.failures:
-                    if failure == PieceReply.LATE:
-                        raise RefusalError(
-                            reason.DEADLINE_UNREACHABLE,
-                            Verdict.NOT_RUN,
-                            f"stage {stage} cannot be done in time",
-                            retry_after_s=LATE_RETRY_S,
-                        )
-                    lost.setdefault(stage, set()).add(segment)
-                    if failure == PieceReply.GONE:
-                        for before in run.chain.steps[stage].after:
-                            if before in run.chain.steps:
-                                run.chain.restart(before)
-                run.failures.clear()
-                if lost:
-                    resubmits += 1
-                    if resubmits > RESUBMITS_MAX:
-                        raise RefusalError(
-                            reason.STAGE_FAILED,
-                            Verdict.NOT_RUN,
-                            "a stage failed too often",
-                            retry_after_s=1.0,
-                        )
-                for stage, segments in lost.items():
-                    if not run.chain.is_begun(stage):
-                        continue
-                    await self._submit(
-                        req,
-                        run,
-                        stage,
-                        sorted(segments & set(run.chain.missing(stage))),
-                        call_s=call_s,
-                        priority=priority,
-                        aim_at=aim_at,
-                        deadline_at=deadline_at,
-                        failure_domain=failure_domain,
-                        tickets=tickets,
-                    )
+                await self._resubmit(run, self._take_missing(run))
                 for stage, handles in run.chain.take_unneeded().items():
                     self.release(run.chain.steps[stage].pool, handles)
             whole = True
         finally:
-            for number in tickets:
+            for number in run.tickets:
                 self._tickets.pop(number, None)
             if not whole:
-                self.abandon(req, run)
+                self.abandon(run)
 
-    def _check_waits(
-        self,
-        chain: Chain,
-        call_s: Mapping[int, float],
-        aim_at: float,
-        deadline_at: float,
+    async def _submit_due(self, run: StageRun) -> None:
+        for index in run.chain.due():
+            run.chain.begin(index)
+            await self._submit(run, index, run.chain.missing(index))
+
+    def _take_missing(self, run: StageRun) -> dict[int, set[int]]:
+        """Takes back the pieces to submit anew, by stage.
+
+        Raises:
+            RefusalError: A piece could not be done in time.
+        """
+        missing = self._take_lost(run.tickets)
+        for stage, segment, failure in run.failures:
+            if failure == PieceReply.LATE:
+                raise RefusalError(
+                    reason.DEADLINE_UNREACHABLE,
+                    Verdict.NOT_RUN,
+                    f"stage {stage} cannot be done in time",
+                    retry_after_s=LATE_RETRY_S,
+                )
+            if failure == PieceReply.DENIED:
+                raise RefusalError(
+                    reason.STAGE_FAILED,
+                    Verdict.NOT_RUN,
+                    f"stage {stage} failed and its retries are used up",
+                    retry_after_s=FAILED_RETRY_S,
+                )
+            missing.setdefault(stage, set()).add(segment)
+            if failure == PieceReply.GONE:
+                for before in run.chain.steps[stage].after:
+                    if before in run.chain.steps:
+                        run.chain.restart(before)
+        run.failures.clear()
+        return missing
+
+    async def _resubmit(
+        self, run: StageRun, missing: Mapping[int, set[int]]
     ) -> None:
+        """Submits pieces anew whose keeper, upstream or inputs are gone.
+
+        Raises:
+            RefusalError: That happened too often, or no keeper takes them.
+        """
+        if not missing:
+            return
+        run.resubmits += 1
+        if run.resubmits > RESUBMITS_MAX:
+            raise RefusalError(
+                reason.STAGE_FAILED,
+                Verdict.NOT_RUN,
+                "a stage failed too often",
+                retry_after_s=FAILED_RETRY_S,
+            )
+        for stage, segments in missing.items():
+            # A stage that was restarted is submitted when it is due.
+            if run.chain.is_begun(stage):
+                still = segments & set(run.chain.missing(stage))
+                await self._submit(run, stage, sorted(still))
+
+    def _check_waits(self, run: StageRun) -> None:
         """Refuses a request that its stages would hold for too long.
 
         Raises:
@@ -229,12 +145,12 @@
         """
         now = self._state.clock()
         excess = excess_s(
-            chain,
-            call_s,
+            run.chain,
+            run.call_s,
             self._state.waits,
             run_s=RUN_S,
-            aim_in_s=aim_at - now,
-            stays_s=deadline_at - now,
+            aim_in_s=run.aim_at - now,
+            stays_s=run.leaves_at - now,
             now=now,
         )
         if excess > 0.0:
@@ -245,18 +161,15 @@
                 retry_after_s=max(RETRY_AFTER_MIN_S, excess),
             )
 
-    def abandon(self, req: CallerRequest, run: StageRun) -> None:
+    def abandon(self, run: StageRun) -> None:
         """Withdraws what waits for a request and releases its results."""
         self.release_rest(run)
-        pools = {step.pool for step in run.chain.steps.values()}
-        if run.chain.begun and self._tasks is not None:
-            for pool in pools:
-                for name in self._keepers(pool)[:1]:
-                    self._tasks.start_soon(
-                        self._send,
-                        name,
-                        message.StageCancel(request=req.request_id),
-                    )
+        if not run.chain.begun or self._tasks is None:
+            return
+        cancel = message.StageCancel(request=run.req.request_id)
+        for pool in {step.pool for step in run.chain.steps.values()}:
+            keeper = self._keepers(pool)[0]
+            self._tasks.start_soon(self._send, keeper, cancel)
 
     def release_rest(self, run: StageRun) -> None:
         """Releases every result of a request that is still held."""
@@ -314,66 +227,24 @@
         return lost
 
     async def _submit(
-        self,
-        req: CallerRequest,
-        run: StageRun,
-        index: int,
-        segments: Sequence[int],
-        *,
-        call_s: Mapping[int, float],
-        priority: int,
-        aim_at: float,
-        deadline_at: float,
-        failure_domain: str,
-        tickets: set[int],
+        self, run: StageRun, index: int, segments: Sequence[int]
     ) -> None:
-        """Submits pieces of one stage to the first keeper that takes them."""
+        """Submits pieces of one stage to the first keeper that takes them.
+
+        Raises:
+            RefusalError: The queue is too long, or no keeper answers.
+        """
         if not segments:
             return
         step = run.chain.steps[index]
-        now = self._state.clock()
-        rest = remaining_s(run.chain, index, call_s, RUN_S)
-        begun = len(run.chain.begun_stages()) > 1 or bool(step.after)
-        number = next(self._numbers)
-        msg = message.StageSubmit(
-            origin=self._peers.name,
-            origin_address=self._peers.address,
-            ticket=number,
-            pool=step.pool,
-            request=req.request_id,
-            stage=index,
-            deadline_s=deadline_at - now - rest,
-            aim_s=aim_at - now - rest,
-            run_s=rest,
-            priority=max(0, priority),
-            failure_domain=run.choose_domain(index, failure_domain),
-            result_bytes=step.result_bytes,
-            begun=begun,
-            inputs=tuple(
-                message.InputHandle(handle=h) for h in run.chain.inputs(index)
-            ),
-            pieces=tuple(
-                message.PieceOrder(segment=s, key=req.piece_key)
-                for s in segments
-            ),
-        )
+        msg = self._make_submission(run, index, segments)
         detail = "no instance keeps the queue"
         candidates = self._keepers(step.pool)[:KEEPERS_MAX]
         if self._peers.name not in candidates:
             candidates.append(self._peers.name)
         for name in candidates:
-            peer = self._peers.table.get(name)
-            ticket = _Ticket(
-                number,
-                index,
-                name,
-                peer.incarnation if peer else self._peers.incarnation,
-                segments,
-                run,
-            )
             # Results may arrive before the acknowledgement.
-            self._tickets[number] = ticket
-            tickets.add(number)
+            self._open_ticket(run, msg, name, segments)
             try:
                 reply = await self._peers.request(
                     self._peers.address_of(name), msg
@@ -383,7 +254,7 @@
                 self._peers.table.suspect(name, self._state.clock())
                 logger.bind(
                     event="keeper_unreachable",
-                    request=req.request_id,
+                    request=run.req.request_id,
                     keeper=name,
                 ).warning("{}", exc)
                 continue
@@ -394,7 +265,7 @@
             if reply.accepted:
                 return
             if reply.reason == OVERLOADED:
-                self._tickets.pop(number, None)
+                self._tickets.pop(msg.ticket, None)
                 raise RefusalError(
                     reason.OVERLOADED,
                     Verdict.NOT_RUN,
@@ -402,10 +273,56 @@
                     retry_after_s=reply.retry_after_s,
                 )
             detail = f"instance {name}: {reply.reason}"
-        self._tickets.pop(number, None)
+        self._tickets.pop(msg.ticket, None)
         raise RefusalError(
-            reason.NO_UPSTREAM, Verdict.NOT_RUN, detail, retry_after_s=0.5
+            reason.NO_UPSTREAM,
+            Verdict.NOT_RUN,
+            detail,
+            retry_after_s=LATE_RETRY_S,
+        )
+
+    def _make_submission(
+        self, run: StageRun, index: int, segments: Sequence[int]
+    ) -> message.StageSubmit:
+        """Returns the message that submits pieces of a stage."""
+        step = run.chain.steps[index]
+        now = self._state.clock()
+        rest = remaining_s(run.chain, index, run.call_s, RUN_S)
+        inputs = run.chain.inputs(index)
+        return message.StageSubmit(
+            origin=self._peers.name,
+            origin_address=self._peers.address,
+            ticket=next(self._numbers),
+            pool=step.pool,
+            request=run.req.request_id,
+            stage=index,
+            deadline_s=run.leaves_at - now - rest,
+            aim_s=run.aim_at - now - rest,
+            run_s=rest,
+            priority=max(0, run.priority),
+            failure_domain=run.choose_domain(index),
+            result_bytes=step.result_bytes,
+            begun=len(run.chain.begun_stages()) > 1 or bool(step.after),
+            inputs=tuple(message.InputHandle(handle=h) for h in inputs),
+            pieces=tuple(
+                message.PieceOrder(segment=s, key=run.req.piece_key)
+                for s in segments
+            ),
+        )
+
+    def _open_ticket(
+        self,
+        run: StageRun,
+        msg: message.StageSubmit,
+        keeper: str,
+        segments: Sequence[int],
+    ) -> None:
+        peer = self._peers.table.get(keeper)
+        incarnation = peer.incarnation if peer else self._peers.incarnation
+        self._tickets[msg.ticket] = Ticket(
+            msg.ticket, msg.stage, keeper, incarnation, segments, run
         )
+        run.tickets.add(msg.ticket)
 
     async def _on_done(self, msg: message.StageDone) -> message.Message:
         ticket = self._tickets.get(msg.ticket)
@@ -428,15 +345,3 @@
                 )
         run.changed.set()
         return message.Ack()
-
-
-def expected_calls(chain: Chain, document: RoutingDocument) -> dict[int, float]:
-    """Returns the expected time of a call of each stage, by index."""
-    times = {}
-    for index, step in chain.steps.items():
-        spec = document.pools.get(step.pool)
-        if spec is not None and spec.batch is not None:
-            batch = spec.batch
-            full_s = batch.call_s + batch.batch * batch.piece_s
-            times[index] = STAGE_FACTOR * full_s
-    return times
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -64,10 +64,15 @@
 
         Raises:
             RefusalError: It gets a refusal instead.
-            StreamCutError: Its stream cannot be finished.
         """
-        req, route = exchange.req, exchange.route
-        run = StageRun(Chain(route.stages, req.piece_counts))
+        run = StageRun(
+            exchange.req,
+            Chain(exchange.route.stages, exchange.req.piece_counts),
+            exchange.document,
+            priority=exchange.priority,
+            aim_at=exchange.aim_at,
+            leaves_at=exchange.leaves_at,
+        )
         self._state.window(exchange.pool).on_request(self._state.clock())
         try:
             if run.chain.steps:
@@ -76,15 +81,8 @@
                     _subject(exchange),
                     self._state.clock(),
                 )
-                await self._staging.execute(
-                    req,
-                    run,
-                    document=exchange.document,
-                    priority=exchange.priority,
-                    aim_at=exchange.aim_at,
-                    deadline_at=exchange.leaves_at,
-                    failure_domain=home.failure_domain if home else "",
-                )
+                run.home = home.failure_domain if home else ""
+                await self._staging.execute(run)
             await self._forward(exchange, run)
         finally:
             self._staging.release_rest(run)
