--- a/src/applespring/entry/main.py
+++ b/src/applespring/entry/main.py
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from applespring.cli import Range, run_program
+from applespring.clock import read_clock
 from applespring.core.errors import SettingsError
 from applespring.entry.compose import Instance, Outside
 from applespring.entry.logs import set_up_logs
@@ -140,11 +141,6 @@
     return 0 if instance.drain.abandoned == 0 else 1
 
 
-def read_clock() -> float:
-    """Returns seconds on a clock that advances while the machine sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def _bind(settings: Settings) -> socket.socket:
     """Returns the listening socket.
 
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -12,6 +12,7 @@
 from hypercorn.config import Config
 from loguru import logger
 
+from applespring.clock import read_clock
 from applespring.core.errors import SettingsError
 from applespring.peer.link import SocketTransport, split_address
 from applespring.relay.client import USER_TIMEOUT_MS, make_http_pool
@@ -38,11 +39,6 @@
 STORE_IDLE_S = 5.0
 
 
-def read_clock() -> float:
-    """Returns seconds on a clock that advances while the machine sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class RelayInstance:
     """The parts of one instance, wired."""
 
