Hear an instance that starts anew after its clock was set back

An instance whose clock jumps back before it starts again has a lower one, and its peers ignored it for 20 s. Change: an instance that speaks itself after 0.5 s of silence is believed, and word of others does not replace it.

--- a/features/relay_parts.feature
+++ b/features/relay_parts.feature
@@ -85,6 +85,12 @@
     Then incarnation 1 cannot be reached and incarnation 2 can
     And a late word of incarnation 1 changes nothing
 
+  Scenario: An instance that starts anew after its clock was set back is heard
+    Given a peer with incarnation 5 heard at 0
+    When the peer is heard with incarnation 3 at 2
+    Then word of others about incarnation 5 at 2.1 changes nothing
+    And incarnation 3 can be reached at 2.2
+
   Scenario: A silent peer keeps no queue
     Given a peer with incarnation 1 heard at 0
     Then it may keep a queue at 0.9
--- a/features/steps/relay_parts_steps.py
+++ b/features/steps/relay_parts_steps.py
@@ -293,6 +293,20 @@
     assert context.peer_table.get("two").incarnation == 2
 
 
+@then(
+    "word of others about incarnation {incarnation:d} at {now:g} changes "
+    "nothing"
+)
+def then_word(context, incarnation, now):
+    row = Peer("two", incarnation, "a:1", "koper", "live", 99)
+    assert not context.peer_table.hear(row, now, direct=False)
+
+
+@then("incarnation {incarnation:d} can be reached at {now:g}")
+def then_reached_at(context, incarnation, now):
+    assert context.peer_table.is_reachable("two", incarnation, now)
+
+
 @then("it may keep a queue at {now:g}")
 def then_keeps(context, now):
     ranked = context.peer_table.rank_keepers("p", now, self_link_mbps=1000.0)
--- a/src/applespring/core/peertable.py
+++ b/src/applespring/core/peertable.py
@@ -99,12 +99,12 @@
         if row.name == self._name:
             return False
         held = self._peers.get(row.name)
-        if held is None or row.incarnation > held.incarnation:
+        if held is None or self._replaces(row, held, now, direct):
             row.heard_at = now if direct else now - SILENCE_S / 2
             row.direct_at = now if direct else -math.inf
             self._peers[row.name] = row
             return True
-        if row.incarnation < held.incarnation:
+        if row.incarnation != held.incarnation:
             return False
         if row.sequence > held.sequence:
             held.sequence = row.sequence
@@ -118,6 +118,21 @@
             held.direct_at = now
         return False
 
+    @staticmethod
+    def _replaces(row: Peer, held: Peer, now: float, direct: bool) -> bool:
+        """Returns whether a row tells of a later start than the one held.
+
+        Incarnations are times of day, which may jump backwards between two
+        starts. An instance that speaks itself after a silence is believed.
+        """
+        if row.incarnation == held.incarnation:
+            return False
+        newer = row.incarnation > held.incarnation
+        silent_s = now - held.direct_at
+        if direct:
+            return newer or silent_s > SILENCE_S / 2
+        return newer and silent_s > SILENCE_S
+
     def expire(self, now: float) -> None:
         """Forgets instances that have been silent for long."""
         for name, peer in list(self._peers.items()):
