Refuse requests that come late in a shutdown

In the first a request came 7.3 s after SIGTERM, while older streams kept the process alive, and was cut when it ended 0.3 s later. Change: 2.5 s after SIGTERM, when the balancer has had time to notice, new requests are refused as not run and come back elsewhere.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -73,6 +73,16 @@
     Then it gets 503 and 0 upstreams got it
     And it is told when to come back
 
+  Scenario: A request that comes late in a shutdown is refused as not run
+    Found by hunt, kabine-obala scale-1 --seed 307419640367: a request taken 7.3 s
+    after SIGTERM was cut when the process ended.
+    Given a relay with the plain upstreams a
+    And the instance is at the end of its shutdown
+    When a caller sends a safe request
+    Then it gets 503 and 0 upstreams got it
+    And the verdict is "not_run"
+    And it is told when to come back
+
   Scenario: A caller that leaves ends the work for it
     Given a relay with the plain upstreams a
     And the first upstream that is asked does "silent"
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -58,6 +58,15 @@
     prepare(context, "engines", names)
 
 
+@given("the instance is at the end of its shutdown")
+def given_closed(context):
+    def close():
+        state = context.world.instances["one"].state
+        state.leaving = state.closed = True
+
+    context.before.append(close)
+
+
 @given("a relay that has not read the registry")
 def given_not_ready(context):
     prepare(context, "plain", "a")
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -186,6 +186,7 @@
         limit_s = self.state.settings.drain_limit_s - END_MARGIN_S
         while True:
             took = self.state.clock() - began
+            self.state.closed = took >= BALANCER_LAG_S
             idle = not self.state.requests and not self.keeper.busy
             if took >= limit_s or (took >= BALANCER_LAG_S and idle):
                 break
--- a/src/applespring/relay/front.py
+++ b/src/applespring/relay/front.py
@@ -27,6 +27,8 @@
 # this instance has not heard of.
 DOCUMENT_SURE_S = 3.0
 NOT_READY_RETRY_S = 0.5
+# A retry takes a new connection, which goes to another instance.
+CLOSED_RETRY_S = 0.05
 # Longest wait for a body that its caller keeps sending.
 BODY_S = 5.0
 UNKNOWN_ROUTE = "none"
@@ -140,6 +142,13 @@
             RefusalError: The request is refused.
             CallerGoneError: Its caller has gone.
         """
+        if self._state.closed:
+            # What began now might not end before the process does.
+            raise RefusalError(
+                reason.SHUTTING_DOWN,
+                Verdict.NOT_RUN,
+                retry_after_s=CLOSED_RETRY_S,
+            )
         doc = self._state.document
         if doc is None or self._state.entries_read_at < 0:
             raise RefusalError(
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -27,6 +27,7 @@
         peers: The other instances.
         waits: Waiting times of stage pools, by pool.
         leaving: Whether this instance is shutting down.
+        closed: Whether it refuses new requests, at the end of a shutdown.
         requests: Requests being handled.
         clock: Steady clock in seconds that counts suspended time.
     """
@@ -43,6 +44,7 @@
         "reach",
         "peers",
         "leaving",
+        "closed",
         "requests",
         "clock",
         "_windows",
@@ -62,6 +64,7 @@
         self.reach = DomainReach()
         self.peers = PeerTable(settings.name)
         self.leaving = False
+        self.closed = False
         self.requests = 0
         self.clock = clock
         self._windows: dict[str, AttemptWindow] = {}
