Remove relay code that nothing reads

Cause: reading the whole change again: the catalog counted a version and held a revision that nobody reads, had a second name for its drop, and the keep-alive time of answers was parsed on each answer and never used; a close of the client was never called. Ruled out: a use in the tests; there is none. Change: these are gone, 39 lines; no behavior changes.

--- a/src/applespring/core/catalog.py
+++ b/src/applespring/core/catalog.py
@@ -78,25 +78,11 @@
 
 
 class Catalog:
-    """Upstreams by name, with the time at which removed ones are dropped.
+    """Upstreams by name, with the time at which removed ones are dropped."""
 
-    Attributes:
-        version: Increases with each change.
-        revision: Registry revision up to which changes are known.
-    """
-
-    __slots__ = (
-        "version",
-        "revision",
-        "_listed",
-        "_drop_at",
-        "_away",
-        "_back_at",
-    )
+    __slots__ = ("_listed", "_drop_at", "_away", "_back_at")
 
     def __init__(self) -> None:
-        self.version = 0
-        self.revision = 0
         self._listed: dict[str, ListedUpstream] = {}
         self._drop_at: dict[str, float] = {}
         self._away = False
@@ -131,7 +117,6 @@
                 held.revision = upstream.revision
                 return False
         self._listed[upstream.name] = upstream
-        self.version += 1
         return True
 
     def remove(self, name: str, now: float) -> bool:
@@ -144,10 +129,6 @@
             return False
         return self._drop(name)
 
-    def withdraw(self, name: str) -> bool:
-        """Drops an upstream at once; returns whether it was listed."""
-        return self._drop(name)
-
     def replace(self, entries: Iterable[ListedUpstream], now: float) -> None:
         """Takes a whole reading of the registry."""
         entries = list(entries)
@@ -169,10 +150,7 @@
 
     def _drop(self, name: str) -> bool:
         self._drop_at.pop(name, None)
-        if self._listed.pop(name, None) is None:
-            return False
-        self.version += 1
-        return True
+        return self._listed.pop(name, None) is not None
 
     def get(self, name: str) -> ListedUpstream | None:
         """Returns a listed upstream."""
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -1,6 +1,5 @@
 """Headers and bodies of the platform's calls, decoded and encoded."""
 
-import re
 from collections.abc import Sequence
 
 import orjson
@@ -51,7 +50,6 @@
 )
 _DROPPED_REQUEST = _HOP_BY_HOP | _SYSTEM_SET | {b"content-length"}
 _DROPPED_REPLY = _HOP_BY_HOP | {b"date", b"server"}
-_KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 _JSON = [(b"Content-Type", b"application/json")]
 _PRIORITY_MAX = 9
 _MB = 1_000_000
@@ -133,12 +131,10 @@
     def decode_reply(self, status: int, headers: Headers) -> UpstreamReply:
         """See `Protocol.decode_reply`."""
         found = {name.lower(): value for name, value in headers}
-        keep = _KEEP_ALIVE.search(found.get(b"keep-alive", b""))
         return UpstreamReply(
             request_id=found.get(b"request-id", b"").decode("latin-1"),
             not_run=b"not-executed" in found or status == 421,
             signed=b"response-signature" in found,
-            keep_alive_s=float(keep.group(1)) if keep else None,
         )
 
     def reply_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -205,9 +205,3 @@
                 await oldest.aclose()
         self._pools.move_to_end(upstream.identity)
         return pool
-
-    async def aclose(self) -> None:
-        """Closes every connection."""
-        for pool in self._pools.values():
-            await pool.aclose()
-        self._pools.clear()
--- a/src/applespring/relay/protocol.py
+++ b/src/applespring/relay/protocol.py
@@ -106,22 +106,19 @@
         request_id: Id of the request that it answers, or "".
         not_run: Whether it states that the request was not run.
         signed: Whether it carries the upstream's signature.
-        keep_alive_s: Time for which an idle connection stays open, or None.
     """
 
-    __slots__ = ("request_id", "not_run", "signed", "keep_alive_s")
+    __slots__ = ("request_id", "not_run", "signed")
 
     def __init__(
         self,
         request_id: str,
         not_run: bool,
         signed: bool,
-        keep_alive_s: float | None,
     ) -> None:
         self.request_id = request_id
         self.not_run = not_run
         self.signed = signed
-        self.keep_alive_s = keep_alive_s
 
 
 class PieceReply:
