Serve accounts whose fair turn is overdue before all priorities

Cause: the queue of a pool served every call of priority 4 before any of priority 9, so the urgent calls of one account at ten times its share starved the less urgent calls of small accounts; fair shares held only within a priority. Ruled out: fair shares without priorities, which delay payments by the whole queue of the same account. Change: an account whose next turn is overdue in virtual time goes first; the estimate of a call's wait takes the earlier of both orders. The scenario of the retry time put the queue before the call by the priority of another account, which no longer holds; it now uses the call's own account, with the same bounds, and a new scenario states how long another account's urgent calls delay a call. Without the change the new scenario fails (no call of the account in 4).

--- a/features/policy.feature
+++ b/features/policy.feature
@@ -34,10 +34,18 @@
   Scenario: A refused call's retry time covers the queue before it
     # An earlier retry would be refused again.
     Given a gate with 1 upstreams of 1 slots and calls of 1 s
-    When 5 calls of priority 0 are submitted
+    When 5 calls of priority 0 of the same account are submitted
     And a call with 3 s left is submitted
     Then it is refused as "deadline_unreachable" with 5 to 7 s to retry
 
+  Scenario: Urgent calls of another account delay a call by its round only
+    # An account far over its share would starve the less urgent calls of all.
+    Given a gate with 1 upstreams of 1 slots and calls of 1 s
+    When 20 calls of priority 0 are submitted
+    And a call with 8 s left is submitted
+    And 4 calls are run one after the other
+    Then account "acct" got 1 of them
+
   Scenario: A full queue sheds the account most over its share
     Given a gate with 1 upstreams of 1 slots and calls of 1 s
     And a queue of at most 4
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -106,6 +106,13 @@
     )
 
 
+@when(
+    "{count:d} calls of priority {priority:d} of the same account are submitted"
+)
+def when_priority_of_account(context, count, priority):
+    context.driver.submit(count, priority=priority)
+
+
 @when('{count:d} calls that exclude "{names}" are submitted')
 def when_excluded(context, count, names):
     context.driver.submit(count, exclude=frozenset(names.split(",")))
--- a/src/applespring/core/queue.py
+++ b/src/applespring/core/queue.py
@@ -25,14 +25,23 @@
         self.vtime = 0.0
         self.entries: list[_Entry] = []
 
+    @property
+    def turn_at(self) -> float:
+        """Virtual time at which the account's next ticket ends."""
+        return self.vtime + 1.0 / self.weight
+
 
 class _Lane:
     """Queued tickets that may go to the same upstreams."""
 
-    __slots__ = ("by_account", "heap")
+    __slots__ = ("by_account", "heap", "turns")
 
     def __init__(self) -> None:
         self.by_account: dict[str, list[_Entry]] = {}
+        # (virtual time at which the account's next ticket ends, account).
+        # Entries may be lower than the current time as in `heap`; one that is
+        # higher, since the weight grew, has a newer one beside it.
+        self.turns: list[tuple[float, str]] = []
         # (head priority, virtual time, account). An account's entry may be
         # lower than its current rank, never higher, so the least valid entry
         # is the next to serve.
@@ -44,8 +53,11 @@
 
     The lowest priority number goes first. Within a priority, accounts take
     turns by start-time fair queueing with their weights, and each account's
-    tickets go by the time at which their stage must have ended. The queue
-    does not enforce its bound; the gate does with `pick_victim`.
+    tickets go by the time at which their stage must have ended. An account
+    whose next turn is overdue, by its fair share of all priorities together,
+    goes before every priority: the urgent tickets of others can delay it by
+    the tickets of one round only. The queue does not enforce its bound; the
+    gate does with `pick_victim`.
     """
 
     __slots__ = (
@@ -91,6 +103,9 @@
         key = (ticket.priority, ticket.due_at, self._seq)
         ticket.key = key
         account = self._activate(ticket)
+        weight_grew = ticket.weight > account.weight
+        account.weight = ticket.weight
+        self._active_weight += account.weight
         entry = (*key, ticket)
         bisect.insort(account.entries, entry)
         bisect.insort(self._by_due, (ticket.due_at, self._seq, ticket))
@@ -102,6 +117,12 @@
         bisect.insort(entries, entry)
         if entries[0] is entry:
             self._push_rank(lane, account, ticket.priority)
+        if weight_grew:
+            for other in self._lanes.values():
+                if account.name in other.by_account:
+                    self._push_turn(other, account)
+        elif len(entries) == 1:
+            self._push_turn(lane, account)
 
     def remove(self, ticket: Ticket) -> bool:
         """Removes a ticket; returns whether it was there."""
@@ -135,17 +156,19 @@
 
     def head(self, blocked: set[_LaneKey]) -> Ticket | None:
         """Returns the next ticket to serve outside the blocked lanes."""
-        best = None
-        best_lane = None
-        for key, lane in self._lanes.items():
-            if key in blocked:
-                continue
-            rank = self._least_rank(lane)
-            if best is None or rank < best:
-                best, best_lane = rank, lane
-        if best is None:
+        lanes = [v for k, v in self._lanes.items() if k not in blocked]
+        if not lanes:
             return None
-        return best_lane.by_account[best[2]][0][3]
+        (turn_at, name), lane = min(
+            ((self._least_turn(lane), lane) for lane in lanes),
+            key=lambda pair: pair[0],
+        )
+        if turn_at > self._vtime:
+            (_, _, name), lane = min(
+                ((self._least_rank(lane), lane) for lane in lanes),
+                key=lambda pair: pair[0],
+            )
+        return lane.by_account[name][0][3]
 
     def expire(self, due_before: float) -> list[Ticket]:
         """Removes and returns the tickets that are due before this time."""
@@ -185,16 +208,19 @@
         equal = float(self._by_priority[ticket.priority])
         account = self._accounts.get(ticket.account)
         weights = self._active_weight
-        own_ahead = 0
+        own_ahead = own_equal = 0
         if account is None or not account.entries:
             weights += ticket.weight
         else:
             level = (ticket.priority, -math.inf, 0)
             key = (ticket.priority, ticket.due_at, self._seq + 1)
             own_ahead = bisect.bisect_left(account.entries, key)
-            own_ahead -= bisect.bisect_left(account.entries, level)
-        by_share = (own_ahead + 1) * weights / ticket.weight - 1.0
-        return urgent + max(0.0, min(equal, by_share))
+            own_equal = own_ahead - bisect.bisect_left(account.entries, level)
+        round_size = weights / ticket.weight
+        by_priority = (own_equal + 1) * round_size - 1.0
+        # An overdue turn goes before all priorities.
+        by_turn = (own_ahead + 1) * round_size
+        return min(urgent + max(0.0, min(equal, by_priority)), by_turn)
 
     def pick_victim(self, newcomer: Ticket) -> Ticket | None:
         """Returns whom a full queue sheds, None for the newcomer itself.
@@ -220,6 +246,7 @@
         return last[3]
 
     def _activate(self, ticket: Ticket) -> _Account:
+        """Returns the account, whose new weight the caller adds."""
         account = self._accounts.get(ticket.account)
         if account is None:
             self._drop_idle()
@@ -229,8 +256,6 @@
         else:
             self._active += 1
             account.vtime = max(account.vtime, self._vtime)
-        account.weight = ticket.weight
-        self._active_weight += account.weight
         return account
 
     def _deactivate(self, account: _Account) -> None:
@@ -260,6 +285,26 @@
             ]
             heapq.heapify(lane.heap)
 
+    def _push_turn(self, lane: _Lane, account: _Account) -> None:
+        heapq.heappush(lane.turns, (account.turn_at, account.name))
+        if len(lane.turns) > 64 + 4 * len(lane.by_account):
+            lane.turns = [
+                (self._accounts[name].turn_at, name) for name in lane.by_account
+            ]
+            heapq.heapify(lane.turns)
+
+    def _least_turn(self, lane: _Lane) -> tuple[float, str]:
+        heap = lane.turns
+        while True:
+            turn = heap[0]
+            if turn[1] not in lane.by_account:
+                heapq.heappop(heap)
+                continue
+            current = (self._accounts[turn[1]].turn_at, turn[1])
+            if current == turn:
+                return turn
+            heapq.heapreplace(heap, current)
+
     def _least_rank(self, lane: _Lane) -> tuple[int, float, str]:
         heap = lane.heap
         while True:
