Answer a submission when the owner of its key has left the list

Cause: a submission forwarded to a paused owner waited for the reply until its own deadline, also when the instance list had dropped the owner and nothing was heard from it. The scenario of a paused instance failed so when the submission reached the other instance before the change of the list did. Change: the wait ends when the owner is off the list and silent for longer than GONE_S; the submission is refused as key_owner_gone, may have run. The scenario of the paused instance prints answers and violations when it fails. A second failure of the scenario, an execution at an upstream that was leaving, is still being traced.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -120,6 +120,18 @@
     And submission 4 is refused with "key_owner_gone", key "may_have_run", submission "not_run"
     And submission 5 is refused with "key_owner_recent", key "may_have_run", submission "not_run"
 
+  Scenario: The owner of a submission leaves the list while it is paused
+    Guards against a caller that waits until its deadline for an instance that
+    is known to be gone.
+    Given five instances in two failure domains
+    And an issued key "k" of "a"
+    When instance "a" is paused
+    And "k" arrives at "b" with a deadline of 100 s
+    And 1.0 s pass
+    And "b,c,x,y" see the list "b,c,x,y"
+    And 11.0 s pass
+    Then submission 1 is refused with "key_owner_gone", key "may_have_run", submission "may_have_run"
+
   Scenario: The reply of the owner is lost
     Given five instances in two failure domains
     And a caller's key "k" owned by "a"
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -337,7 +337,9 @@
 def then_at_most_once(context):
     for call in context.calls:
         call.wait()
-    assert find_violations(context) == {}
+    violations = find_violations(context)
+    calls = [call.describe() for call in context.calls]
+    assert violations == {}, (violations, calls)
     counts = count_executions(context.processes, "payments")
     assert 1 <= sum(counts.values()) <= 2, counts
 
--- a/src/applespring/entry/keys.py
+++ b/src/applespring/entry/keys.py
@@ -42,6 +42,7 @@
 OUTPUT_BYTES_MAX = MESSAGE_BYTES_MAX - 64 * 1024
 REMAINING_MAX_S = 3600.0
 GONE_S = 10.0
+GONE_POLL_S = 0.5
 DRAIN_POLL_S = 0.1
 
 ExecuteForwarded = Callable[[Request, Guard], Awaitable[Answer]]
@@ -270,15 +271,15 @@
             raise refuse(reason.DEADLINE_EXCEEDED)
         message = keywire.to_forward(owner, request, remaining_s)
         try:
-            reply = await self._peers.request(owner, message, remaining_s)
+            reply = await self._ask_owner(owner, message, remaining_s)
             if isinstance(reply, Ack):
                 raise PeerUnreachableError(f"{owner}: {reply.detail}")
             outcome = _read_reply(reply)
         except PeerUnreachableError as exc:
-            raise self._refuse_unreachable(key, owner, str(exc)) from exc
+            raise refuse(self._explain_silence(key, owner), str(exc)) from exc
         except (PeerLostError, MessageError) as exc:
             raise refuse(
-                reason.KEY_OWNER_UNREACHABLE,
+                self._explain_silence(key, owner),
                 f"The reply of the owner was lost: {exc}",
                 submission=Verdict.MAY_HAVE_RUN,
             ) from exc
@@ -286,15 +287,49 @@
             raise outcome
         return outcome
 
-    def _refuse_unreachable(
-        self, key: Key, owner: str, detail: str
-    ) -> RefusalError:
-        """Returns the refusal for a submission of which nothing was sent."""
+    async def _ask_owner(
+        self, owner: str, message: Message, remaining_s: float
+    ) -> Message:
+        """Returns the owner's reply; stops waiting when the owner is gone.
+
+        Raises:
+            PeerUnreachableError: Nothing was sent.
+            PeerLostError: The owner may have received the request.
+            MessageError: The reply cannot be decoded.
+        """
+        reply: Message | None = None
+        failure: Exception = PeerLostError(
+            f"{owner} is silent and left the instance list"
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._end_when_gone, owner, tasks.cancel_scope)
+            try:
+                reply = await self._peers.request(owner, message, remaining_s)
+            except (PeerUnreachableError, PeerLostError, MessageError) as exc:
+                failure = exc
+            tasks.cancel_scope.cancel()
+        if reply is None:
+            raise failure
+        return reply
+
+    async def _end_when_gone(
+        self, owner: str, scope: anyio.CancelScope
+    ) -> None:
+        while not self._is_gone(owner):
+            await anyio.sleep(GONE_POLL_S)
+        scope.cancel()
+
+    def _is_gone(self, owner: str) -> bool:
+        """Whether an instance has left the list and has been silent since."""
         heard = self._peers.heard.get(owner)
         silent = heard is None or self._clock() - heard.received_at > GONE_S
-        if key.names_owner and silent and not self._peers.is_listed(owner):
-            return refuse(reason.KEY_OWNER_GONE, detail)
-        return refuse(reason.KEY_OWNER_UNREACHABLE, detail)
+        return silent and not self._peers.is_listed(owner)
+
+    def _explain_silence(self, key: Key, owner: str) -> reason.Reason:
+        """Returns why an owner did not reply to a forwarded submission."""
+        if key.names_owner and self._is_gone(owner):
+            return reason.KEY_OWNER_GONE
+        return reason.KEY_OWNER_UNREACHABLE
 
     async def _on_forward(self, message: Forward) -> Message:
         try:
