Count the silence of a key's owner from the own start at the earliest

Traced with the instance's dispatch checks: the pause lasted 92 ms, not longer than the lease. An instance that had never heard from the owner took it for silent for GONE_S, so it answered key_owner_gone at once, and the scenario woke the owner before it could notice a pause. The verdict was also wrong for callers: an instance that has just started said that an owner was gone which was only unknown to it. Ruled out: evidence from before the pause that survives it (every path is dropped by note_pause); heartbeats that waited in the socket (they confirm no list); a late SIGSTOP. Change: without a heartbeat, silence counts from the start of the service. The new scenario of keys.feature fails without the change.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -132,6 +132,19 @@
     And 11.0 s pass
     Then submission 1 is refused with "key_owner_gone", key "may_have_run", submission "may_have_run"
 
+  Scenario: An instance that has just started does not call an owner gone
+    Guards against a silence that is longer than the instance has existed.
+    Given five instances in two failure domains
+    And an issued key "k" of "a"
+    When instance "a" is paused
+    And instance "b" is restarted
+    And "b" see the list "b,c,x,y"
+    And "b" receives "k"
+    And 11.0 s pass
+    And "b" receives "k"
+    Then submission 1 is refused with "key_owner_unreachable", key "may_have_run", submission "not_run"
+    And submission 2 is refused with "key_owner_gone", key "may_have_run", submission "not_run"
+
   Scenario: The reply of the owner is lost
     Given five instances in two failure domains
     And a caller's key "k" owned by "a"
--- a/src/applespring/entry/keys.py
+++ b/src/applespring/entry/keys.py
@@ -98,6 +98,7 @@
         self._ownership = ownership
         self._table = table
         self._clock = clock
+        self._started_at = clock()
         self._random_bytes = random_bytes
         self._execute_forwarded = execute_forwarded
         self._runner = KeyRunner(ownership, table, clock, unix_clock)
@@ -321,9 +322,12 @@
 
     def _is_gone(self, owner: str) -> bool:
         """Whether an instance has left the list and has been silent since."""
+        if self._peers.is_listed(owner):
+            return False
         heard = self._peers.heard.get(owner)
-        silent = heard is None or self._clock() - heard.received_at > GONE_S
-        return silent and not self._peers.is_listed(owner)
+        # Having just started is no sign that the owner has been silent.
+        silent_since = heard.received_at if heard else self._started_at
+        return self._clock() - silent_since > GONE_S
 
     def _explain_silence(self, key: Key, owner: str) -> reason.Reason:
         """Returns why an owner did not reply to a forwarded submission."""
