--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -97,7 +97,7 @@
         self._service_s = service_s
         self._drain = (drain_grace_s, drain_limit_s)
         self._listed: dict[str, dict[str, str]] = {}
-        ports = PortChooser()
+        ports = self._ports = PortChooser()
         for domain in self.fleet.failure_domains:
             for number in range(1, entries_per_domain + 1):
                 name = f"entry-{domain}-{number}"
@@ -135,6 +135,7 @@
                 if child.running:
                     child.kill()
             self.client.close()
+            self._ports.close()
 
     def spawn_entry(self, name: str) -> None:
         """Starts the process of an entry instance without waiting."""
--- a/demo/process.py
+++ b/demo/process.py
@@ -1,5 +1,6 @@
 """Child processes of the demo, started and ended by their ids."""
 
+import fcntl
 import os
 import pathlib
 import random
@@ -8,14 +9,19 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Sequence
+from typing import IO
 
 HOST = "127.0.0.1"
 # Below the range that the kernel hands out for outgoing connections, so that
 # no connection takes a port between its choice and its use.
 PORTS = range(12_000, 30_000)
 PORT_TRIES = 1000
+LOCK_DIRECTORY = (
+    pathlib.Path(tempfile.gettempdir()) / f"applespring-ports-{os.getuid()}"
+)
 VARIABLE_PREFIX = "APPLESPRING_"
 
 
@@ -123,27 +129,52 @@
 
 
 class PortChooser:
-    """Chooses ports that are free for TCP and UDP on the loopback address."""
+    """Chooses ports that are free for TCP and UDP on the loopback address.
 
-    __slots__ = ("_rng", "_taken")
+    A process binds its port only some time after the choice. Until then, and
+    as long as the chooser exists, a lock on a file keeps the port from being
+    chosen by another program of this user.
+    """
+
+    __slots__ = ("_rng", "_locks")
 
-    def __init__(self) -> None:
-        self._rng = random.Random()
-        self._taken: set[int] = set()
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._locks: dict[int, IO[bytes]] = {}
 
     def choose(self) -> int:
-        """Returns a free port that was not returned before.
+        """Returns a free port that no chooser of this machine holds.
 
         Raises:
             StartError: None was found.
         """
         for _ in range(PORT_TRIES):
             port = self._rng.choice(PORTS)
-            if port not in self._taken and _is_free(port):
-                self._taken.add(port)
+            if port not in self._locks and self._lock(port):
                 return port
         raise StartError(f"no free port in {PORT_TRIES} tries")
 
+    def close(self) -> None:
+        """Gives the ports back."""
+        for lock in self._locks.values():
+            lock.close()
+        self._locks.clear()
+
+    def _lock(self, port: int) -> bool:
+        """Takes the lock of a port; returns whether it is free and taken."""
+        LOCK_DIRECTORY.mkdir(parents=True, exist_ok=True)
+        lock = (LOCK_DIRECTORY / str(port)).open("wb")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock.close()
+            return False
+        if not _is_free(port):
+            lock.close()
+            return False
+        self._locks[port] = lock
+        return True
+
 
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
--- a/features/process_path.feature
+++ b/features/process_path.feature
@@ -30,3 +30,9 @@
     Given a process fleet with 2 instances in each failure domain
     When a newer document is published to the processes
     Then every entry process has it in force within 8 s
+
+  Scenario: Fleets that start at the same time use different ports
+    Guards against a process that finds its port taken, since another fleet
+    chose it too before either had bound it.
+    When two port choosers with the same seed choose 20 ports each
+    Then the 40 ports are different
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -1,6 +1,7 @@
 """Steps about the system as real processes."""
 
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -11,6 +12,7 @@
 
 from applespring.core.verdict import Verdict
 from applespring.load.check import Outcome
+from demo.process import PortChooser
 from features.fixtures.processes import (
     LIMIT_S,
     Call,
@@ -396,3 +398,20 @@
     assert done.returncode == code, (done.returncode, done.stderr)
     for part in parts:
         assert part in done.stderr, (part, done.stderr)
+
+
+@when(
+    "two port choosers with the same seed choose {count:d} ports each",
+)
+def when_ports(context, count):
+    choosers = [PortChooser(random.Random(1)) for _ in range(2)]
+    for chooser in choosers:
+        context.add_cleanup(chooser.close)
+    context.ports = [
+        chooser.choose() for chooser in choosers for _ in range(count)
+    ]
+
+
+@then("the {count:d} ports are different")
+def then_ports_differ(context, count):
+    assert len(set(context.ports)) == count, context.ports
