Release results once the engine has fetched them

Cause: room for results binds in bursts. Change: the results of a stream that is not resumable are released 0.1 s after its request was sent. An engine that lacks a result (409, not run) has all stages made again once, within the allowance of added attempts, instead of a refusal. The three new scenarios fail without the change.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -11,6 +11,32 @@
     And pieces of different requests shared a call
     And every result was released
 
+  Scenario: Results are released while the engine reads its prompt
+    Load pattern: a burst of requests with large results; their room is needed
+    for the next ones long before the first event of a long prompt.
+    Given relay instances one, two, three with 2 stage upstreams and an engine
+    And an engine that answers after 1 s
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller gets an answer
+    And every result was released
+    And the last release came within 0.3 s of the last request to the engine
+
+  Scenario: An engine lacks a result of the stages
+    Guards against a refusal of a request that can still be served, and against
+    an engine that is asked for ever.
+    Given relay instances one with 2 stage upstreams and an engine
+    And an engine that lacks a result 1 times
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller gets an answer
+    And each piece was made 2 times
+
+  Scenario: Every engine lacks a result of the stages
+    Given relay instances one with 2 stage upstreams and an engine
+    And an engine that lacks a result 9 times
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller is refused with 503
+    And each piece was made 2 times
+
   Scenario Outline: The keeper of the queue is lost
     Given relay instances one, two, three with 2 stage upstreams and an engine
     When the keeper <fate> 0.1 s after a caller of another instance sent a staged request
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -1,5 +1,6 @@
 """Steps about stages and documents across instances."""
 
+import collections
 import json
 
 import anyio
@@ -22,6 +23,17 @@
     context.replies = {}
 
 
+@given("an engine that answers after {seconds:g} s")
+def given_slow_engine(context, seconds):
+    context.world.upstreams["engine"].head_delay_s = seconds
+
+
+@given("an engine that lacks a result {count:d} times")
+def given_lacking_engine(context, count):
+    lacking = (409, {"Not-Executed": "1"}, [b""])
+    context.world.upstreams["engine"].script = [lacking] * count
+
+
 def play(context, act, seconds=6.0):
     """Starts the instances, runs an act, and ends after some time."""
 
@@ -251,6 +263,41 @@
     assert made and made == released, made ^ released
 
 
+@then(
+    "the last release came within {seconds:g} s of the last request to the "
+    "engine"
+)
+def then_released_early(context, seconds):
+    asked = max(
+        run.at
+        for request in context.replies
+        for run in engine_runs(context, request)
+    )
+    released = max(
+        a.at for a in context.world.arrivals if a.target == "/stage-free"
+    )
+    assert released <= asked + seconds, (released, asked)
+
+
+def engine_runs(context, request):
+    return [a for a in context.world.runs(request) if a.upstream == "engine"]
+
+
+@then("each piece was made {count:d} times")
+def then_made(context, count):
+    made = collections.Counter(
+        (i["id"], i["stage"], i["segment"])
+        for _, items in context.world.calls
+        for i in items
+    )
+    assert set(made.values()) == {count}, made
+
+
+@then("every caller is refused with {status:d}")
+def then_all_refused(context, status):
+    assert {r.status for r in context.replies.values()} == {status}
+
+
 @then("no call is made after it left")
 def then_no_calls(context):
     assert len(context.world.calls) == context.calls_at_leave
--- a/src/applespring/core/chain.py
+++ b/src/applespring/core/chain.py
@@ -47,6 +47,11 @@
             if index in step.after and step.index in self._begun:
                 self.restart(step.index)
 
+    def restart_all(self) -> None:
+        """Forgets every result."""
+        for index in self.steps:
+            self.restart(index)
+
     def finish(self, index: int, segment: int, handle: str) -> None:
         """Takes the result of a piece."""
         self._handles[index][segment] = handle
--- a/src/applespring/relay/stagerun.py
+++ b/src/applespring/relay/stagerun.py
@@ -31,6 +31,8 @@
             piece and reason.
         tickets: Numbers of the submissions that are not complete.
         resubmits: Times that pieces were submitted anew.
+        repeated: Whether all stages were executed again.
+        reading: Ends the wait for an engine to fetch the results, or None.
     """
 
     __slots__ = (
@@ -46,6 +48,8 @@
         "failures",
         "tickets",
         "resubmits",
+        "reading",
+        "repeated",
     )
 
     def __init__(
@@ -70,6 +74,8 @@
         self.failures: list[tuple[int, int, str]] = []
         self.tickets: set[int] = set()
         self.resubmits = 0
+        self.reading: anyio.CancelScope | None = None
+        self.repeated = False
 
     def input_domains(self, stages: Iterable[int]) -> dict[str, float]:
         """Returns the bytes of results of some stages by failure domain."""
--- a/src/applespring/relay/staging.py
+++ b/src/applespring/relay/staging.py
@@ -36,6 +36,9 @@
 LATE_RETRY_S = 0.5
 # The same after a stage that failed too often.
 FAILED_RETRY_S = 1.0
+# Time in which an engine that takes a request at once has fetched its inputs:
+# twice what ten results of 3 MB take on a link of 5 Gbit/s.
+FETCH_S = 0.1
 
 
 class Staging:
@@ -78,6 +81,29 @@
             if not whole:
                 self.abandon(run)
 
+    async def repeat(self, run: StageRun, cause: str) -> None:
+        """Executes every stage again after an engine lacked a result.
+
+        Raises:
+            RefusalError: That happened before, or a stage cannot be done; the
+                request has not run.
+        """
+        if run.repeated:
+            raise RefusalError(
+                reason.STAGE_FAILED,
+                Verdict.NOT_RUN,
+                f"an engine lacks a result again: {cause}",
+                retry_after_s=FAILED_RETRY_S,
+            )
+        run.repeated = True
+        logger.bind(event="stages_repeated", request=run.req.request_id).info(
+            "an engine lacks a result: {}", cause
+        )
+        self.release_rest(run)
+        run.chain.restart_all()
+        run.made.clear()
+        await self.execute(run)
+
     async def _submit_due(self, run: StageRun) -> None:
         for index in run.chain.due():
             run.chain.begin(index)
@@ -176,6 +202,23 @@
         for stage, handles in run.chain.take_rest().items():
             self.release(run.chain.steps[stage].pool, handles)
 
+    def release_when_read(self, run: StageRun) -> None:
+        """Releases the results of a request once its engine has fetched them.
+
+        An engine fetches its inputs before it reads the prompt, and nothing
+        else than its answer tells when; `FETCH_S` is allowed for it.
+        """
+        if self._tasks is not None and run.chain.steps:
+            run.reading = anyio.CancelScope()
+            self._tasks.start_soon(self._release_later, run, run.reading)
+
+    async def _release_later(
+        self, run: StageRun, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
+            await anyio.sleep(FETCH_S)
+            self.release_rest(run)
+
     def release(self, pool: str, handles: Sequence[str]) -> None:
         """Has the keeper of a pool release results."""
         keepers = self._keepers(pool)
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -38,6 +38,12 @@
 # Another engine begins only after the one before has had time to notice the
 # closed connection.
 SWITCH_S = 0.05
+# Statuses by which an engine that ran nothing says that an input is missing.
+INPUTS_LOST = (400, 409)
+
+
+class _InputsLostError(StageError):
+    """An engine lacks a result that the request takes; nothing has run."""
 
 
 class StreamForwarder:
@@ -126,6 +132,11 @@
                 done = await self._attempt(
                     exchange, run, upstream, inputs, splitter, parts, more
                 )
+            except _InputsLostError as exc:
+                await self._repeat_stages(exchange, run, window, exc, attempts)
+                inputs = run.chain.final_handles()
+                tried.pop()
+                continue
             except StageError as exc:
                 if exc.verdict is Verdict.NOT_RUN and not exchange.started:
                     if left < ATTEMPT_ROOM_S or not self._may_add(window, exc):
@@ -160,6 +171,39 @@
             if done:
                 return
 
+    async def _repeat_stages(
+        self,
+        exchange: Exchange,
+        run: StageRun,
+        window: AttemptWindow,
+        cause: StageError,
+        attempts: int,
+    ) -> None:
+        """Has the results made again that an engine lacks.
+
+        Raises:
+            RefusalError: They cannot be made in time.
+        """
+        verdict = Verdict.MAY_HAVE_RUN if attempts else Verdict.NOT_RUN
+        left = exchange.deadline_at - self._state.clock()
+        if left < ATTEMPT_ROOM_S or not self._may_add(window, cause):
+            raise RefusalError(
+                reason.STAGE_FAILED,
+                verdict,
+                str(cause),
+                retry_after_s=RETRY_AFTER_S,
+            ) from cause
+        try:
+            await self._staging.repeat(run, str(cause))
+        except RefusalError as exc:
+            # The stages did not run the request, but an engine may have.
+            raise RefusalError(
+                exc.reason,
+                verdict,
+                exc.detail,
+                retry_after_s=exc.retry_after_s,
+            ) from exc
+
     def _sharers(self) -> int:
         return 1 + len(self._peers.table.reachable(self._state.clock()))
 
@@ -202,6 +246,8 @@
         pool = exchange.document.pools.get(exchange.pool)
         reading = _Reading(unread)
         failed, outcome = False, "cancelled"
+        if not exchange.route.resumable:
+            self._staging.release_when_read(run)
         try:
             async with self._client.call(
                 upstream,
@@ -248,6 +294,8 @@
                 type(exc).__name__,
             ) from exc
         finally:
+            if run.reading is not None:
+                run.reading.cancel()
             now = clock()
             reading.done(engines, upstream.name, now)
             engines.end(upstream.name, now, failed=failed)
@@ -273,14 +321,9 @@
         body = await answer.read(BODY_BYTES_MAX)
         if answer.reply.not_run:
             detail = f"status {answer.status}"
-            if answer.status in (400, 409) and run.chain.steps:
-                raise RefusalError(
-                    reason.STAGE_FAILED,
-                    Verdict.NOT_RUN,
-                    f"engine {upstream.name} lacks an input: {detail}",
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            raise StageError(
+            lost = answer.status in INPUTS_LOST and run.chain.steps
+            failure = _InputsLostError if lost else StageError
+            raise failure(
                 FailureKind.REFUSED, Verdict.NOT_RUN, upstream.name, detail
             )
         if exchange.started:
