Take pieces of the upstream's own failure domain first

Change: among pieces of the same class and priority an idle upstream takes those for its own failure domain first; nothing waits longer. The order by urgency is worked out once for all idle upstreams, and not at all when none is idle. The new scenario fails without the change.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -16,6 +16,20 @@
     When request a offers 2 pieces of 3 MB for izola at 0.0
     Then the next calls go to izola
 
+  Scenario: An upstream takes pieces of its own failure domain first
+    Load pattern: a queue longer than a call, whose pieces take many inputs;
+    made in another domain, each moves all of them.
+    When requests a, b each offer 3 pieces of 6 kB for koper at 0.0
+    And requests c, d each offer 2 pieces of 6 kB for izola at 0.01
+    And only the upstream in izola is idle at 0.1
+    Then the call to one upstream holds pieces of c, c, d, d
+
+  Scenario: More urgent pieces go before those of the failure domain
+    When requests c, d each offer 2 pieces of 6 kB for izola at 0.0 with priority 1
+    And request e offers 4 pieces of 6 kB for koper at 0.01 with priority 0
+    And only the upstream in izola is idle at 0.1
+    Then the call to one upstream holds pieces of e, e, e, e
+
   Scenario: A large piece does not wait longer than a call
     Given the upstream in izola is busy
     When request a offers 2 pieces of 3 MB for izola at 0.0
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -43,6 +43,10 @@
 LATE_SHARE_MIN = 0.4
 
 
+# The class of a piece, and its place in the class; the least goes first.
+_Urgency = tuple[tuple[int, int], tuple[float, float]]
+
+
 class Piece:
     """One piece of a stage of a request.
 
@@ -267,13 +271,16 @@
 
     def next_calls(self, now: float) -> list[Call]:
         """Returns the calls to make now."""
-        calls = []
-        self._pieces.sort(key=lambda p: self._rank(p, now))
+        calls: list[Call] = []
         lanes = [
             lane
             for lane in self._lanes.values()
             if len(lane.calls) < self.spec.slots and lane.paused_until <= now
         ]
+        if not lanes:
+            return calls
+        ranked = [(self._urgency(p, now), p) for p in self._pieces]
+        ranked.sort(key=lambda pair: pair[0])
         # The fastest idle upstream gets the most urgent pieces.
         lanes.sort(key=lambda lane: (lane.pace, lane.upstream.name))
         idle = [lane.upstream.failure_domain for lane in lanes]
@@ -282,24 +289,35 @@
                 break
             # Pieces for the domain of another idle upstream are left to it.
             idle.remove(lane.upstream.failure_domain)
-            call = self._fill(lane, now, set(idle))
+            call = self._fill(lane, ranked, now, set(idle))
             if call is not None:
                 calls.append(call)
+                gone = set(map(id, call.pieces))
+                ranked = [pair for pair in ranked if id(pair[1]) not in gone]
         return calls
 
-    def _rank(self, piece: Piece, now: float) -> tuple:
+    def _urgency(self, piece: Piece, now: float) -> _Urgency:
+        """Returns the class of a piece and its place in the class."""
         if piece.opened or self._can_be_on_time(piece, now):
             tier = 0 if piece.opened or piece.begun else 1
-            return (tier, piece.priority, piece.aim_at, piece.arrived_at)
+            return (tier, piece.priority), (piece.aim_at, piece.arrived_at)
         # Late requests are served as capacity is left, begun ones first since
         # their results expire.
         tier = 2 if piece.begun else 3
-        return (tier, 0, piece.deadline_at, piece.arrived_at)
+        return (tier, 0), (piece.deadline_at, piece.arrived_at)
 
     def _fill(
-        self, lane: _Lane, now: float, idle: Container[str]
+        self,
+        lane: _Lane,
+        ranked: Sequence[tuple[_Urgency, Piece]],
+        now: float,
+        idle: Container[str],
     ) -> Call | None:
-        """Takes the pieces of the next call of an idle upstream."""
+        """Takes the pieces of the next call of an idle upstream.
+
+        Among equally urgent pieces those for its own failure domain go first:
+        what others would move between domains takes time and links.
+        """
         room = self.spec.room_bytes - lane.used_bytes(now)
         domain = lane.upstream.failure_domain
         domains = {
@@ -309,7 +327,13 @@
         }
         taken: list[Piece] = []
         spare = self._spare_bytes(now)
-        for piece in self._pieces:
+        for _, piece in sorted(
+            ranked,
+            key=lambda pair: (
+                pair[0][0],
+                pair[1].failure_domain not in ("", domain),
+            ),
+        ):
             if len(taken) >= self.spec.batch:
                 break
             if piece.result_bytes > room:
