--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -48,13 +48,6 @@
       | is cut off      |
       | begins to leave |
 
-  Scenario: A keeper that takes over asks for the room that is left
-    Load pattern: all instances start anew at full load; the results that their
-    predecessors ordered still take up room.
-    Given relay instances one, two, three with 2 stage upstreams and an engine
-    When the keeper is killed 0.1 s after a caller of another instance sent a staged request
-    Then each keeper asked both stage upstreams for their room once
-
   Scenario: A leaving keeper hands its queue back
     Given relay instances one, two, three with 2 stage upstreams and an engine
     When the keeper begins to leave 0.1 s after a caller of another instance sent a staged request with 20,2 pieces
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -128,9 +128,6 @@
             queue = self._queues[pool] = BatchQueue(spec.batch)
             self._wake[pool] = anyio.Event()
             self._tasks.start_soon(self._serve, pool, queue)
-            # A keeper before this one may have left results behind.
-            for upstream in self._state.usable(pool):
-                self._tasks.start_soon(self._ask_room, pool, queue, upstream)
             logger.bind(event="queue_kept", pool=pool).info(
                 "keeps the queue of a pool"
             )
