Read the document and its revision in one call; forget lapsed upstreams

Cause: to learn from which revision to watch the document, an instance read the document, then all entries of upstreams, then the document again, at every start and after every lost watch. Upstreams that lapsed after an outage of the registry stayed in the load boards. Change: the document is read as a range with its revision; a lapse is forgotten like a removal. Store.read, which nothing else used, is removed. Figures: one call instead of three at each start, plus the pages of the entries.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -135,3 +135,9 @@
       | node          |       |
       | internalPorts | x     |
       | bounds.graceS | soon  |
+
+  Scenario: The document and where to watch from are read in one call
+    Guards against a change that is missed between a read and a watch.
+    Given a store at revision 12 with a configuration of version 7 and an item of another writer
+    When the document is read from the store
+    Then it has version 7, the watch goes on from 12, and 1 call was made
--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -94,3 +94,10 @@
     Given relay instances one, two, three with 1 stage upstreams and an engine
     When the registry is away and instance four starts
     Then instance four has the document within 2 s
+
+  Scenario: What is known of an upstream goes with its entry
+    Guards against figures of upstreams that lapsed while the registry was away,
+    which would add up, and would be taken for those of a new one of that name.
+    Given relay instances one with 1 stage upstreams and an engine
+    When the engine's entry lapses while the registry is away for 1 s
+    Then nothing is known of the engine
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,15 +1,20 @@
 """Steps about the translation at the platform's boundary."""
 
+import base64
 import json
 
-from behave import given, then
+import httpx
+from behave import given, then, when
 
 from applespring.core.errors import MessageError, SettingsError
 from applespring.core.piece import Piece
 from applespring.platform.document import decode_document, decode_entry
+from applespring.platform.registry import PlatformRegistry
 from applespring.platform.settings import decode_settings, parse_lines
+from applespring.platform.store import Store
 from applespring.platform.wire import PlatformProtocol
 from features.fixtures.platform_text import SETTINGS, make_configuration
+from features.fixtures.virtual import run_virtual
 
 PROTOCOL = PlatformProtocol()
 
@@ -263,3 +268,43 @@
 @then("they are refused naming {name}")
 def then_settings_refused(context, name):
     assert name in refuse(lambda: decode(context), SettingsError)
+
+
+@given(
+    "a store at revision {revision:d} with a configuration of version "
+    "{version:d} and an item of another writer"
+)
+def given_store(context, revision, version):
+    value = base64.b64encode(make_configuration(version)).decode()
+    items = [
+        {"key": "op/another", "revision": 3, "value": "AAAA"},
+        {"key": "op/config", "revision": 4, "value": value},
+    ]
+    context.store_calls = []
+
+    def answer(request):
+        context.store_calls.append(request.url.path)
+        page = {"items": items, "hasMore": False, "at": revision}
+        return httpx.Response(200, json=page)
+
+    transport = httpx.MockTransport(answer)
+    context.registry = PlatformRegistry(Store(transport, "127.0.0.1:1"))
+
+
+@when("the document is read from the store")
+def when_document_read(context):
+    async def read():
+        context.read = await context.registry.read_document()
+
+    run_virtual(read)
+
+
+@then(
+    "it has version {version:d}, the watch goes on from {revision:d}, and "
+    "{calls:d} call was made"
+)
+def then_document_read(context, version, revision, calls):
+    data, found = context.read
+    assert decode_document(data).version == version
+    assert found == revision
+    assert len(context.store_calls) == calls, context.store_calls
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -337,3 +337,28 @@
     called = {i["id"] for _, items in context.world.calls for i in items}
     refused = {r for r, x in context.replies.items() if x.status == 503}
     assert not called & refused, called & refused
+
+
+@when("the engine's entry lapses while the registry is away for {seconds:g} s")
+def when_lapses(context, seconds):
+    async def act(tasks):
+        del tasks
+        registry = context.world.registries["one"]
+        state = context.world.instances["one"].state
+        now = anyio.current_time()
+        state.engines.begin("engine", ["part"], 100, now)
+        state.engines.end("engine", now, failed=False)
+        assert state.engines.unread("engine", [("part", 100)], now) == 0
+        registry.away = True
+        await anyio.sleep(seconds)
+        del context.world.listed["engine"]
+        registry.away = False
+
+    play(context, act)
+
+
+@then("nothing is known of the engine")
+def then_nothing_known(context):
+    state = context.world.instances["one"].state
+    assert state.catalog.get("engine") is None, state.catalog.all()
+    assert state.engines.unread("engine", [("part", 100)], 0.0) == 100
--- a/src/applespring/platform/registry.py
+++ b/src/applespring/platform/registry.py
@@ -20,10 +20,12 @@
     def __init__(self, store: Store) -> None:
         self._store = store
 
-    async def read_document(self) -> bytes | None:
+    async def read_document(self) -> tuple[bytes | None, int]:
         """See `Registry.read_document`."""
-        item = await self._store.read(document.DOCUMENT_KEY)
-        return None if item is None else document.decode_value(item)
+        items, revision = await self._store.read_prefix(
+            document.DOCUMENT_PREFIX
+        )
+        return _find_document(items), revision
 
     async def wait_document(self, after: int) -> tuple[bytes | None, int]:
         """See `Registry.wait_document`."""
@@ -33,11 +35,7 @@
             )
         except HistoryGoneError as exc:
             raise HistoryLostError(str(exc)) from exc
-        newest = None
-        for event in events:
-            if event.get("key") == document.DOCUMENT_KEY and "value" in event:
-                newest = document.decode_value(event)
-        return newest, revision
+        return _find_document(events), revision
 
     async def read_entries(self) -> tuple[list[EntryChange], int]:
         """See `Registry.read_entries`."""
@@ -81,3 +79,12 @@
                 yield EntryChange(name, None, revision, unreadable=True)
                 continue
             yield EntryChange(name, entry, revision)
+
+
+def _find_document(items: Iterable[dict]) -> bytes | None:
+    """Returns the last document among items of the store."""
+    newest = None
+    for item in items:
+        if item.get("key") == document.DOCUMENT_KEY and "value" in item:
+            newest = document.decode_value(item)
+    return newest
--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -34,14 +34,6 @@
         self._transport = transport
         self.address = address
 
-    async def read(self, key: str) -> dict[str, Any] | None:
-        """Returns an item, or None where there is none.
-
-        Raises:
-            StoreError: The store did not answer.
-        """
-        return await self._get("/kv-key", {"key": key}, READ_S)
-
     async def read_prefix(self, prefix: str) -> tuple[list[dict], int]:
         """Returns all items below a prefix and a revision to watch from.
 
--- a/src/applespring/relay/registry.py
+++ b/src/applespring/relay/registry.py
@@ -44,8 +44,8 @@
     """
 
     @abc.abstractmethod
-    async def read_document(self) -> bytes | None:
-        """Returns the newest document, or None where there is none."""
+    async def read_document(self) -> tuple[bytes | None, int]:
+        """Returns the document, if any, and the revision to go on from."""
 
     @abc.abstractmethod
     async def wait_document(self, after: int) -> tuple[bytes | None, int]:
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -102,20 +102,12 @@
             )
 
     async def _follow_document(self) -> None:
-        data = await self._registry.read_document()
-        self._confirm_document(data)
-        # A change between the read and the watch is in the history.
-        revision = await self._revision()
-        data = await self._registry.read_document()
+        data, revision = await self._registry.read_document()
         self._confirm_document(data)
         while True:
             data, revision = await self._registry.wait_document(revision)
             self._confirm_document(data)
 
-    async def _revision(self) -> int:
-        _, revision = await self._registry.read_entries()
-        return revision
-
     def _confirm_document(self, data: bytes | None) -> None:
         self._regain("document")
         self._state.document_read_at = self._state.clock()
@@ -183,7 +175,7 @@
                 dropped=dropped,
             ).info("upstream no longer listed")
             if dropped:
-                self._forget(held)
+                self._forget(change.name)
 
     def _note(self, upstream: ListedUpstream) -> None:
         logger.bind(
@@ -195,9 +187,9 @@
             revision=upstream.revision,
         ).info("upstream listed")
 
-    def _forget(self, upstream: ListedUpstream) -> None:
-        self._state.engines.forget(upstream.name)
-        self._plain.board.forget(upstream.name)
+    def _forget(self, name: str) -> None:
+        self._state.engines.forget(name)
+        self._plain.board.forget(name)
 
     async def _expire(self) -> None:
         while True:
@@ -206,6 +198,7 @@
                 logger.bind(event="upstream_lapsed", upstream=name).info(
                     "upstream was not listed again"
                 )
+                self._forget(name)
 
     async def _fetch_from_peers(self) -> None:
         """Takes a newer document from a peer that has one."""
