Check and explain what the platform publishes

Cause: an operator could not see before publishing what a configuration of the platform means for a request; the relay serves a document with a missing pool as well as it can. Ruled out: refusing such documents in the relay; the store accepts only valid ones, and an instance must go on with what it has. A malformed file still shows its first fault only.

--- a/src/applespring/check/commands.py
+++ b/src/applespring/check/commands.py
@@ -108,7 +108,7 @@
         write: Replace the file instead of printing.
     """
     try:
-        formatted = format_text(_read_file(file).decode())
+        formatted = format_text(read_file(file).decode())
     except (ValueError, RecursionError) as exc:
         errors = load_file(file, None).errors
         _print_errors(errors or [Diagnostic(file, 1, str(exc))])
@@ -120,11 +120,20 @@
     return EXIT_DONE
 
 
-def _read_file(file: str) -> bytes:
+def read_file(file: str, bytes_max: int = DOCUMENT_MAX_BYTES) -> bytes:
+    """Returns the bytes of a file.
+
+    Args:
+        file: The file.
+        bytes_max: Most bytes allowed. One byte more is returned of a larger
+            file, which shows that it is too large.
+
+    Raises:
+        SettingsError: The file cannot be read.
+    """
     try:
         with pathlib.Path(file).open("rb") as stream:
-            # One byte more than allowed shows that a file is too large.
-            return stream.read(DOCUMENT_MAX_BYTES + 1)
+            return stream.read(bytes_max + 1)
     except OSError as exc:
         raise SettingsError(
             f"cannot read {file}: {exc.strerror}; allowed: a readable file"
@@ -151,7 +160,7 @@
     Raises:
         SettingsError: The file cannot be read.
     """
-    raw = _read_file(file)
+    raw = read_file(file)
     return load_document(raw, revision or _guess_revision(raw), file)
 
 
--- a/src/applespring/check/main.py
+++ b/src/applespring/check/main.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from applespring.check.commands import check, explain, format_file
+from applespring.check.published import published
 from applespring.cli import run_program
 
 
@@ -19,7 +20,12 @@
     """Runs the program and returns its exit code."""
     return run_program(
         "applespring-check",
-        {"check": check, "explain": explain, "format": format_file},
+        {
+            "check": check,
+            "explain": explain,
+            "format": format_file,
+            "published": published,
+        },
         argv=argv,
         environ=environ,
         faults="a document has errors",
--- /dev/null
+++ b/src/applespring/core/routefaults.py
@@ -0,0 +1,56 @@
+"""Faults of a routing document that its format does not rule out.
+
+An instance serves a document with such faults as well as it can: a route whose
+pool is missing answers that it has no upstream. They are for the operator to
+find before the document is published.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from applespring.core.route import Kind, Route, RoutingDocument
+
+
+def find_faults(doc: RoutingDocument) -> list[str]:
+    """Returns every fault, in the order of the document."""
+    faults = [fault for route in doc.routes for fault in _check(route, doc)]
+    places = Counter((route.host, route.prefix) for route in doc.routes)
+    faults += [
+        f"{count} routes serve {host}{prefix}; the first one is used"
+        for (host, prefix), count in places.items()
+        if count > 1
+    ]
+    return faults
+
+
+def _check(route: Route, doc: RoutingDocument) -> Iterator[str]:
+    name = f'route "{route.name}"'
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        yield f'{name}: prefix "{route.prefix}" lacks a slash at an end'
+    if not sum(weight for _, weight in route.targets) > 0:
+        yield f"{name}: its targets have no weight"
+    if route.target_s > route.timeout_s:
+        yield (
+            f"{name}: the target of {route.target_s:g} s is after the"
+            f" timeout of {route.timeout_s:g} s"
+        )
+    for pool, _ in route.targets:
+        if pool not in doc.pools:
+            yield f'{name}: pool "{pool}" does not exist'
+    if route.stages and route.kind is not Kind.STREAMING:
+        yield f"{name}: stages are executed for streams only"
+    for step in route.stages:
+        place = f"{name}: stage {step.index}"
+        spec = doc.pools.get(step.pool)
+        if spec is None:
+            yield f'{place}: pool "{step.pool}" does not exist'
+        elif spec.batch is None:
+            yield f'{place}: pool "{step.pool}" executes no stages'
+        elif step.result_bytes > spec.batch.room_bytes:
+            yield (
+                f"{place}: a result of {step.result_bytes:g} bytes has no room"
+                f' at "{step.pool}" ({spec.batch.room_bytes:g} bytes)'
+            )
+        for before in step.after:
+            if not 0 <= before < step.index:
+                yield f"{place}: follows stage {before}, which is not earlier"
