Group the modules of the entry instance by what they do

Cause: entry/ had thirty-odd modules in one flat folder; a newcomer could not see the way of a request from accept to reply. Change: front, execution, outside, mesh and monitoring; settings, composition, drain and logs stay. The families of metrics, which the relay uses too, move to applespring/family.py. Only files and imports change.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -10,8 +10,12 @@
 from applespring.core.rule import Decision
 from applespring.core.verdict import Verdict
 from applespring.entry.compose import Instance
-from applespring.entry.runner import PipelineRunner
-from applespring.entry.stage import RETRY_KINDS, StageRunner, StageWork
+from applespring.entry.execution.runner import PipelineRunner
+from applespring.entry.execution.stage import (
+    RETRY_KINDS,
+    StageRunner,
+    StageWork,
+)
 
 RETRIES = 2
 
--- a/bench/slope_parts.py
+++ b/bench/slope_parts.py
@@ -14,10 +14,10 @@
 from applespring.core.order import EngineReport, EngineState, OrderPlanner
 from applespring.core.ticket import Ticket
 from applespring.entry.drain import DrainService
-from applespring.entry.gates import Gates
-from applespring.entry.peers import Heard, HeartbeatContent, PeerService
-from applespring.entry.platform import parse_instances
-from applespring.entry.sharing import Sharing
+from applespring.entry.execution.gates import Gates
+from applespring.entry.mesh.peers import Heard, HeartbeatContent, PeerService
+from applespring.entry.mesh.sharing import Sharing
+from applespring.entry.outside.platform import parse_instances
 from applespring.peer import codec
 from applespring.peer.message import (
     AccountLoad,
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -16,13 +16,13 @@
 from applespring.core.order import OrderPlanner
 from applespring.core.share import AccountDemand
 from applespring.core.ticket import Ticket
-from applespring.entry import peering
 from applespring.entry.drain import DrainService
-from applespring.entry.engines import EngineService
-from applespring.entry.gates import Gates
-from applespring.entry.origins import OriginTransport
-from applespring.entry.peers import Heard
-from applespring.entry.sharing import Sharing
+from applespring.entry.execution.gates import Gates
+from applespring.entry.execution.origins import OriginTransport
+from applespring.entry.mesh import peering
+from applespring.entry.mesh.peers import Heard
+from applespring.entry.mesh.sharing import Sharing
+from applespring.entry.outside.engines import EngineService
 from applespring.peer.message import (
     Ack,
     ConfigDocument,
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -11,7 +11,7 @@
 
 from applespring.core import gossip
 from applespring.core.errors import MessageError
-from applespring.entry.peers import HeartbeatContent, PeerInfo, PeerService
+from applespring.entry.mesh.peers import HeartbeatContent, PeerInfo, PeerService
 from applespring.peer import codec, message
 from applespring.peer.link import SocketTransport
 from applespring.peer.transport import PeerLostError, PeerUnreachableError
--- a/src/applespring/entry/compose.py
+++ b/src/applespring/entry/compose.py
@@ -17,28 +17,28 @@
 from applespring.core.request import Answer, Request
 from applespring.core.retry import RetryBudget
 from applespring.core.revision import RevisionKeeper
-from applespring.entry.app import Application
-from applespring.entry.calls import Guard, UpstreamClient
-from applespring.entry.config import ConfigService
 from applespring.entry.drain import DrainService
-from applespring.entry.engines import ControlClient, EngineService
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.keys import KeyService
-from applespring.entry.members import MemberService
-from applespring.entry.metrics import Metrics
-from applespring.entry.parts import Parts
-from applespring.entry.peering import (
+from applespring.entry.execution.calls import Guard, UpstreamClient
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.runner import PipelineRunner
+from applespring.entry.execution.stage import StageRunner
+from applespring.entry.front.app import Application
+from applespring.entry.front.parts import Parts
+from applespring.entry.mesh.keys import KeyService
+from applespring.entry.mesh.peering import (
     ConfigPeerLink,
     ConfigPeerMessages,
     Peering,
 )
-from applespring.entry.peers import PeerService
-from applespring.entry.platform import PlatformClient
-from applespring.entry.runner import PipelineRunner
-from applespring.entry.scrape import StateReader
+from applespring.entry.mesh.peers import PeerService
+from applespring.entry.mesh.sharing import Sharing
+from applespring.entry.monitoring.metrics import Metrics
+from applespring.entry.monitoring.scrape import StateReader
+from applespring.entry.outside.config import ConfigService
+from applespring.entry.outside.engines import ControlClient, EngineService
+from applespring.entry.outside.members import MemberService
+from applespring.entry.outside.platform import PlatformClient
 from applespring.entry.settings import Settings
-from applespring.entry.sharing import Sharing
-from applespring.entry.stage import StageRunner
 from applespring.peer.transport import Transport
 
 DOCUMENT_NAME = "fleet.toml"
--- /dev/null
+++ b/src/applespring/entry/execution/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one request through its stages to the upstreams."""
--- a/src/applespring/entry/runner.py
+++ b/src/applespring/entry/execution/runner.py
@@ -24,11 +24,11 @@
 from applespring.core.request import Answer, Request
 from applespring.core.rule import Decision, Facts, decide
 from applespring.core.verdict import Verdict
-from applespring.entry.calls import Emit, Guard
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.metrics import Metrics
-from applespring.entry.progress import Progress
-from applespring.entry.stage import StageRunner, StageWork
+from applespring.entry.execution.calls import Emit, Guard
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.progress import Progress
+from applespring.entry.execution.stage import StageRunner, StageWork
+from applespring.entry.monitoring.metrics import Metrics
 
 SECONDS_PER_HOUR = 3600
 HOURS_PER_DAY = 24
--- a/src/applespring/entry/stage.py
+++ b/src/applespring/entry/execution/stage.py
@@ -21,11 +21,11 @@
 from applespring.core.rule import Decision
 from applespring.core.verdict import Verdict, combine
 from applespring.core.whole import CallId, TokenStream
-from applespring.entry.calls import Call, Emit, Guard, UpstreamClient
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.metrics import Metrics
-from applespring.entry.progress import Progress
-from applespring.entry.stall import StreamPace, StreamWatch
+from applespring.entry.execution.calls import Call, Emit, Guard, UpstreamClient
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.progress import Progress
+from applespring.entry.execution.stall import StreamPace, StreamWatch
+from applespring.entry.monitoring.metrics import Metrics
 
 REROUTES_MAX = 3
 """Most further attempts after attempts of which no byte was written."""
--- a/src/applespring/entry/stall.py
+++ b/src/applespring/entry/execution/stall.py
@@ -4,7 +4,7 @@
 
 from applespring.core.fleet import Pool
 from applespring.core.latency import DecayedMean
-from applespring.entry.gates import Clock
+from applespring.entry.execution.gates import Clock
 
 # A batch of four times the slots slows every token of an engine by four; a
 # slower stream than that has a fault, not load.
--- /dev/null
+++ b/src/applespring/entry/front/__init__.py
@@ -0,0 +1,1 @@
+"""What callers reach: parsing, answers, refusals and their count."""
--- a/src/applespring/entry/app.py
+++ b/src/applespring/entry/front/app.py
@@ -17,14 +17,14 @@
 from applespring.core.rule import explain as explain_rules
 from applespring.core.verdict import Verdict, combine
 from applespring.core.whole import canonical, digest
-from applespring.entry.calls import Emit, Guard
 from applespring.entry.drain import Work
-from applespring.entry.exchange import CallerGoneError, Exchange, reject
-from applespring.entry.explain import describe_explanation, parse_question
-from applespring.entry.outcome import SubmissionRecord
-from applespring.entry.parts import Parts
-from applespring.entry.progress import Progress
-from applespring.entry.submission import ACCOUNT_HEADER, parse_submission
+from applespring.entry.execution.calls import Emit, Guard
+from applespring.entry.execution.progress import Progress
+from applespring.entry.front.exchange import CallerGoneError, Exchange, reject
+from applespring.entry.front.explain import describe_explanation, parse_question
+from applespring.entry.front.outcome import SubmissionRecord
+from applespring.entry.front.parts import Parts
+from applespring.entry.front.submission import ACCOUNT_HEADER, parse_submission
 
 BODY_BYTES_MAX = 1024 * 1024
 KEYS_BODY_BYTES_MAX = 1024
--- a/src/applespring/entry/explain.py
+++ b/src/applespring/entry/front/explain.py
@@ -14,7 +14,7 @@
 from applespring.core.request import Request
 from applespring.core.rule import Decision, Facts, RuleOutcome
 from applespring.core.verdict import Verdict
-from applespring.entry.exchange import reject
+from applespring.entry.front.exchange import reject
 
 FIELDS = ("pipeline", "account", "deadline_s", "stream", "label")
 _FLAGS = {"true": True, "false": False}
--- a/src/applespring/entry/outcome.py
+++ b/src/applespring/entry/front/outcome.py
@@ -4,7 +4,7 @@
 
 from applespring.core.errors import RefusalError
 from applespring.core.request import Answer, Request
-from applespring.entry.metrics import Metrics
+from applespring.entry.monitoring.metrics import Metrics
 
 ANSWERED = "answered"
 LATE = "late"
--- a/src/applespring/entry/parts.py
+++ b/src/applespring/entry/front/parts.py
@@ -5,11 +5,11 @@
 
 from applespring.core.fleet import Fleet
 from applespring.entry.drain import DrainService
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.keys import KeyService
-from applespring.entry.metrics import Metrics
-from applespring.entry.runner import PipelineRunner
-from applespring.entry.sharing import Sharing
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.runner import PipelineRunner
+from applespring.entry.mesh.keys import KeyService
+from applespring.entry.mesh.sharing import Sharing
+from applespring.entry.monitoring.metrics import Metrics
 
 
 class Parts:
--- a/src/applespring/entry/submission.py
+++ b/src/applespring/entry/front/submission.py
@@ -16,7 +16,7 @@
 )
 from applespring.core.request import Request
 from applespring.core.verdict import Verdict
-from applespring.entry.exchange import Exchange, reject
+from applespring.entry.front.exchange import Exchange, reject
 
 ACCOUNT_HEADER = "applespring-account"
 DEADLINE_HEADER = "applespring-deadline-ms"
--- a/src/applespring/entry/main.py
+++ b/src/applespring/entry/main.py
@@ -19,8 +19,8 @@
 from applespring.clock import read_clock
 from applespring.core.errors import SettingsError
 from applespring.entry.compose import Instance, Outside
+from applespring.entry.execution.origins import OriginTransport
 from applespring.entry.logs import set_up_logs
-from applespring.entry.origins import OriginTransport
 from applespring.entry.settings import Settings
 from applespring.peer.link import SocketTransport
 
--- a/src/applespring/entry/handover.py
+++ b/src/applespring/entry/mesh/handover.py
@@ -7,8 +7,8 @@
 from applespring.core.errors import MessageError
 from applespring.core.keytable import KeyEntry, KeyTable
 from applespring.core.owner import Ownership
-from applespring.entry import keywire
-from applespring.entry.peers import PeerService
+from applespring.entry.mesh import keywire
+from applespring.entry.mesh.peers import PeerService
 from applespring.peer.message import Ack, HandedKey, KeyHandover
 from applespring.peer.transport import PeerLostError, PeerUnreachableError
 
--- a/src/applespring/entry/keys.py
+++ b/src/applespring/entry/mesh/keys.py
@@ -13,16 +13,16 @@
 from applespring.core.owner import Echo, Ownership
 from applespring.core.request import Answer, Request
 from applespring.core.verdict import Verdict
-from applespring.entry import keywire
-from applespring.entry.handover import HandoverReceiver, send_handover
-from applespring.entry.keyrun import (
+from applespring.entry.mesh import keywire
+from applespring.entry.mesh.handover import HandoverReceiver, send_handover
+from applespring.entry.mesh.keyrun import (
     Execute,
     Guard,
     KeyRunner,
     find_fingerprint,
     refuse,
 )
-from applespring.entry.peers import KeyView, PeerService
+from applespring.entry.mesh.peers import KeyView, PeerService
 from applespring.peer.codec import MESSAGE_BYTES_MAX
 from applespring.peer.message import (
     Ack,
--- a/src/applespring/entry/peering.py
+++ b/src/applespring/entry/mesh/peering.py
@@ -11,10 +11,10 @@
     InstanceList,
     InstanceState,
 )
-from applespring.entry.config import ConfigService
-from applespring.entry.keys import KeyService
-from applespring.entry.members import MemberService
-from applespring.entry.peers import PeerInfo, PeerService
+from applespring.entry.mesh.keys import KeyService
+from applespring.entry.mesh.peers import PeerInfo, PeerService
+from applespring.entry.outside.config import ConfigService
+from applespring.entry.outside.members import MemberService
 from applespring.peer.message import (
     Ack,
     ConfigDocument,
--- a/src/applespring/entry/sharing.py
+++ b/src/applespring/entry/mesh/sharing.py
@@ -15,8 +15,8 @@
     pool_share,
 )
 from applespring.entry.drain import DrainService
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.peers import (
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.mesh.peers import (
     ACCOUNTS_MAX,
     HeartbeatContent,
     PeerService,
--- /dev/null
+++ b/src/applespring/entry/monitoring/__init__.py
@@ -0,0 +1,1 @@
+"""The metrics of an entry instance."""
--- a/src/applespring/entry/metrics.py
+++ b/src/applespring/entry/monitoring/metrics.py
@@ -12,7 +12,7 @@
 
 from applespring.core.fleet import Fleet
 from applespring.core.request import StageCost
-from applespring.entry.family import (
+from applespring.family import (
     OTHER,
     CounterFamily,
     Family,
--- a/src/applespring/entry/scrape.py
+++ b/src/applespring/entry/monitoring/scrape.py
@@ -12,14 +12,14 @@
 from applespring.core.order import OrderPlanner
 from applespring.core.retry import RetryBudget
 from applespring.core.revision import Acceptance
-from applespring.entry.config import ConfigService
 from applespring.entry.drain import DrainService
-from applespring.entry.family import CounterFamily, GaugeFamily
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.members import MemberService
-from applespring.entry.metrics import Metrics
-from applespring.entry.peers import PeerService
-from applespring.entry.platform import PlatformClient
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.mesh.peers import PeerService
+from applespring.entry.monitoring.metrics import Metrics
+from applespring.entry.outside.config import ConfigService
+from applespring.entry.outside.members import MemberService
+from applespring.entry.outside.platform import PlatformClient
+from applespring.family import CounterFamily, GaugeFamily
 
 # A gauge of seconds cannot be infinite in plots; this exceeds every deadline.
 UNREACHABLE_S = 3600.0
--- /dev/null
+++ b/src/applespring/entry/outside/__init__.py
@@ -0,0 +1,1 @@
+"""What is believed of the platform and the upstreams, and its sources."""
--- a/src/applespring/entry/config.py
+++ b/src/applespring/entry/outside/config.py
@@ -10,8 +10,8 @@
 from applespring.core.errors import ApplespringError
 from applespring.core.fleet import Fleet
 from applespring.core.revision import Acceptance, RevisionKeeper, StartupGate
-from applespring.entry.pacing import Pacer
-from applespring.entry.platform import (
+from applespring.entry.outside.pacing import Pacer
+from applespring.entry.outside.platform import (
     ConfigReply,
     PlatformClient,
     PlatformError,
--- a/src/applespring/entry/engines.py
+++ b/src/applespring/entry/outside/engines.py
@@ -19,9 +19,9 @@
 )
 from applespring.core.placement import rank
 from applespring.core.prefix import CacheChange, CacheEvent
-from applespring.entry.calls import WriteProbe
-from applespring.entry.gates import Clock, Gates
-from applespring.entry.metrics import Metrics
+from applespring.entry.execution.calls import WriteProbe
+from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.monitoring.metrics import Metrics
 
 CONTROL_BYTES_MAX = 256 * 1024
 CONTROL_TIMEOUT_S = 2.0
--- a/src/applespring/entry/members.py
+++ b/src/applespring/entry/outside/members.py
@@ -13,8 +13,8 @@
 from applespring.core.fleet import Fleet, Upstream
 from applespring.core.instances import InstanceList, ListOutcome
 from applespring.core.membership import EVIDENCE_S, Membership, ReadState
-from applespring.entry.pacing import Pacer
-from applespring.entry.platform import (
+from applespring.entry.outside.pacing import Pacer
+from applespring.entry.outside.platform import (
     ListReply,
     PlatformClient,
     PlatformError,
--- a/src/applespring/entry/settings.py
+++ b/src/applespring/entry/settings.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from applespring.core.errors import SettingsError
-from applespring.entry.peers import PeerInfo
+from applespring.entry.mesh.peers import PeerInfo
 
 _NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
 
--- a/src/applespring/relay/metrics.py
+++ b/src/applespring/relay/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a relay instance; label values come from bounded lists."""
 
-from applespring.entry.family import CounterFamily, GaugeFamily, HistogramFamily
+from applespring.family import CounterFamily, GaugeFamily, HistogramFamily
 
 REQUEST_BUCKETS_S = (
     0.02,
