Group the queued pieces by stage once for all calls made together

Change: pieces are grouped by stage once; the order for a failure domain is walked class by class and not sorted again. Decisions are the same: 13,807 calls of 400 random histories have the same hash before and after.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -8,7 +8,7 @@
 
 import itertools
 import math
-from collections.abc import Container, Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.lane import FAILED_PAUSE_S, Lane
@@ -127,7 +127,9 @@
             return calls
         ranked = [(self._urgency(p, now), p) for p in self._pieces]
         ranked.sort(key=lambda pair: pair[0])
-        needed = self._sum_by_stage()
+        stages: dict[_Stage, list[Piece]] = {}
+        for piece in self._pieces:
+            stages.setdefault((piece.request, piece.stage), []).append(piece)
         # The fastest idle upstream gets the most urgent pieces.
         lanes.sort(key=lambda lane: (lane.pace, lane.upstream.name))
         idle = [lane.failure_domain for lane in lanes]
@@ -136,7 +138,7 @@
                 break
             # Pieces for the domain of another idle upstream are left to it.
             idle.remove(lane.failure_domain)
-            call = self._fill(lane, ranked, needed, now, set(idle))
+            call = self._fill(lane, ranked, stages, now, set(idle))
             if call is not None:
                 calls.append(call)
                 gone = set(map(id, call.pieces))
@@ -157,7 +159,7 @@
         self,
         lane: Lane,
         ranked: Sequence[tuple[_Urgency, Piece]],
-        needed: Mapping[_Stage, float],
+        stages: Mapping[_Stage, Sequence[Piece]],
         now: float,
         idle: Container[str],
     ) -> Call | None:
@@ -169,7 +171,7 @@
         Args:
             lane: The upstream.
             ranked: The queued pieces, most urgent first.
-            needed: Bytes that the queued pieces of each stage need together.
+            stages: The queued pieces by stage.
             now: Current time.
             idle: Failure domains of the upstreams that are asked after it.
         """
@@ -182,18 +184,13 @@
         }
         taken: list[Piece] = []
         spare = self._spare_bytes(now)
-        for _, piece in sorted(
-            ranked,
-            key=lambda pair: (
-                pair[0][0],
-                pair[1].failure_domain not in ("", domain),
-            ),
-        ):
+        for piece in _order_for(domain, ranked):
             if len(taken) >= self.spec.batch:
                 break
             if piece.result_bytes > room:
                 continue
-            size = 0.0 if piece.opened else needed[_stage(piece)]
+            siblings = stages[piece.request, piece.stage]
+            size = 0.0 if piece.opened else _sum_bytes(siblings)
             if size > max(0.0, spare) and not self._is_empty(now):
                 continue
             wanted = piece.failure_domain
@@ -203,7 +200,9 @@
                     continue
             if not piece.opened:
                 spare -= size
-                self._open(piece)
+                for sibling in siblings:
+                    sibling.opened = True
+                    sibling.begun = True
             taken.append(piece)
             room -= piece.result_bytes
         if not taken:
@@ -230,19 +229,6 @@
         )
         return free - sum(p.result_bytes for p in self._pieces if p.opened)
 
-    def _sum_by_stage(self) -> dict[_Stage, float]:
-        total: dict[_Stage, float] = {}
-        for piece in self._pieces:
-            stage = _stage(piece)
-            total[stage] = total.get(stage, 0.0) + piece.result_bytes
-        return total
-
-    def _open(self, piece: Piece) -> None:
-        for sibling in self._pieces:
-            if _stage(sibling) == _stage(piece):
-                sibling.opened = True
-                sibling.begun = True
-
     def _is_empty(self, now: float) -> bool:
         """Returns whether no room is taken, so that waiting cannot help."""
         return not any(
@@ -421,5 +407,19 @@
         return self.wait_s(now) <= WAIT_SHARE * remaining_s
 
 
-def _stage(piece: Piece) -> _Stage:
-    return piece.request, piece.stage
+def _order_for(
+    domain: str, ranked: Sequence[tuple[_Urgency, Piece]]
+) -> Iterator[Piece]:
+    """Yields ranked pieces; in each class those for the domain come first."""
+    for _, group in itertools.groupby(ranked, key=lambda pair: pair[0][0]):
+        others = []
+        for _, piece in group:
+            if piece.failure_domain in ("", domain):
+                yield piece
+            else:
+                others.append(piece)
+        yield from others
+
+
+def _sum_bytes(pieces: Iterable[Piece]) -> float:
+    return sum(piece.result_bytes for piece in pieces)
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -110,8 +110,8 @@
     Guard(
         "relay: own failure domain first",
         "core/batch.py",
-        'pair[1].failure_domain not in ("", domain),',
-        "False,",
+        'if piece.failure_domain in ("", domain):',
+        "if True:",
         (BATCH, "pieces of its own failure domain first"),
     ),
     Guard(
