Read the counters of relays in the report on the service level

Cause: applespring-report knew the metrics of entry instances only, so a fleet of relays had no burn report. Change: requests, refusals by reason and stage calls of a relay are read under the common names; a route stands for a pipeline. Ruled out: late answers, which a relay does not count; the report says so.

--- a/features/report.feature
+++ b/features/report.feature
@@ -215,3 +215,28 @@
     When the report is made with "--html page.html"
     Then the report's page "page.html" embeds 3 plots and no other resource
     And the report's page "page.html" contains "a&lt;b&gt;"
+
+  Scenario: The counters of a relay are read like those of an entry instance
+    Guards against a service level of zero requests, and against failures that
+    are left out of it.
+    Given the saved scrapes "r1.prom"
+      """
+      # scrape r1 1000
+      applespring_relay_requests_total{route="search",outcome="done"} 0
+      # scrape r1 1300
+      applespring_relay_requests_total{route="search",outcome="done"} 80
+      applespring_relay_requests_total{route="search",outcome="status_200"} 10
+      applespring_relay_requests_total{route="search",outcome="status_500"} 2
+      applespring_relay_requests_total{route="search",outcome="overloaded"} 4
+      applespring_relay_requests_total{route="search",outcome="cut_upstream_failed"} 4
+      applespring_relay_requests_total{route="search",outcome="caller_gone"} 5
+      applespring_relay_requests_total{route="search",outcome="unknown_key"} 6
+      applespring_relay_stage_calls_total{pool="encoder",outcome="done"} 90
+      applespring_relay_stage_calls_total{pool="encoder",outcome="failed"} 10
+      """
+    When the report is made with "--windows-s 300"
+    Then the report ends with code 0
+    And the report's row "search" in "Service level by pipeline" is
+      | requests | excluded | attainment | objective | burn 5 min |
+      | 100      | 11       | 90.00%     | 90.00%    | 1.00       |
+    And the report notes "relays count no late answers"
--- a/src/applespring/report/main.py
+++ b/src/applespring/report/main.py
@@ -16,6 +16,7 @@
 from applespring.core.fleet import Fleet
 from applespring.report.exposition import Scrape
 from applespring.report.html import format_html
+from applespring.report.relay import NOTE, translate
 from applespring.report.scrape import (
     fetch,
     fetch_config,
@@ -90,12 +91,15 @@
     if not scrapes:
         print("no scrape could be read", file=sys.stderr)
         return EXIT_FAULT
+    relays = [translate(scrape) for scrape in scrapes]
     summary = Summary(
         History(scrapes),
         fleet,
         windows_s or [300.0, 3600.0, 21600.0],
         find_missing(instances, scrapes),
     )
+    if any(relays):
+        summary.notes.append(NOTE)
     _note_errors(summary, errors)
     _write(summary, output, html)
     return EXIT_FAULT if errors else EXIT_DONE
--- /dev/null
+++ b/src/applespring/report/relay.py
@@ -0,0 +1,81 @@
+"""The counters of relays, read as those of the product's own interface."""
+
+from applespring.core.reason import find_reason
+from applespring.report.burn import ANSWERED, REQUESTS
+from applespring.report.cost import ATTEMPTS, CALLS, REFUSALS
+from applespring.report.exposition import Scrape
+
+RELAY_REQUESTS = "applespring_relay_requests_total"
+RELAY_STAGE_CALLS = "applespring_relay_stage_calls_total"
+# Outcomes of the product's own interface that are, and are not, part of the
+# service level.
+REFUSED = "refused"
+REJECTED = "rejected"
+CANCELLED = "cancelled"
+# Stands for all client accounts of a relay.
+NO_ACCOUNT = "-"
+NOTE = (
+    "relays count no late answers, so every whole answer of theirs counts as"
+    " answered"
+)
+
+
+def translate(scrape: Scrape) -> bool:
+    """Adds a relay's requests and stage calls under the common names.
+
+    A route stands for a pipeline; the relay does not count by account.
+
+    Returns:
+        Whether the scrape is of a relay.
+    """
+    requests = scrape.samples.get(RELAY_REQUESTS)
+    if requests is None:
+        return False
+    for labels, value in requests.items():
+        names = dict(labels)
+        code = names.get("outcome", "")
+        outcome = _classify(code)
+        _count(
+            scrape,
+            REQUESTS,
+            {
+                "pipeline": names.get("route", ""),
+                "account": NO_ACCOUNT,
+                "outcome": outcome,
+            },
+            value,
+        )
+        if outcome in (REFUSED, REJECTED) and not code.startswith("status_"):
+            reason = code.removeprefix("cut_")
+            _count(scrape, REFUSALS, {"reason": reason}, value)
+    for labels, value in scrape.samples.get(RELAY_STAGE_CALLS, {}).items():
+        names = dict(labels)
+        pool = names.get("pool", "")
+        ended = "ok" if names.get("outcome") == "done" else "failed"
+        _count(scrape, CALLS, {"pool": pool}, value)
+        _count(scrape, ATTEMPTS, {"pool": pool, "outcome": ended}, value)
+    return True
+
+
+def _classify(code: str) -> str:
+    """Returns the common outcome of a relay's outcome."""
+    if code == "done" or code.startswith("status_2"):
+        return ANSWERED
+    if code == "caller_gone":
+        return CANCELLED
+    if code.startswith("status_"):
+        # A failure of the upstream that was passed on unchanged.
+        return REFUSED if code.startswith("status_5") else REJECTED
+    try:
+        reason = find_reason(code.removeprefix("cut_"))
+    except KeyError:
+        return REFUSED
+    return REJECTED if reason.is_caller_error else REFUSED
+
+
+def _count(
+    scrape: Scrape, name: str, labels: dict[str, str], value: float
+) -> None:
+    series = scrape.samples.setdefault(name, {})
+    key = tuple(sorted(labels.items()))
+    series[key] = series.get(key, 0.0) + value
