Require the request id in every answer to a caller's request

Replayed with the heads of answers logged: the answer had no Request-Id, and one without an id was taken for the request's. Upstreams echo the id in every answer, so one without is a late second answer to a request that had none. Change: an answer without the request's id is not the request's; its connection is closed and the verdict is may have run. Figures: two rows of What may be repeated fail without the change.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -22,6 +22,8 @@
       | full        | unsafe | 200    | 2     |              |
       | other       | safe   | 200    | 2     |              |
       | other       | unsafe | 502    | 1     | may_have_run |
+      | nameless    | safe   | 200    | 2     |              |
+      | nameless    | unsafe | 502    | 1     | may_have_run |
       | unsigned    | unsafe | 502    | 1     | may_have_run |
       | truncated   | unsafe | 502    | 1     | may_have_run |
       | truncated   | safe   | 200    | 2     |              |
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -15,6 +15,7 @@
     "silent": "silent",
     "full": (503, {"Not-Executed": "1"}, [b""]),
     "other": (200, {**SIGNED, "Request-Id": "another"}, [b"wrong"]),
+    "nameless": (200, {**SIGNED, "Request-Id": ""}, [b"wrong"]),
     "unsigned": (200, {}, [b"forged"]),
     "truncated": (200, SIGNED, [b"half", httpx.ReadError("cut")]),
     "error": (500, SIGNED, [b"failed"]),
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -178,10 +178,11 @@
         try:
             raw = resp.headers.raw
             reply = self._protocol.decode_reply(resp.status_code, raw)
-            if request_id and reply.request_id not in ("", request_id):
+            if request_id and reply.request_id != request_id:
+                # A late second answer to a request without an id has none.
                 raise fail(
                     FailureKind.MISMATCH,
-                    f"the answer belongs to request {reply.request_id}",
+                    f'the answer belongs to request "{reply.request_id}"',
                 )
             yield Answer(resp, raw, reply)
             whole = True
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -18,7 +18,7 @@
     Guard(
         "relay: match of the request id",
         "relay/client.py",
-        'if request_id and reply.request_id not in ("", request_id):',
+        "if request_id and reply.request_id != request_id:",
         "if False:",
         (FORWARD, "What may be repeated"),
     ),
