Discard a stage answer whose handles are another call's

Cause: calls of stages carry no id, so a late second answer of an earlier call with as many pieces would be taken for the answer of the next one, and a request would get the results of another. Ruled out: an id on stage calls, which no caller has sent. Change: a keeper remembers for which piece each of the last 4,096 handles was told; an answer that names one for another piece fails the call.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -21,6 +21,14 @@
     And every result was released
     And the last release came within 0.3 s of the last request to the engine
 
+  Scenario: A stage upstream gives the answer of an earlier call again
+    Guards against a request that is given the results of another.
+    Given relay instances one with 1 stage upstreams and an engine
+    And a stage upstream that answers its second call as its first
+    When a caller sends a staged request with 2,2 pieces to each instance
+    Then every caller gets an answer
+    And the engine got the results of the last stage of each request
+
   Scenario: An engine lacks a result of the stages
     Guards against a refusal of a request that can still be served, and against
     an engine that is asked for ever.
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -28,6 +28,11 @@
     context.world.upstreams["engine"].head_delay_s = seconds
 
 
+@given("a stage upstream that answers its second call as its first")
+def given_repeating(context):
+    context.world.upstreams["s0"].repeat_answers = 1
+
+
 @given("an engine that lacks a result {count:d} times")
 def given_lacking_engine(context, count):
     lacking = (409, {"Not-Executed": "1"}, [b""])
--- a/src/applespring/relay/keeper.py
+++ b/src/applespring/relay/keeper.py
@@ -6,6 +6,7 @@
 twice, so nothing is lost or has to be handed over.
 """
 
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
@@ -40,6 +41,9 @@
 # Part of the time for which results are kept that pieces made of them wait.
 INPUT_SHARE = 0.75
 ANSWER_BYTES_MAX = 4 * 1024 * 1024
+# Handles remembered; a large pool makes some hundred results a second, and a
+# second answer comes with the next call on its connection.
+HANDLES_MAX = 4096
 
 GONE_FROM_HERE = "moved"
 OVERLOADED = "overloaded"
@@ -76,6 +80,8 @@
         self._metrics = metrics
         self._queues: dict[str, BatchQueue] = {}
         self._wake: dict[str, anyio.Event] = {}
+        # Request, stage and piece of each handle.
+        self._told: OrderedDict[str, tuple[str, int, int]] = OrderedDict()
         self._tasks: TaskGroup | None = None
         peers.handle(message.StageSubmit, self._on_submit)
         peers.handle(message.StageCancel, self._on_cancel)
@@ -266,6 +272,8 @@
                     data = await answer.read(ANSWER_BYTES_MAX)
                     if answer.status == 200:
                         replies = self._protocol.decode_call(data, call.pieces)
+                        if not self._note_handles(call, replies):
+                            replies, failure = None, "answer of another call"
                     else:
                         refused = answer.reply.not_run
                         failure = f"status {answer.status}"
@@ -291,6 +299,24 @@
             await self._finish(pool, queue, call, replies)
         self._wake[pool].set()
 
+    def _note_handles(self, call: Call, replies: Sequence[PieceReply]) -> bool:
+        """Returns whether the answer is that of this call.
+
+        Calls carry no id. A late second answer of an earlier call shows by
+        handles that were told for other pieces.
+        """
+        for piece, reply in zip(call.pieces, replies, strict=True):
+            name = (piece.request, piece.stage, piece.segment)
+            if reply.handle and self._told.get(reply.handle, name) != name:
+                return False
+        for piece, reply in zip(call.pieces, replies, strict=True):
+            if reply.handle:
+                name = (piece.request, piece.stage, piece.segment)
+                self._told[reply.handle] = name
+        while len(self._told) > HANDLES_MAX:
+            self._told.popitem(last=False)
+        return True
+
     async def _fail(
         self, pool: str, queue: BatchQueue, call: Call, refused: bool
     ) -> None:
