Rank requests of equal accounts by their routes, late ones too

Late pieces were ordered by deadline alone. Change: the rank in the queues is the account's priority first and the route's next; late pieces are ordered by rank, then by deadline.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -24,6 +24,14 @@
     And only the upstream in izola is idle at 0.1
     Then the call to one upstream holds pieces of c, c, d, d
 
+  Scenario: Of late pieces the more urgent go first
+    Load pattern: a stage pool that is short of upstreams for many seconds; all
+    requests of the least urgent route have longer deadlines.
+    When requests a, b each offer 2 pieces of 6 kB at 0.0 with priority 12 with its aim at 0.1 with its deadline at 4.0
+    And requests c, d each offer 2 pieces of 6 kB at 0.0 with priority 10 with its aim at 0.1 with its deadline at 6.0
+    And only the upstream in izola is idle at 0.2
+    Then the call to one upstream holds pieces of c, c, d, d
+
   Scenario: More urgent pieces go before those of the failure domain
     When requests c, d each offer 2 pieces of 6 kB for izola at 0.0 with priority 1
     And request e offers 4 pieces of 6 kB for koper at 0.01 with priority 0
--- a/features/relay_parts.feature
+++ b/features/relay_parts.feature
@@ -125,3 +125,14 @@
     Given a table of 84 peers heard through others at 0
     When 60 of them have a link of 5 Mbit/s and the others 100 Mbit/s
     Then the first 24 keepers of every queue have fast links
+
+  Scenario: Accounts of the same priority leave the order to their routes
+    Load pattern: a pool that is short of upstreams while every account has one
+    priority; the most urgent routes were served like the least urgent.
+    Given requests of these accounts and routes
+      | request | account priority | route priority |
+      | a       | 1                | 2              |
+      | b       | 1                | 0              |
+      | c       | 0                | 9              |
+      | d       |                  | 0              |
+    Then their order in the queues is d, c, b, a
--- a/features/steps/relay_parts_steps.py
+++ b/features/steps/relay_parts_steps.py
@@ -11,10 +11,14 @@
 from applespring.core.events import EventSplitter
 from applespring.core.peertable import Peer, PeerTable
 from applespring.core.reach import DomainReach
-from applespring.core.route import StageStep
+from applespring.core.route import Client, StageStep
 from applespring.core.waits import WaitTable, excess_s
 from applespring.core.window import AttemptWindow
+from applespring.platform.document import decode_document
+from applespring.relay.exchange import Exchange
 from applespring.relay.log import BUFFER_LINES_MAX, LogWriter
+from applespring.relay.protocol import CallerRequest
+from features.fixtures.platform_text import make_configuration
 from features.fixtures.relay import make_upstream
 
 
@@ -410,3 +414,37 @@
 def then_confirmed(context, now):
     context.peer_table.confirm("two", now)
     then_keeps(context, now)
+
+
+@given("requests of these accounts and routes")
+def given_ranked(context):
+    document = decode_document(make_configuration())
+    context.ranks = {}
+    for row in context.table:
+        route = document.routes[0]
+        route.priority = int(row["route priority"])
+        account = row["account priority"]
+        client = Client("x", ["k"], int(account)) if account else None
+        exchange = Exchange(
+            CallerRequest(
+                request_id="r",
+                method="POST",
+                target=b"/",
+                host="h",
+                headers=(),
+            ),
+            document,
+            route,
+            "pool",
+            client,
+            0.0,
+            None,
+            lambda: False,
+        )
+        context.ranks[row["request"]] = exchange.rank
+
+
+@then("their order in the queues is {names}")
+def then_ranked(context, names):
+    ranked = sorted(context.ranks, key=context.ranks.get)
+    assert ranked == names.split(", "), context.ranks
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -153,7 +153,7 @@
         # Late requests are served as capacity is left, begun ones first since
         # their results expire.
         tier = 2 if piece.begun else 3
-        return (tier, 0), (piece.deadline_at, piece.arrived_at)
+        return (tier, piece.priority), (piece.deadline_at, piece.arrived_at)
 
     def _fill(
         self,
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -20,6 +20,8 @@
 PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
+# Above the highest priority of a route, which is 9.
+RANK_STEP = 10
 
 
 class Exchange:
@@ -115,6 +117,14 @@
             return self.client.priority
         return self.route.priority
 
+    @property
+    def rank(self) -> int:
+        """Place in the queues of stages, 0 first.
+
+        Accounts of the same priority leave the order to their routes.
+        """
+        return RANK_STEP * self.priority + self.route.priority
+
     async def start(
         self, status: int, headers: Sequence[tuple[bytes, bytes]]
     ) -> None:
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -75,7 +75,7 @@
             exchange.req,
             Chain(exchange.route.stages, exchange.req.piece_counts),
             exchange.document,
-            priority=exchange.priority,
+            priority=exchange.rank,
             aim_at=exchange.aim_at,
             leaves_at=exchange.leaves_at,
         )
