Never refuse as not run what an earlier attempt may have run

A safe request that failed with a 500 at one upstream and found the next ones full was answered 503, not run, as the last upstream said; a resumable stream whose first engine broke and whose next ones were full was answered 503 with the verdict may have run. Ruled out: breaking a rule of the platform, which asks this of requests that may not be repeated only, and those were right. Change: a refusal of the next upstream does not replace the failure of one that ran; a refusal of a stream takes its reason from whether an attempt may have run.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -31,6 +31,21 @@
       | error       | safe   | 200    | 2     |              |
       | bare 503    | unsafe | 503    | 1     |              |
 
+  Scenario Outline: A request that has run is not refused as not run
+    Guards against a promise that is false, since the last upstream alone did
+    not run the request.
+    Given a relay with the <pool> a, b
+    And the first upstream that is asked does "<failure>"
+    And then every upstream is full
+    When a caller sends a <kind> request
+    Then it is answered <status>
+
+    Examples:
+      | pool            | failure | kind   | status |
+      | plain upstreams | error   | safe   | 500    |
+      | plain upstreams | reset   | safe   | 502    |
+      | engines         | reset   | resume | 502    |
+
   Scenario: A request that no upstream took is refused as not run
     Given a relay with the plain upstreams a, b
     And every upstream is down
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -194,6 +194,11 @@
         assert context.reply.body == b"answer of " + last
 
 
+@then("it is answered {status:d}")
+def then_answered(context, status):
+    assert context.reply.status == status, context.reply.body
+
+
 @then("{count:d} upstreams got it")
 def then_count(context, count):
     assert len(context.world.runs()) == count
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -108,7 +108,9 @@
                     continue
                 ran_at += 1
             else:
-                last = whole
+                if not (whole.not_run and ran_at):
+                    # After a run that failed, "not run" would be untrue.
+                    last = whole
                 if whole.not_run:
                     if len(tried) >= NOT_RUN_MAX:
                         break
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -120,11 +120,8 @@
                 now=now,
             )
             if upstream is None or len(tried) > NOT_RUN_MAX:
-                raise RefusalError(
-                    reason.NO_UPSTREAM,
-                    Verdict.NOT_RUN if not attempts else Verdict.MAY_HAVE_RUN,
-                    "no engine takes the request",
-                    retry_after_s=RETRY_AFTER_S,
+                raise _refuse(
+                    reason.NO_UPSTREAM, attempts, "no engine takes the request"
                 )
             tried.append(upstream.name)
             more = route.resumable and attempts + 1 < route.attempts_max
@@ -140,11 +137,8 @@
             except StageError as exc:
                 if exc.verdict is Verdict.NOT_RUN and not exchange.started:
                     if left < ATTEMPT_ROOM_S or not self._may_add(window, exc):
-                        raise RefusalError(
-                            reason.NO_UPSTREAM,
-                            Verdict.NOT_RUN,
-                            str(exc),
-                            retry_after_s=exc.retry_after_s or RETRY_AFTER_S,
+                        raise _refuse(
+                            reason.NO_UPSTREAM, attempts, str(exc)
                         ) from exc
                     continue
                 if exc.verdict is not Verdict.NOT_RUN:
@@ -184,25 +178,14 @@
         Raises:
             RefusalError: They cannot be made in time.
         """
-        verdict = Verdict.MAY_HAVE_RUN if attempts else Verdict.NOT_RUN
         left = exchange.deadline_at - self._state.clock()
         if left < ATTEMPT_ROOM_S or not self._may_add(window, cause):
-            raise RefusalError(
-                reason.STAGE_FAILED,
-                verdict,
-                str(cause),
-                retry_after_s=RETRY_AFTER_S,
-            ) from cause
+            raise _refuse(reason.STAGE_FAILED, attempts, str(cause)) from cause
         try:
             await self._staging.repeat(run, str(cause))
         except RefusalError as exc:
             # The stages did not run the request, but an engine may have.
-            raise RefusalError(
-                exc.reason,
-                verdict,
-                exc.detail,
-                retry_after_s=exc.retry_after_s,
-            ) from exc
+            raise _refuse(exc.reason, attempts, exc.detail) from exc
 
     def _sharers(self) -> int:
         return 1 + len(self._peers.table.reachable(self._state.clock()))
@@ -425,6 +408,17 @@
     )
 
 
+def _refuse(why: reason.Reason, attempts: int, detail: str) -> RefusalError:
+    """Returns a refusal after some attempts that may have run."""
+    if attempts:
+        return RefusalError(
+            reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, detail
+        )
+    return RefusalError(
+        why, Verdict.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S
+    )
+
+
 def _subject(exchange: Exchange) -> str:
     """Returns what names the shared prefix of a request's prompt.
 
