--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -138,7 +138,10 @@
                 if exc.verdict is Verdict.NOT_RUN and not exchange.started:
                     if left < ATTEMPT_ROOM_S or not self._may_add(window, exc):
                         raise _refuse(
-                            reason.NO_UPSTREAM, attempts, str(exc)
+                            reason.NO_UPSTREAM,
+                            attempts,
+                            str(exc),
+                            exc.retry_after_s,
                         ) from exc
                     continue
                 if exc.verdict is not Verdict.NOT_RUN:
@@ -185,7 +188,9 @@
             await self._staging.repeat(run, str(cause))
         except RefusalError as exc:
             # The stages did not run the request, but an engine may have.
-            raise _refuse(exc.reason, attempts, exc.detail) from exc
+            raise _refuse(
+                exc.reason, attempts, exc.detail, exc.retry_after_s
+            ) from exc
 
     def _sharers(self) -> int:
         return 1 + len(self._peers.table.reachable(self._state.clock()))
@@ -408,14 +413,22 @@
     )
 
 
-def _refuse(why: reason.Reason, attempts: int, detail: str) -> RefusalError:
+def _refuse(
+    why: reason.Reason,
+    attempts: int,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> RefusalError:
     """Returns a refusal after some attempts that may have run."""
     if attempts:
         return RefusalError(
             reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, detail
         )
     return RefusalError(
-        why, Verdict.NOT_RUN, detail, retry_after_s=RETRY_AFTER_S
+        why,
+        Verdict.NOT_RUN,
+        detail,
+        retry_after_s=retry_after_s or RETRY_AFTER_S,
     )
 
 
