Leave out an engine that answers for another address

Two engines crashed while the store was away (18 to 26 s), and other upstreams took their addresses. The entries stayed in force, as they should, and every request sent there was answered 421, not run. An engine that refused so was not paused, had no load, and was therefore chosen again: 92 such answers in 8 s, 40 requests refused as no_upstream after their stages were done, since the allowance of added attempts was used up. Ruled out: dropping the entry, which only the registry can say; plain upstreams, which are paused already. Change: an engine that refuses a request without running it is paused like one that failed, unless it only lacks an input.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -46,6 +46,15 @@
       | plain upstreams | reset   | safe   | 502    |
       | engines         | reset   | resume | 502    |
 
+  Scenario: An engine whose address belongs to another is left out for a time
+    Load pattern: engines that crashed while the registry was away; other
+    upstreams took their addresses, and requests spent the allowance of added
+    attempts there (inc-098a).
+    Given a relay with the engines a, b
+    And the address of a belongs to another upstream
+    When a caller sends 8 stream requests of different sessions
+    Then all are answered and a was asked 1 times
+
   Scenario: A request that no upstream took is refused as not run
     Given a relay with the plain upstreams a, b
     And every upstream is down
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -169,6 +169,38 @@
     play(context, "unsafe", count)
 
 
+@given("the address of {name} belongs to another upstream")
+def given_misdirected(context, name):
+    upstream = context.world.upstreams[name]
+    upstream.script = []
+    upstream.default = (421, {}, [b""])
+    other = next(u for n, u in context.world.upstreams.items() if n != name)
+    other.script = []
+    other.default = (200, SIGNED, events(1, 2))
+
+
+@when("a caller sends {count:d} stream requests of different sessions")
+def when_sends_sessions(context, count):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            await context.world.start("one", tasks)
+            await anyio.sleep(0.5)
+            context.replies = [
+                await context.world.request("one", "/stream/x", request=f"r{n}")
+                for n in range(count)
+            ]
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@then("all are answered and {name} was asked {count:d} times")
+def then_asked(context, name, count):
+    assert {reply.status for reply in context.replies} == {200}
+    asked = [a for a in context.world.arrivals if a.upstream == name]
+    assert len(asked) == count, len(asked)
+
+
 @when("a caller sends a {kind:w} request with the key {key:w}")
 def when_key(context, kind, key):
     play(context, kind, key=key)
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -248,7 +248,11 @@
             ) as answer:
                 if answer.status != 200 or answer.reply.not_run:
                     outcome = f"status_{answer.status}"
-                    failed = answer.status >= 500
+                    # An engine that refuses is full, or is not the one that the
+                    # registry still lists under its address.
+                    failed = answer.status not in INPUTS_LOST and (
+                        answer.status >= 500 or answer.reply.not_run
+                    )
                     return await self._pass_failure(
                         exchange, upstream, answer, run
                     )
