Release the inputs of a resumable stream at its first event

Cause: results of stages were kept until the end of a resumable stream, since another engine that resumes it reads them again. Beside that, a piece waited a fixed 0.25 s for the one upstream of its failure domain, whatever its latency target, and pieces that each read all results of the stage before waited only 0.03 s: 2.97 of the 3.72 GB between failure domains were their inputs. Ruled out: engines (0.16 s from the last stage to the first event, median) and the number of stage calls (mean 0.27 s, few of them full). Change: results are released once the answer's head has arrived. A stream that breaks off after that has its stages executed again before another engine resumes it. A piece waits for its preferred domain for half of the time that it can spare, at most for one call. Only stages whose results the engine reads prefer the engine's domain.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -46,6 +46,24 @@
     Then there is no call at 0.1
     And there is a call at 0.3
 
+  Scenario: A piece with little time to spare goes to any failure domain
+    Load pattern: a route with a short latency target and one upstream in each
+    failure domain (run-quote at kwagga-groove). Pieces waited for the upstream
+    of their domain, at the median for 0.18 s of 0.91 s, while others were idle.
+    Given the upstream in izola is busy
+    When request a offers 2 pieces of 3 MB for izola at 0.0 with its target at 0.4
+    Then there is no call at 0.05
+    And there is a call at 0.1
+
+  Scenario: A small piece with time to spare waits for its failure domain
+    Load pattern: ten pieces of a stage that each read the results of six
+    (spec-check at kwagga-groove). Executed in another domain, they move ten
+    times the bytes of those results.
+    Given the upstream in izola is busy
+    When request a offers 2 pieces of 6 kB for izola at 0.0 with its target at 1.3
+    Then there is no call at 0.2
+    And there is a call at 0.3
+
   Scenario: A stage is opened only when all its large results fit
     When requests a, b, c, d, e, f, g each offer 5 pieces of 3 MB at 0.0
     And every call ends and no result is released
--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -25,6 +25,25 @@
     And every result was released
     And the last release came within 0.3 s of the last request to the engine
 
+  Scenario: The results of a resumable stream are released at its first event
+    Guards against results that are kept until a long stream ends. In quiet-1
+    at kwagga-groove, a burst of requests with large results waited up to 2 s
+    for memory that the inputs of running streams occupied.
+    Given relay instances one with 2 stage upstreams and an engine
+    And an engine that sends an event each 0.9 s
+    When a caller sends a staged request of a route that may be resumed
+    Then every caller gets an answer
+    And every result was released
+    And the last release came within 0.3 s of the last request to the engine
+
+  Scenario: A stream is resumed after its inputs were released
+    Guards against a second engine that is sent results which are gone.
+    Given relay instances one with 2 stage upstreams and an engine
+    And an engine whose stream breaks off after its first event
+    When a caller sends a staged request of a route that may be resumed
+    Then every caller gets an answer
+    And each piece was made 2 times
+
   Scenario: A stage upstream answers a call with the answer to an earlier one
     Guards against a request that gets the results of another one.
     Given relay instances one with 1 stage upstreams and an engine
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -4,12 +4,14 @@
 import json
 
 import anyio
+import httpx
 from behave import given, then, when
 
 from features.fixtures.relay_world import SIGNED, RelayWorld, events
 from features.fixtures.virtual import run_virtual
 
 RUN_LIMIT_S = 60
+CONNECTION_CUT = httpx.RemoteProtocolError("cut")
 
 
 @given("relay instances {names} with {count:d} stage upstreams and an engine")
@@ -39,6 +41,20 @@
     context.world.upstreams["engine"].script = [lacking] * count
 
 
+@given("an engine that sends an event each {seconds:g} s")
+def given_slow_stream(context, seconds):
+    first, second = events(1, 2)
+    engine = context.world.upstreams["engine"]
+    engine.default = (200, SIGNED, [first, seconds, second])
+
+
+@given("an engine whose stream breaks off after its first event")
+def given_broken_stream(context):
+    engine = context.world.upstreams["engine"]
+    engine.script = [(200, SIGNED, [*events(1, 1), CONNECTION_CUT])]
+    engine.default = (200, SIGNED, events(2, 2))
+
+
 def run_instances(context, actions, seconds=6.0):
     """Starts the instances and runs actions, in virtual time.
 
@@ -62,13 +78,15 @@
     run_virtual(run)
 
 
-def send(context, tasks, instance, request, counts, **options):
+def send(
+    context, tasks, instance, request, counts, *, path="/staged/x", **options
+):
     """Sends a staged request in its own task; the reply is in the context."""
 
     async def send_request():
         context.replies[request] = await context.world.request(
             instance,
-            "/staged/x",
+            path,
             request=request,
             headers=[
                 (b"segments", counts.encode()),
@@ -99,6 +117,14 @@
     run_instances(context, actions)
 
 
+@when("a caller sends a staged request of a route that may be resumed")
+def when_resumable(context):
+    async def actions(tasks):
+        send(context, tasks, "one", "r0", "1,2", path="/staged-resume/x")
+
+    run_instances(context, actions)
+
+
 @when("instance {name} is cut off from the others for {seconds:d} s")
 def when_cut(context, name, seconds):
     del seconds
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -17,13 +17,10 @@
 from applespring.core.route import BatchSpec
 from applespring.core.stage_upstream import FAILED_PAUSE_S, StageUpstream
 
-# How long a piece with a large result is reserved for the upstreams of its
-# preferred failure domain before it may go to any upstream; about the time of
-# one call.
-LARGE_RESULT_DOMAIN_WAIT_S = 0.25
-# The same for a piece with a small result, which moves fewer bytes between
-# failure domains.
-SMALL_RESULT_DOMAIN_WAIT_S = 0.03
+# Share of the time to spare until its target that a piece may spend on waiting
+# for the upstreams of its preferred failure domain. The remainder covers queue
+# waits of later stages.
+DOMAIN_WAIT_SLACK_SHARE = 0.5
 # Most calls of a piece, the first included. When the last of them fails, the
 # piece is given up. Calls that an upstream refused do not count.
 PIECE_ATTEMPTS_MAX = 4
@@ -240,12 +237,8 @@
                 continue
             preferred = piece.failure_domain
             if preferred != domain and preferred in callable_domains:
-                wait_s = (
-                    LARGE_RESULT_DOMAIN_WAIT_S
-                    if piece.large
-                    else SMALL_RESULT_DOMAIN_WAIT_S
-                )
-                if preferred in idle_domains or now < piece.arrived_at + wait_s:
+                reserved = now < self._reserved_until(piece)
+                if preferred in idle_domains or reserved:
                     continue
             if not piece.opened:
                 unreserved -= needed
@@ -271,6 +264,17 @@
         stage_upstream.start_call(call)
         return call
 
+    def _reserved_until(self, piece: Piece) -> float:
+        """Returns until when only its preferred failure domain may get a piece.
+
+        An upstream there is idle again within the time of a call. A piece that
+        cannot spare that time waits for less, and a late piece not at all.
+        """
+        spare_s = piece.target_at - self.full_call_s - piece.arrived_at
+        return piece.arrived_at + min(
+            self.full_call_s, max(0.0, DOMAIN_WAIT_SLACK_SHARE * spare_s)
+        )
+
     def _unreserved_bytes(self, now: float) -> float:
         """Returns the result memory that is left for unopened stages.
 
@@ -427,16 +431,11 @@
             for stage_upstream in self._upstreams.values()
             if stage_upstream.pause.until > now
         ]
-        for piece in self._pieces:
-            if piece.failure_domain:
-                times += [
-                    piece.arrived_at + wait_s
-                    for wait_s in (
-                        LARGE_RESULT_DOMAIN_WAIT_S,
-                        SMALL_RESULT_DOMAIN_WAIT_S,
-                    )
-                    if piece.arrived_at + wait_s > now
-                ]
+        times += [
+            self._reserved_until(piece)
+            for piece in self._pieces
+            if piece.failure_domain and self._reserved_until(piece) > now
+        ]
         return min(times, default=math.inf)
 
     def capacity_pieces_per_s(self, now: float) -> float:
--- a/src/applespring/core/chain.py
+++ b/src/applespring/core/chain.py
@@ -125,10 +125,11 @@
         return (
             step.result_bytes >= LARGE_RESULT_BYTES
             and not step.after
-            and self._is_final(step.index)
+            and self.is_final(step.index)
         )
 
-    def _is_final(self, index: int) -> bool:
+    def is_final(self, index: int) -> bool:
+        """Returns whether no other stage reads the results of this one."""
         return not any(index in step.after for step in self.steps.values())
 
     def final_stages(self) -> list[int]:
@@ -136,7 +137,7 @@
 
         The request itself reads their results.
         """
-        return [index for index in sorted(self.steps) if self._is_final(index)]
+        return [index for index in sorted(self.steps) if self.is_final(index)]
 
     def final_handles(self) -> list[str]:
         """Returns the handles that the request itself reads, in order."""
@@ -153,7 +154,7 @@
         """
         unneeded = {}
         for index in self.steps:
-            if self._is_final(index) or index in self._released:
+            if self.is_final(index) or index in self._released:
                 continue
             dependents = [s for s in self.steps.values() if index in s.after]
             if all(self.is_done(step.index) for step in dependents):
@@ -161,6 +162,11 @@
                 unneeded[index] = self.handles(index)
         return unneeded
 
+    @property
+    def final_released(self) -> bool:
+        """Whether a result that the request itself reads was released."""
+        return any(index in self._released for index in self.final_stages())
+
     def take_remaining(self) -> dict[int, list[str]]:
         """Returns all handles that were not taken for release yet, by stage.
 
--- a/src/applespring/core/piece.py
+++ b/src/applespring/core/piece.py
@@ -83,11 +83,6 @@
         self.arrived_at = arrived_at
         self.attempts = 0
 
-    @property
-    def large(self) -> bool:
-        """Whether moving its result to another failure domain is expensive."""
-        return self.result_bytes >= LARGE_RESULT_BYTES
-
 
 class Call:
     """One call to an upstream.
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -8,8 +8,8 @@
 from applespring.core.route import RoutingDocument
 from applespring.relay.protocol import CallerRequest
 
-# A stage with at least this many bytes of inputs, or else of results, gets a
-# preferred failure domain.
+# A stage whose inputs, or whose results for the engine, have at least this many
+# bytes gets a preferred failure domain.
 LOCALITY_BYTES_MIN = 100_000
 # Expected time of a stage call as a multiple of the nominal time of a full one.
 CALL_TIME_FACTOR = 1.1
@@ -92,15 +92,20 @@
         return self.input_bytes_by_domain(self.chain.final_stages())
 
     def choose_domain(self, index: int) -> str:
-        """Returns the preferred failure domain of a stage, or "" for any."""
+        """Returns the preferred failure domain of a stage, or "" for any.
+
+        Each piece of a stage fetches all results of the stages before it, so a
+        stage follows its inputs. A stage without large inputs is executed
+        wherever an upstream is idle, unless the engine reads its results.
+        """
         step = self.chain.steps[index]
         inputs = self.input_bytes_by_domain(step.after)
         if sum(inputs.values()) >= LOCALITY_BYTES_MIN:
             return max(inputs, key=lambda domain: (inputs[domain], domain))
         stage_bytes = step.result_bytes * self.chain.counts[index]
-        return (
-            self.preferred_domain if stage_bytes >= LOCALITY_BYTES_MIN else ""
-        )
+        if self.chain.is_final(index) and stage_bytes >= LOCALITY_BYTES_MIN:
+            return self.preferred_domain
+        return ""
 
 
 class StageSubmission:
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -98,9 +98,16 @@
                 retry_after_s=FAILED_RETRY_AFTER_S,
             )
         run.repeated = True
+        await self.execute_again(run, f"an engine lacks a result: {cause}")
+
+    async def execute_again(self, run: StageRun, cause: str) -> None:
+        """Executes all stages again, since their results are gone.
+
+        Raises:
+            RefusalError: A stage cannot be executed.
+        """
         logger.bind(event="stages_repeated", request=run.req.request_id).info(
-            "stages of request {} are executed again, since an engine lacks a "
-            "result: {}",
+            "stages of request {} are executed again: {}",
             run.req.request_id,
             cause,
         )
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -107,7 +107,6 @@
         """
         req, route, clock = exchange.req, exchange.route, self._state.clock
         window = self._state.attempt_window(exchange.pool)
-        inputs = run.chain.final_handles()
         prefix_name = _prefix_name(exchange)
         parts = [(p.name, p.tokens) for p in req.prompt_parts]
         splitter = EventSplitter()
@@ -115,6 +114,8 @@
         tried: list[str] = []
         attempts = 0
         while True:
+            if run.chain.final_released:
+                await self._restore_results(exchange, run, attempts)
             now = clock()
             remaining_s = exchange.deadline_at - now
             ready = self._state.usable_upstreams(exchange.pool)
@@ -143,7 +144,7 @@
                     run,
                     upstream,
                     source_engine,
-                    inputs,
+                    run.chain.final_handles(),
                     splitter,
                     parts,
                     may_resume,
@@ -151,7 +152,6 @@
                 return
             except _InputsLostError as exc:
                 await self._repeat_stages(exchange, run, window, exc, attempts)
-                inputs = run.chain.final_handles()
                 tried.pop()
                 continue
             except StageError as exc:
@@ -222,6 +222,31 @@
                 exc.reason, attempts, exc.detail, exc.retry_after_s
             ) from exc
 
+    async def _restore_results(
+        self, exchange: Exchange, run: StageRun, attempts: int
+    ) -> None:
+        """Has the stages executed again after their results were released.
+
+        The results are released once an engine has read them, so that they do
+        not occupy memory for as long as its stream lasts. Another engine that
+        resumes the stream needs them again.
+
+        Raises:
+            RefusalError: The results can't be produced in time.
+        """
+        run.leaves_at = min(
+            exchange.deadline_at, self._state.clock() + exchange.event_wait_s
+        )
+        run.target_at = run.leaves_at
+        try:
+            await self._submitter.execute_again(
+                run, "the previous engine broke off, its inputs are released"
+            )
+        except RefusalError as exc:
+            raise _make_refusal(
+                exc.reason, attempts, exc.detail, exc.retry_after_s
+            ) from exc
+
     def _instance_count(self) -> int:
         return 1 + len(self._peers.table.reachable(self._state.clock()))
 
@@ -330,8 +355,7 @@
                             upstream.name,
                             "the stream has no signature",
                         )
-                    if not exchange.route.resumable:
-                        self._submitter.release_remaining(run)
+                    self._submitter.release_remaining(run)
                     await self._forward_events(
                         exchange,
                         upstream,
