Measure reading speed and first events instead of one site's figures

The test whether a piece can be on time used the time of a call of its own, the wait for an upstream half a call however many upstreams there are. Change: core/first_event.py estimates both from the requests of the instance. A piece can be on time if a call shared with the queued pieces ends before its target. The wait for the next idle upstream is a call over one more than the upstreams.

--- a/features/steps/relay_engine_steps.py
+++ b/features/steps/relay_engine_steps.py
@@ -80,6 +80,7 @@
         subject="p",
         parts=[("p", context.tokens), ("own", 100)],
         inputs={},
+        tokens_per_s=55_000.0,
         now=now,
     )
 
@@ -145,6 +146,7 @@
         subject="p",
         parts=[],
         inputs={f"domain-{name}": size * 1e6},
+        tokens_per_s=55_000.0,
         now=0.1,
     )
     assert chosen.name == name_again
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -27,9 +27,6 @@
 # A request is admitted if its expected wait is at most this share of the time
 # that it has left.
 ADMISSION_WAIT_SHARE = 0.65
-# Expected residual time of the calls in progress, as a share of a full call:
-# how long an arriving piece waits for an upstream when none is idle.
-RESIDUAL_SHARE = 0.5
 # Window over which the arrival rate is estimated.
 ARRIVAL_WINDOW_S = 2.0
 # Late pieces get the capacity that new arrivals leave over. The estimate of
@@ -468,11 +465,7 @@
         capacity = self.capacity_pieces_per_s(now)
         if capacity <= 0.0:
             return math.inf
-        has_idle = any(
-            not stage_upstream.calls and stage_upstream.pause.until <= now
-            for stage_upstream in self._upstreams.values()
-        )
-        residual_s = 0.0 if has_idle else RESIDUAL_SHARE * self.full_call_s
+        residual_s = self._residual_s(now)
         if on_time:
             pieces_ahead = sum(
                 1 for p in self._pieces if self._can_be_on_time(p, now)
@@ -490,13 +483,41 @@
             capacity if pieces_ahead <= self.spec.batch else late_capacity
         )
 
+    def _residual_s(self, now: float) -> float:
+        """Returns the expected time until the first upstream is idle.
+
+        Calls of several upstreams end at different times, so one of n ends
+        after 1 / (n + 1) of a call on average.
+        """
+        callable_upstreams = [
+            stage_upstream
+            for stage_upstream in self._upstreams.values()
+            if stage_upstream.pause.until <= now
+        ]
+        if any(not upstream.calls for upstream in callable_upstreams):
+            return 0.0
+        return self.full_call_s / (len(callable_upstreams) + 1)
+
     @property
     def full_call_s(self) -> float:
         """Configured time of a call with the maximum number of pieces."""
         return self._nominal_call_s(self.spec.batch)
 
     def _can_be_on_time(self, piece: Piece, now: float) -> bool:
-        return now + self.spec.call_s <= piece.target_at
+        """Returns whether a piece called now is done by its target.
+
+        It shares its call with as many pieces as are queued. With the time of
+        a call of its own, an overloaded pool would spend its calls on pieces
+        that miss their targets by little.
+        """
+        pieces = max(1, min(self.spec.batch, len(self._pieces)))
+        call_s = self._mean_slowdown() * self._nominal_call_s(pieces)
+        return now + call_s <= piece.target_at
+
+    def _mean_slowdown(self) -> float:
+        """Returns the mean slowdown of the upstreams, 1 without any."""
+        slowdowns = [u.slowdown for u in self._upstreams.values()]
+        return sum(slowdowns) / len(slowdowns) if slowdowns else 1.0
 
     def admits(self, remaining_s: float, now: float) -> bool:
         """Returns whether a request with this time left should be started."""
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -12,9 +12,6 @@
 from applespring.core.pause import FailurePause
 from applespring.core.placement import rank
 
-# Prompt tokens that an engine reads in a second (prefill); the engines of the
-# two sites read 54,600 and 63,900 (users' sheets).
-PREFILL_TOKENS_PER_S = 55_000.0
 # Cost of each running request at an engine, since it lengthens the decoding
 # steps. Like all costs here, it is in seconds of delay of a first token.
 RUNNING_REQUEST_S = 0.004
@@ -180,6 +177,7 @@
         subject: str,
         parts: Sequence[tuple[str, int]],
         inputs: Mapping[str, float],
+        tokens_per_s: float,
         now: float,
     ) -> ListedUpstream | None:
         """Returns the engine with the least cost for a request, or None.
@@ -192,13 +190,14 @@
             parts: Names of the parts of the prompt with their number of tokens,
                 in order. The last part is not shared with other requests.
             inputs: Bytes of stage results by failure domain.
+            tokens_per_s: Prompt tokens that an engine reads in a second.
             now: Current time.
         """
         available = [u for u in upstreams if self._is_available(u.name, now)]
         home = self.home(upstreams, subject, now)
         best, best_cost = None, math.inf
         for upstream in available or upstreams:
-            cost = self._cost(upstream, home, parts, inputs, now)
+            cost = self._cost(upstream, home, parts, inputs, tokens_per_s, now)
             if cost < best_cost:
                 best, best_cost = upstream, cost
         return best
@@ -271,6 +270,7 @@
         home: ListedUpstream | None,
         parts: Sequence[tuple[str, int]],
         inputs: Mapping[str, float],
+        tokens_per_s: float,
         now: float,
     ) -> float:
         name = upstream.name
@@ -288,7 +288,7 @@
             if domain != upstream.failure_domain
         )
         return (
-            (engine_unread + unread) / PREFILL_TOKENS_PER_S
+            (engine_unread + unread) / tokens_per_s
             + missed_tokens * CACHE_MISS_S_PER_TOKEN
             + requests * RUNNING_REQUEST_S
             + cross_domain_bytes * CROSS_DOMAIN_S_PER_BYTE
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -23,6 +23,7 @@
 )
 from applespring.relay.components import RelayComponents
 from applespring.relay.log import LogWriter
+from applespring.relay.loop_monitor import LoopMonitor
 from applespring.relay.protocol import Protocol
 from applespring.relay.registry import Registry
 from applespring.relay.settings import RelaySettings
@@ -79,6 +80,7 @@
             time.time_ns() // 1_000_000,
             make_http_pool_factory(tls),
         )
+        self._loop_monitor = LoopMonitor(read_clock)
         self.state = self._components.state
         self.peers = self._components.peers
         self.scheduler = self._components.scheduler
@@ -99,6 +101,7 @@
         stop_serving = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._log.run)
+            tasks.start_soon(self._loop_monitor.run)
             await tasks.start(self._components.run)
             tasks.start_soon(self._watch_settings)
             server_stopped = anyio.Event()
@@ -155,6 +158,8 @@
             ("requests",): float(self.state.requests),
             ("peers_reachable",): float(len(self.peers.table.reachable(now))),
             ("log_lines_dropped",): float(self._log.dropped_total),
+            ("loop_delay_mean_s",): self._loop_monitor.mean_delay_s,
+            ("loop_delay_max_s",): self._loop_monitor.max_delay_s,
         }
         for pool, length in self.scheduler.queue_lengths().items():
             gauges[(f"queue_{pool}",)] = float(length)
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -25,6 +25,7 @@
         priority: Priority in the queues of stage pools; 0 is the most urgent.
         target_at: When the first event of its answer is due.
         leaves_at: When its caller disconnects if no event has come.
+        run_s: Expected time from the end of the last stage to the first event.
         preferred_domain: Failure domain for large results, which is that of
             the engine that is expected to read them, or "" for any.
         result_bytes_by_domain: Bytes of results by stage and failure domain.
@@ -44,6 +45,7 @@
         "priority",
         "target_at",
         "leaves_at",
+        "run_s",
         "preferred_domain",
         "result_bytes_by_domain",
         "results_arrived",
@@ -62,6 +64,7 @@
         priority: int,
         target_at: float,
         leaves_at: float,
+        run_s: float,
     ) -> None:
         self.req = req
         self.chain = chain
@@ -69,6 +72,7 @@
         self.priority = priority
         self.target_at = target_at
         self.leaves_at = leaves_at
+        self.run_s = run_s
         self.preferred_domain = ""
         self.result_bytes_by_domain: dict[int, dict[str, float]] = {}
         self.results_arrived = anyio.Event()
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -31,8 +31,6 @@
 SCHEDULERS_MAX = 3
 # How many times the lost or failed pieces of a request are submitted again.
 RESUBMITS_MAX = 6
-# Expected time from the end of the last stage to the first event.
-EXPECTED_RUN_S = 0.25
 # Retry-after time of a request whose stages cannot be executed in time, or for
 # which no scheduler was found.
 LATE_RETRY_AFTER_S = 0.5
@@ -190,7 +188,7 @@
             run.chain,
             run.call_s,
             self._state.queue_waits,
-            run_s=EXPECTED_RUN_S,
+            run_s=run.run_s,
             target_in_s=run.target_at - now,
             leaves_in_s=run.leaves_at - now,
             now=now,
@@ -376,9 +374,7 @@
         """
         step = run.chain.steps[index]
         now = self._state.clock()
-        after_stage_s = remaining_s(
-            run.chain, index, run.call_s, EXPECTED_RUN_S
-        )
+        after_stage_s = remaining_s(run.chain, index, run.call_s, run.run_s)
         inputs = run.chain.inputs(index)
         return message.StageSubmit(
             origin=self._peers.name,
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -4,6 +4,7 @@
 
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
+from applespring.core.first_event import FirstEventEstimate
 from applespring.core.peer_table import PeerTable
 from applespring.core.queue_waits import QueueWaits
 from applespring.core.reachability import DomainReachability
@@ -49,6 +50,7 @@
         "requests",
         "clock",
         "_attempt_windows",
+        "_first_events",
     )
 
     def __init__(
@@ -69,6 +71,7 @@
         self.requests = 0
         self.clock = clock
         self._attempt_windows: dict[str, AttemptWindow] = {}
+        self._first_events: dict[str, FirstEventEstimate] = {}
 
     def attempt_window(self, pool: str) -> AttemptWindow:
         """Returns the retry budget of a pool, created at first use."""
@@ -82,6 +85,10 @@
             )
         return window
 
+    def first_event(self, pool: str) -> FirstEventEstimate:
+        """Returns the estimate for a pool's engines, created at first use."""
+        return self._first_events.setdefault(pool, FirstEventEstimate())
+
     def usable_upstreams(self, pool: str) -> list[ListedUpstream]:
         """Returns the upstreams of a pool that accept work and are reachable.
 
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -12,6 +12,7 @@
 from applespring.core.engine_selector import EngineSelector
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.events import EventSplitter
+from applespring.core.first_event import FirstEventEstimate
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
 from applespring.relay.attempt import Attempt, record_attempt
@@ -82,6 +83,7 @@
             priority=exchange.stage_priority,
             target_at=exchange.target_at,
             leaves_at=exchange.leaves_at,
+            run_s=self._state.first_event(exchange.pool).run_s,
         )
         self._state.attempt_window(exchange.pool).record_request(
             self._state.clock()
@@ -124,6 +126,9 @@
                 subject=prefix_name,
                 parts=parts,
                 inputs=run.final_input_bytes_by_domain(),
+                tokens_per_s=self._state.first_event(
+                    exchange.pool
+                ).tokens_per_s,
                 now=now,
             )
             if upstream is None or len(tried) > NOT_RUN_ATTEMPTS_MAX:
@@ -308,7 +313,7 @@
             upstream.name, [p for p, _ in parts], unread_tokens, started_at
         )
         pool = exchange.document.pools.get(exchange.pool)
-        unread_prompt = _UnreadPrompt(unread_tokens)
+        unread_prompt = _UnreadPrompt(unread_tokens, started_at)
         attempt = Attempt()
         result_release = nullcontext()
         if not exchange.route.resumable:
@@ -433,6 +438,9 @@
             if not complete_events:
                 continue
             now = clock()
+            unread_prompt.record_first_event(
+                self._state.first_event(exchange.pool), now
+            )
             unread_prompt.record_read(engines, upstream.name, now)
             engines.record_progress(upstream.name, now)
             if not exchange.started:
@@ -459,10 +467,20 @@
 class _UnreadPrompt:
     """Prompt tokens of one request that its engine has not read yet."""
 
-    __slots__ = ("_unread_tokens",)
+    __slots__ = ("_unread_tokens", "_sent_at", "_measured")
 
-    def __init__(self, unread_tokens: int) -> None:
+    def __init__(self, unread_tokens: int, sent_at: float) -> None:
         self._unread_tokens = unread_tokens
+        self._sent_at = sent_at
+        self._measured = False
+
+    def record_first_event(
+        self, estimate: FirstEventEstimate, now: float
+    ) -> None:
+        """Measures the time to the first event; further calls do nothing."""
+        if not self._measured:
+            self._measured = True
+            estimate.record(self._unread_tokens, now - self._sent_at)
 
     def record_read(
         self, engines: EngineSelector, name: str, now: float
