Do not call withdrawn pieces again, and estimate call times once per pass

Change: requeue declines withdrawn pieces; the expected time is computed once for all queued pieces; the reports end when no piece is queued. Result: the new scenario fails on the sources before and passes now.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -124,6 +124,15 @@
     And submission s1 of request a is withdrawn
     Then the next calls hold 3 pieces
 
+  Scenario: A withdrawn piece is not called again
+    Guards against further calls for a request that has ended, whose piece had
+    no room for its result in the call in progress.
+    When request a offers 1 piece of 8 kB at 0.0
+    And the next calls are made at 0.0
+    And request a is withdrawn
+    And the first call ends at 0.3 without memory for its results
+    Then there is no call at 1.0
+
   Scenario: An upstream that accepts no connection is paused for longer
     Load pattern: an upstream crashes in a burst. Refusals pause an upstream for
     0.1 s; with that pause, the most urgent pieces were sent to the crashed one
--- a/features/steps/relay_batch_steps.py
+++ b/features/steps/relay_batch_steps.py
@@ -132,6 +132,14 @@
     context.unneeded = finish(context, context.calls.pop(0), at)
 
 
+@when("the first call ends at {at:g} without memory for its results")
+def when_ends_without_memory(context, at):
+    call = context.calls.pop(0)
+    context.queue.succeed(call, [""] * len(call.pieces), at)
+    for piece in call.pieces:
+        context.queue.requeue(piece, call, at)
+
+
 @when("every call ends and no result is released")
 def when_all(context):
     now = 0.0
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -168,7 +168,8 @@
         ]
         if not available:
             return calls
-        ranked = [(self._urgency(p, now), p) for p in self._pieces]
+        done_at = now + self._expected_call_s()
+        ranked = [(self._urgency(p, done_at), p) for p in self._pieces]
         ranked.sort(key=lambda pair: pair[0])
         stages: dict[_StageId, list[Piece]] = {}
         for piece in self._pieces:
@@ -212,14 +213,14 @@
         while self._called and self._called[0][0] <= now - BACKLOG_WINDOW_S:
             self._called.popleft()
 
-    def _urgency(self, piece: Piece, now: float) -> _Urgency:
-        """Returns the sort key of a piece.
+    def _urgency(self, piece: Piece, done_at: float) -> _Urgency:
+        """Returns the sort key of a piece that is done by `done_at`.
 
         Tiers, most urgent first: started requests that can be on time and
         opened stages (`Piece.opened`), on time or not; other requests that can
         be on time; late requests that are started; other late requests.
         """
-        if piece.opened or self._can_be_on_time(piece, now):
+        if piece.opened or done_at <= piece.target_at:
             tier = 0 if piece.opened or piece.started else 1
             return (tier, piece.priority), (piece.target_at, piece.arrived_at)
         # Late requests get the remaining capacity, started ones first since
@@ -426,13 +427,14 @@
         memory.
 
         Returns:
-            False if the piece has used up its attempts and was not queued.
+            False if the piece was not queued, since it was withdrawn or has
+            used up its attempts.
         """
         stage_upstream = self._upstreams.get(call.upstream.name)
         if stage_upstream is not None:
             stage_upstream.record_memory_full(now)
         piece.opened = False
-        if piece.attempts >= PIECE_ATTEMPTS_MAX:
+        if piece.withdrawn or piece.attempts >= PIECE_ATTEMPTS_MAX:
             return False
         self._pieces.append(piece)
         return True
@@ -469,11 +471,12 @@
             for stage_upstream in self._upstreams.values()
             if stage_upstream.pause.until > now
         ]
-        times += [
+        reserved_until = (
             self._reserved_until(piece)
             for piece in self._pieces
-            if piece.failure_domain and self._reserved_until(piece) > now
-        ]
+            if piece.failure_domain
+        )
+        times += [at for at in reserved_until if at > now]
         return min(times, default=math.inf)
 
     def capacity_pieces_per_s(self, now: float) -> float:
@@ -525,8 +528,9 @@
             return math.inf
         residual_s = self._residual_s(now)
         if on_time:
+            done_at = now + self._expected_call_s()
             pieces_ahead = sum(
-                1 for p in self._pieces if self._can_be_on_time(p, now)
+                1 for p in self._pieces if done_at <= p.target_at
             )
             return residual_s + pieces_ahead / capacity
         self._arrival_times = [
@@ -561,21 +565,17 @@
         """Configured time of a call with the maximum number of pieces."""
         return self._nominal_call_s(self.spec.batch)
 
-    def _can_be_on_time(self, piece: Piece, now: float) -> bool:
-        """Returns whether a piece called now is done by its target.
+    def _expected_call_s(self) -> float:
+        """Returns the time of a call with the pieces that are queued.
 
-        It shares its call with as many pieces as are queued. With the time of
-        a call of its own, an overloaded pool would spend its calls on pieces
-        that miss their targets by little.
+        A piece that is called now can be on time if such a call ends by its
+        target. With the time of a call of its own, an overloaded pool would
+        spend its calls on pieces that miss their targets by little.
         """
         pieces = max(1, min(self.spec.batch, len(self._pieces)))
-        call_s = self._mean_slowdown() * self._nominal_call_s(pieces)
-        return now + call_s <= piece.target_at
-
-    def _mean_slowdown(self) -> float:
-        """Returns the mean slowdown of the upstreams, 1 without any."""
-        slowdowns = [u.slowdown for u in self._upstreams.values()]
-        return sum(slowdowns) / len(slowdowns) if slowdowns else 1.0
+        slowdowns = [u.slowdown for u in self._upstreams.values()] or [1.0]
+        mean_slowdown = sum(slowdowns) / len(slowdowns)
+        return mean_slowdown * self._nominal_call_s(pieces)
 
     def admits(self, remaining_s: float, now: float) -> bool:
         """Returns whether a request with this time left should be started."""
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -482,6 +482,9 @@
         await self._refresh_free_memory(pool, queue, upstream)
         while clock() < ends_at and queue.lacks_record(upstream.name, clock()):
             await anyio.sleep(REPORT_INTERVAL_S)
+            if not len(queue) and not queue.calls_in_progress():
+                # The submitters have found another scheduler.
+                return
             await self._refresh_free_memory(pool, queue, upstream)
         self._wake_events[pool].set()
 
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -191,8 +191,8 @@
     Guard(
         "relay: opened stages first",
         "core/batch.py",
-        "        if piece.opened or self._can_be_on_time(piece, now):",
-        "        if self._can_be_on_time(piece, now):",
+        "        if piece.opened or done_at <= piece.target_at:",
+        "        if done_at <= piece.target_at:",
         (BATCH, "A late request that is opened"),
     ),
     Guard(
