Log how long an upstream was silent and how long a connection rested

An attempt logs silent_s, a request on a used connection idle_s, and a change of the idle limit is an event. One scenario; no decision changes.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -177,3 +177,12 @@
     And the next engine sends the events 1 to 2 and ends
     When a caller sends a stream request
     Then it gets the events 1 to 2 and the end
+
+  Scenario: The log tells a caller that left a silent engine
+    Guards against a request without an answer whose log doesn't show whether
+    its engine was silent or its connection had rested too long (inc-lost).
+    Given a relay with the engines a
+    And the engine sends the events 1 to 2 and then nothing
+    When a caller sends two stream requests on a connection and disconnects
+    Then the log has the time for which the engine was silent
+    And the log has the time for which the connection had rested
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -6,6 +6,7 @@
 import httpcore
 import httpx
 from behave import given, then, when
+from loguru import logger
 
 from applespring.relay.client import HttpTransport
 from features.fixtures.relay_world import SIGNED, RelayWorld, events
@@ -332,3 +333,43 @@
     first, second = context.world.find_arrivals()
     assert first in context.world.closed
     assert second.at > first.at
+
+
+@when("a caller sends two stream requests on a connection and disconnects")
+def when_sends_two(context):
+    context.records = []
+    sink = logger.add(lambda line: context.records.append(line.record["extra"]))
+    context.script.insert(0, (200, SIGNED, events(1, 2)))
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            await context.world.start("one", tasks)
+            await anyio.sleep(0.5)
+            for pause_s in (0.0, 0.7):
+                await anyio.sleep(pause_s)
+                await context.world.request(
+                    "one",
+                    "/stream/x",
+                    client=("10.0.0.9", 1234),
+                    disconnect_after_s=1.5,
+                )
+            tasks.cancel_scope.cancel()
+
+    try:
+        run_virtual(run)
+    finally:
+        logger.remove(sink)
+
+
+def find_last_record(context, event):
+    return [r for r in context.records if r.get("event") == event][-1]
+
+
+@then("the log has the time for which the engine was silent")
+def then_silent(context):
+    assert find_last_record(context, "attempt")["silent_s"] == 1.5
+
+
+@then("the log has the time for which the connection had rested")
+def then_rested(context):
+    assert find_last_record(context, "request")["idle_s"] == 0.7
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -9,6 +9,7 @@
 from applespring.core.errors import MessageError, RefusalError
 from applespring.core.route import ClientAccount, RouteKind, RoutingDocument
 from applespring.core.verdict import Verdict
+from applespring.relay.connections import ConnectionTimes
 from applespring.relay.exchange import (
     RETRY_AFTER_SHARE,
     Exchange,
@@ -39,6 +40,23 @@
     """The caller closed its connection before the answer was complete."""
 
 
+class _Arrival:
+    """When and how a request arrived.
+
+    Attributes:
+        at: When its head arrived.
+        request_id: Its id, or "" before it is decoded.
+        idle_s: How long its connection rested before, or None on a new one.
+    """
+
+    __slots__ = ("at", "request_id", "idle_s")
+
+    def __init__(self, at: float, idle_s: float | None) -> None:
+        self.at = at
+        self.request_id = ""
+        self.idle_s = idle_s
+
+
 class RelayApplication:
     """Admits callers' requests, has them forwarded and refuses the others."""
 
@@ -55,6 +73,7 @@
         self._plain = plain
         self._streams = streams
         self._metrics = metrics
+        self._connections = ConnectionTimes()
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serves one request; ASGI scopes other than `http` are ignored."""
@@ -67,39 +86,49 @@
             self._state.requests -= 1
 
     async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
-        arrived_at = self._state.clock()
-        request_id = ""
+        now = self._state.clock()
+        caller = scope.get("client")
+        idle_s = self._connections.take_idle_s(caller, now) if caller else None
+        arrival = _Arrival(now, idle_s)
+        try:
+            await self._answer(scope, arrival, receive, send)
+        finally:
+            if caller:
+                self._connections.record_answer(caller, self._state.clock())
+
+    async def _answer(
+        self, scope: dict, arrival: _Arrival, receive: Receive, send: Send
+    ) -> None:
         exchange: Exchange | None = None
         try:
             req = self._decode(scope)
-            request_id = req.request_id
-            exchange = await self._admit(req, scope, receive, send, arrived_at)
+            arrival.request_id = req.request_id
+            exchange = await self._admit(req, scope, receive, send, arrival.at)
             await self._forward(exchange, receive)
         except CallerGoneError:
             if exchange is not None:
                 exchange.outcome = "caller_gone"
         except RefusalError as exc:
-            await self._fail(exc, request_id, exchange, arrived_at, send)
+            await self._fail(exc, arrival, exchange, send)
             return
         except Exception as exc:  # noqa: BLE001
             # Even after a bug in this program the caller gets an answer.
-            logger.bind(event="fault", request=request_id).exception(
-                "request {} failed with an unexpected error", request_id
+            logger.bind(event="fault", request=arrival.request_id).exception(
+                "request {} failed with an unexpected error", arrival.request_id
             )
             failure = RefusalError(
                 reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN, repr(exc)
             )
-            await self._fail(failure, request_id, exchange, arrived_at, send)
+            await self._fail(failure, arrival, exchange, send)
             return
         if exchange is not None:
-            self._log_request(request_id, exchange, arrived_at, None)
+            self._log_request(arrival, exchange, None)
 
     async def _fail(
         self,
         exc: RefusalError,
-        request_id: str,
+        arrival: _Arrival,
         exchange: Exchange | None,
-        arrived_at: float,
         send: Send,
     ) -> None:
         """Refuses a request, or cuts off its answer if that has started.
@@ -111,9 +140,9 @@
         """
         if exchange is not None and exchange.started:
             exchange.outcome = f"cut_{exc.reason.code}"
-            self._log_request(request_id, exchange, arrived_at, exc)
+            self._log_request(arrival, exchange, exc)
             raise CutError(str(exc)) from exc
-        await self._refuse(exc, request_id, exchange, arrived_at, send)
+        await self._refuse(exc, arrival, exchange, send)
 
     def _decode(self, scope: dict) -> CallerRequest:
         target = scope["raw_path"]
@@ -258,9 +287,8 @@
     async def _refuse(
         self,
         exc: RefusalError,
-        request_id: str,
+        arrival: _Arrival,
         exchange: Exchange | None,
-        arrived_at: float,
         send: Send,
     ) -> None:
         retry_after_s = exc.retry_after_s
@@ -271,23 +299,27 @@
             )
         if exchange is not None:
             exchange.outcome = exc.reason.code
-        self._log_request(request_id, exchange, arrived_at, exc)
-        headers = self._protocol.refusal_headers(request_id, retry_after_s)
+        self._log_request(arrival, exchange, exc)
+        headers = self._protocol.refusal_headers(
+            arrival.request_id, retry_after_s
+        )
         await send_refusal(send, exc, headers, close=self._state.leaving)
 
     def _log_request(
         self,
-        request_id: str,
+        arrival: _Arrival,
         exchange: Exchange | None,
-        arrived_at: float,
         exc: RefusalError | None,
     ) -> None:
-        elapsed_s = self._state.clock() - arrived_at
+        request_id = arrival.request_id
+        elapsed_s = self._state.clock() - arrival.at
         fields: dict[str, object] = {
             "event": "request",
             "request": request_id,
             "took_s": round(elapsed_s, 4),
         }
+        if arrival.idle_s is not None:
+            fields["idle_s"] = round(arrival.idle_s, 3)
         route = UNKNOWN_ROUTE_LABEL
         outcome = exc.reason.code if exc else ""
         if exchange is not None:
@@ -300,7 +332,7 @@
                 exchange.target_at - self._state.clock(), 3
             )
             if exchange.first_event_at >= 0:
-                first_event_after_s = exchange.first_event_at - arrived_at
+                first_event_after_s = exchange.first_event_at - arrival.at
                 fields["first_event_s"] = round(first_event_after_s, 4)
                 self._metrics.first_event_s.observe(first_event_after_s, route)
         if exc is not None:
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -22,9 +22,10 @@
     Attributes:
         outcome: How it ended, for the log and the metrics.
         failed: Whether selectors should avoid the upstream for a time.
+        progress_at: When the upstream last sent bytes, or None before that.
     """
 
-    __slots__ = ("outcome", "failed")
+    __slots__ = ("outcome", "failed", "progress_at")
 
     def __init__(self, *, failed: bool = False) -> None:
         """Sets the result of an attempt that is cancelled.
@@ -34,6 +35,7 @@
         """
         self.outcome = CANCELLED
         self.failed = failed
+        self.progress_at: float | None = None
 
 
 @contextmanager
@@ -84,12 +86,17 @@
         ) from exc
     finally:
         metrics.attempts.inc(exchange.pool, attempt.outcome)
+        now = state.clock()
+        progress_at = started_at
+        if attempt.progress_at is not None:
+            progress_at = attempt.progress_at
         logger.bind(
             event="attempt",
             request=exchange.req.request_id,
             upstream=upstream.name,
             outcome=attempt.outcome,
-            took_s=round(state.clock() - started_at, 4),
+            took_s=round(now - started_at, 4),
+            silent_s=round(now - progress_at, 4),
             left_s=round(remaining_s, 3),
             **fields,
         ).info(
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -170,7 +170,21 @@
         """Applies the document's idle timeout to callers' connections."""
         while True:
             doc = self.state.document
-            if doc is not None:
+            if (
+                doc is not None
+                and server_config.keep_alive_timeout != doc.limits.idle_s
+            ):
+                logger.bind(
+                    event="idle_limit",
+                    limit_s=doc.limits.idle_s,
+                    previous_s=server_config.keep_alive_timeout,
+                    document_version=doc.version,
+                ).info(
+                    "idle connections of callers are closed after {:g} s from "
+                    "now on, not after {:g} s",
+                    doc.limits.idle_s,
+                    server_config.keep_alive_timeout,
+                )
                 server_config.keep_alive_timeout = doc.limits.idle_s
             await anyio.sleep(SETTINGS_RELOAD_INTERVAL_S)
 
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -365,6 +365,7 @@
                         exchange,
                         upstream,
                         answer,
+                        attempt,
                         splitter,
                         unread_prompt,
                         may_resume,
@@ -415,6 +416,7 @@
         exchange: Exchange,
         upstream: ListedUpstream,
         answer: Answer,
+        attempt: Attempt,
         splitter: EventSplitter,
         unread_prompt: "_UnreadPrompt",
         may_resume: bool,
@@ -434,10 +436,10 @@
             chunk = await _next_chunk(chunks, timeout_s, upstream)
             if chunk is None:
                 break
+            now = attempt.progress_at = clock()
             complete_events = splitter.feed(chunk)
             if not complete_events:
                 continue
-            now = clock()
             unread_prompt.record_first_event(
                 self._state.first_event(exchange.pool), now
             )
