--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -186,3 +186,57 @@
     When a caller sends two stream requests on a connection and disconnects
     Then the log has the time for which the engine was silent
     And the log has the time for which the connection had rested
+
+  Scenario Outline: A request to a silent upstream is refused while its caller waits
+    Guards against a request that gets neither an answer nor a refusal: its
+    upstream accepts it and sends nothing, and the caller leaves before the
+    refusal (inc-lost).
+    Given a relay with the <pool> a
+    And the first upstream that is called fails with "no answer"
+    When a caller sends a <kind> request
+    Then it gets 504 and 1 upstreams got the request
+    And the verdict is "may_have_run"
+    And the refusal was sent before the caller stops waiting after <wait> ms
+
+    Examples:
+      | pool            | kind   | wait |
+      | plain upstreams | unsafe | 1000 |
+      | engines         | stream | 5200 |
+
+  Scenario: A resumable stream whose engine sends no head goes on at another one
+    Guards against a wait for the head of an answer that only the caller's
+    disconnect ends, though the stream may be continued elsewhere (inc-lost).
+    Given a relay with the engines a, b
+    And the first upstream that is called fails with "no answer"
+    And the next engine sends the events 1 to 3 and ends
+    When a caller sends a resume request
+    Then it gets the events 1 to 3 and the end
+    And the refusal was sent before the caller stops waiting after 5200 ms
+
+  Scenario Outline: A silent engine keeps a stream that no other one may continue
+    Guards against a stream that is cut off since its engine is silent for a
+    second, though nobody else continues it and the engine goes on (inc-lost).
+    Given a relay with the engines <engines>
+    And the retry budget of the engines is <budget>
+    And the engine sends the events 1 to 2, is silent for <silent> s, and ends with event 3
+    When a caller sends a <kind> request
+    Then it gets the events 1 to 3 and the end
+    And 1 upstreams got the request
+
+    Examples:
+      | engines | budget  | silent | kind   |
+      | a, b    | used up | 1.2    | resume |
+      | a, b    | free    | 1.2    | resume |
+      | a, b    | used up | 4.0    | resume |
+      | a, b    | free    | 4.0    | stream |
+
+  Scenario: A stream goes to a third engine if the second one refuses it
+    Guards against a stream that is cut off since the engine that should
+    continue it is full and ran nothing, though another engine is free
+    (inc-lost).
+    Given a relay with the engines a, b, c
+    And the engine sends the events 1 to 2 and is cut off
+    And the next engine refuses the request as full
+    And the next engine sends the events 3 to 5 and ends
+    When a caller sends a resume request
+    Then it gets the events 1 to 5 and the end
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -161,6 +161,35 @@
     context.script.append((200, SIGNED, chunks))
 
 
+@given(
+    "the engine sends the events {first:d} to {last:d}, is silent for "
+    "{silent:f} s, and ends with event {end:d}"
+)
+def given_silence(context, first, last, silent, end):
+    chunks = [*events(first, last), silent, *events(end, end)]
+    context.script.append((200, SIGNED, chunks))
+
+
+@given("the next engine refuses the request as full")
+def given_next_full(context):
+    context.script.append(FAILURES["503 not executed"])
+
+
+@given("the retry budget of the engines is free")
+def given_budget_free(context):
+    del context
+
+
+@given("the retry budget of the engines is used up")
+def given_budget_used(context):
+    def use_up():
+        state = context.world.instances["one"].state
+        while state.attempt_window("engines").try_acquire(state.clock(), 1):
+            pass
+
+    context.preparations.append(use_up)
+
+
 def send_requests(context, kind, count=1, **options):
     """Starts an instance, prepares it and sends requests one by one."""
 
@@ -300,6 +329,13 @@
     assert context.reply.status is None
 
 
+@then("the refusal was sent before the caller stops waiting after {ms:d} ms")
+def then_in_time(context, ms):
+    # The refusal has to reach the caller, who has waited since it sent the
+    # request; the platform's clients are up to 3 ms away.
+    assert context.took_s < ms / 1e3 - 0.006, context.took_s
+
+
 @then("each upstream got a deadline of at most {ms:d} ms")
 def then_deadlines(context, ms):
     deadlines_ms = [
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -73,7 +73,8 @@
         for element in feature.get("elements", ()):
             if element.get("type") == "background":
                 continue
-            name = f"{run.path}: {element['name']}"
+            # behave ends the name of a row of examples with a space.
+            name = f"{run.path}: {element['name'].strip()}"
             if element.get("status") == "passed":
                 run.passed.append(name)
             else:
