Refuse a request while its caller still waits

Callers saw: neither an answer nor a refusal, when their upstream accepted the request and sent nothing.

Cause: the only bound of the wait for an answer was the caller's deadline. A caller of a stream leaves earlier (the longest of 2 s, four latency targets and eight event gaps), and a refusal sent at the deadline arrives after it, since the caller counts from when it sent the request.

Change: the time of the last refusal, Exchange.refuse_at, is the end of the caller's wait less 5% of it, 0.25 s at most. An answer that has started is not bound by it. The verdict stays may_have_run.

Test: both rows of 'A request to a silent upstream is refused while its caller waits' failed before; a guard removes the caller's wait.

--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -243,7 +243,8 @@
     async def _forward(self, exchange: Exchange, receive: Receive) -> None:
         """Forwards a request to the upstreams of its pool.
 
-        Stops when the caller disconnects or the deadline passes.
+        Stops when the caller disconnects, when its deadline passes, or when
+        it would leave without an answer.
 
         Raises:
             RefusalError: The request gets a refusal instead of an answer.
@@ -252,6 +253,7 @@
         disconnected = False
         timed_out = False
         failure: RefusalError | None = None
+        clock = self._state.clock
 
         async with anyio.create_task_group() as tasks:
 
@@ -265,17 +267,23 @@
                             tasks.cancel_scope.cancel()
                         return
 
+            async def watch_time() -> None:
+                nonlocal timed_out
+                await anyio.sleep(max(0.0, exchange.refuse_at - clock()))
+                if exchange.started:
+                    await anyio.sleep(max(0.0, exchange.deadline_at - clock()))
+                timed_out = True
+                tasks.cancel_scope.cancel()
+
             tasks.start_soon(watch_caller)
-            remaining_s = exchange.deadline_at - self._state.clock()
-            with anyio.move_on_after(max(0.0, remaining_s)) as deadline_scope:
-                try:
-                    if exchange.route.kind is RouteKind.STREAMING:
-                        await self._streams.forward(exchange)
-                    else:
-                        await self._plain.forward(exchange)
-                except RefusalError as exc:
-                    failure = exc
-            timed_out = deadline_scope.cancelled_caught
+            tasks.start_soon(watch_time)
+            try:
+                if exchange.route.kind is RouteKind.STREAMING:
+                    await self._streams.forward(exchange)
+                else:
+                    await self._plain.forward(exchange)
+            except RefusalError as exc:
+                failure = exc
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -6,7 +6,12 @@
 import orjson
 
 from applespring.core.errors import RefusalError
-from applespring.core.route import ClientAccount, Route, RoutingDocument
+from applespring.core.route import (
+    ClientAccount,
+    Route,
+    RouteKind,
+    RoutingDocument,
+)
 from applespring.relay.protocol import CallerRequest
 
 Send = Callable[[dict], Awaitable[None]]
@@ -21,6 +26,11 @@
 EVENT_WAIT_MIN_S = 2.0
 EVENT_WAIT_TARGETS = 4.0
 EVENT_WAIT_GAPS = 8.0
+# A refusal is sent this share of the caller's wait before its end, at most this
+# time, so that it arrives while the caller still reads. The wait counts from
+# when the caller sent the request, which is up to 0.2 s before it was read.
+REFUSAL_MARGIN_SHARE = 0.05
+REFUSAL_MARGIN_MAX_S = 0.25
 # Route priorities are 0 to 9.
 ROUTE_PRIORITY_COUNT = 10
 
@@ -107,6 +117,15 @@
         """When the caller of a stream disconnects if it got no event."""
         return min(self.deadline_at, self.arrived_at + self.event_wait_s)
 
+    @property
+    def refuse_at(self) -> float:
+        """Latest time for a refusal that the caller still receives."""
+        waits_until = self.deadline_at
+        if self.route.kind is RouteKind.STREAMING:
+            waits_until = self.leaves_at
+        margin_s = REFUSAL_MARGIN_SHARE * (waits_until - self.arrived_at)
+        return waits_until - min(REFUSAL_MARGIN_MAX_S, margin_s)
+
     @property
     def account_name(self) -> str:
         """Name of the client account, sent to upstreams; "" without one."""
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -254,4 +254,11 @@
             "one of a failed engine, is not fetched -- @1.2",
         ),
     ),
+    Guard(
+        "relay: refusal before the caller leaves",
+        "relay/exchange.py",
+        "            waits_until = self.leaves_at\n",
+        "            pass\n",
+        (FORWARD, "A request to a silent upstream is refused"),
+    ),
 )
