Continue a started stream after an engine refused it

Callers saw: a stream of a resumable route cut off after some events.

Cause: an engine that refuses a request as not run was passed over only before the first event. After it, the refusal of the engine that should continue the stream ended the answer. Evidence: the scenario 'A stream goes to a third engine if the second one refuses it' got the events 1 to 2 and no end.

Change: a refusal as not run costs no attempt and another engine is asked, also after the start, within the retry budget, the deadline and the bound of engines that are tried. The test failed before; a guard restores the cause.

--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -160,7 +160,7 @@
                 tried.pop()
                 continue
             except StageError as exc:
-                if exc.verdict is Verdict.NOT_RUN and not exchange.started:
+                if exc.verdict is Verdict.NOT_RUN:
                     if (
                         remaining_s < ATTEMPT_REMAINING_MIN_S
                         or not self._may_add_attempt(window, exc)
@@ -172,8 +172,7 @@
                             exc.retry_after_s,
                         ) from exc
                     continue
-                if exc.verdict is not Verdict.NOT_RUN:
-                    attempts += 1
+                attempts += 1
                 if (
                     not may_resume
                     or exchange.deadline_at - clock() < ATTEMPT_REMAINING_MIN_S
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -261,4 +261,11 @@
         "            pass\n",
         (FORWARD, "A request to a silent upstream is refused"),
     ),
+    Guard(
+        "relay: third engine after a refusal by the second one",
+        "relay/streams.py",
+        "if exc.verdict is Verdict.NOT_RUN:",
+        "if exc.verdict is Verdict.NOT_RUN and not exchange.started:",
+        (FORWARD, "A stream goes to a third engine"),
+    ),
 )
