Keep a silent engine until another one may continue its stream

Callers saw: a stream of a resumable route cut off, though its engine was sound and went on after a second.

Cause: after 1 s without an event the attempt was ended first, and only then was it decided whether another engine may continue. Without retry budget, time or another engine the answer was cut off.

Change: relay/silence.py watches the progress of an attempt. After 2 s, or half of the time for which the caller waits for an event, it takes the retry from the budget and only then ends the attempt; until that is possible the engine keeps the stream. A silence of a second is no reason to resume any more.

Tests failed before; two guards. 'A stream without new events is resumed' holds with its checks unchanged. Its guard removed a line that is gone, and removes the decision of the new module instead.

--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -1,7 +1,8 @@
 """Forwards streams of server-sent events from engines to callers."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from contextlib import nullcontext
+from functools import partial
 
 import anyio
 from loguru import logger
@@ -26,12 +27,14 @@
     connection_share,
 )
 from applespring.relay.protocol import Protocol
+from applespring.relay.silence import (
+    EngineSilentError,
+    run_until_silent,
+    silence_limit_s,
+)
 from applespring.relay.stage_submitter import StageRun, StageSubmitter
 from applespring.relay.state import RelayState
 
-# A resumable stream that brings no event for this time is resumed at another
-# engine. Callers disconnect after two seconds without an event.
-EVENT_TIMEOUT_S = 1.0
 # Least time before the deadline at which another attempt is started.
 ATTEMPT_REMAINING_MIN_S = 0.2
 # Retry-After of a refusal for which no engine named a time.
@@ -143,17 +146,30 @@
                 ready, upstream, subject=prefix_name, parts=parts, now=now
             )
             may_resume = route.resumable and attempts + 1 < route.attempts_max
+            attempt = Attempt()
+            call = partial(
+                self._attempt,
+                exchange,
+                run,
+                upstream,
+                source_engine,
+                run.chain.final_handles(),
+                splitter,
+                parts,
+                attempt,
+            )
             try:
-                await self._attempt(
-                    exchange,
-                    run,
-                    upstream,
-                    source_engine,
-                    run.chain.final_handles(),
-                    splitter,
-                    parts,
-                    may_resume,
-                )
+                if may_resume:
+                    await run_until_silent(
+                        call,
+                        attempt,
+                        upstream.name,
+                        partial(self._silence_limit_s, exchange, attempt),
+                        partial(self._may_replace, exchange, upstream.name),
+                        clock,
+                    )
+                else:
+                    await call()
                 return
             except _InputsLostError as exc:
                 await self._repeat_stages(exchange, run, window, exc, attempts)
@@ -173,11 +189,14 @@
                         ) from exc
                     continue
                 attempts += 1
-                if (
-                    not may_resume
-                    or exchange.deadline_at - clock() < ATTEMPT_REMAINING_MIN_S
-                    or not window.try_acquire(clock(), self._instance_count())
-                ):
+                # The retry after a silence was taken before its attempt ended.
+                may_continue = isinstance(exc, EngineSilentError) or (
+                    may_resume
+                    and exchange.deadline_at - clock()
+                    >= ATTEMPT_REMAINING_MIN_S
+                    and window.try_acquire(clock(), self._instance_count())
+                )
+                if not may_continue:
                     raise RefusalError(
                         reason.UPSTREAM_FAILED,
                         Verdict.MAY_HAVE_RUN,
@@ -196,6 +215,29 @@
                 )
                 await anyio.sleep(SWITCH_DELAY_S)
 
+    def _silence_limit_s(self, exchange: Exchange, attempt: Attempt) -> float:
+        """Returns how long the engine of a resumable stream may be silent."""
+        if attempt.progress_at is None:
+            return exchange.deadline_at - exchange.arrived_at
+        return silence_limit_s(exchange.event_wait_s)
+
+    def _may_replace(self, exchange: Exchange, engine: str) -> bool:
+        """Returns whether another engine may continue a stream now.
+
+        If so, the retry for it is taken from the budget.
+        """
+        now = self._state.clock()
+        return (
+            exchange.deadline_at - now >= ATTEMPT_REMAINING_MIN_S
+            and any(
+                upstream.name != engine
+                for upstream in self._state.usable_upstreams(exchange.pool)
+            )
+            and self._state.attempt_window(exchange.pool).try_acquire(
+                now, self._instance_count()
+            )
+        )
+
     async def _repeat_stages(
         self,
         exchange: Exchange,
@@ -272,7 +314,7 @@
         inputs: Sequence[str],
         splitter: EventSplitter,
         parts: Sequence[tuple[str, int]],
-        may_resume: bool,
+        attempt: Attempt,
     ) -> None:
         """Forwards the answer of one engine, up to its end.
 
@@ -286,7 +328,7 @@
             splitter: Splitter of the stream, which has the id of the last event
                 sent to the caller.
             parts: Parts of the prompt with their tokens, in order.
-            may_resume: Whether another engine may resume the stream.
+            attempt: Receives the progress and the result.
 
         Raises:
             StageError: No stream arrived, or it ended early.
@@ -313,7 +355,6 @@
         )
         pool = exchange.document.pools.get(exchange.pool)
         unread_prompt = _UnreadPrompt(unread_tokens, started_at)
-        attempt = Attempt()
         result_release = nullcontext()
         if not exchange.route.resumable:
             result_release = self._submitter.release_after_fetch(run)
@@ -367,7 +408,6 @@
                         attempt,
                         splitter,
                         unread_prompt,
-                        may_resume,
                     )
                     attempt.outcome = "done"
         finally:
@@ -418,23 +458,14 @@
         attempt: Attempt,
         splitter: EventSplitter,
         unread_prompt: "_UnreadPrompt",
-        may_resume: bool,
     ) -> None:
         """Sends on complete events as they arrive, up to the end.
 
         Raises:
-            StageError: No event arrived in time, or the stream ended inside an
-                event.
+            StageError: The stream ended inside an event.
         """
         clock, engines = self._state.clock, self._state.engines
-        chunks = answer.chunks()
-        while True:
-            timeout_s = exchange.deadline_at - clock()
-            if may_resume:
-                timeout_s = min(timeout_s, EVENT_TIMEOUT_S)
-            chunk = await _next_chunk(chunks, timeout_s, upstream)
-            if chunk is None:
-                break
+        async for chunk in answer.chunks():
             now = attempt.progress_at = clock()
             complete_events = splitter.feed(chunk)
             if not complete_events:
@@ -492,27 +523,6 @@
             self._unread_tokens = 0
 
 
-async def _next_chunk(
-    chunks: AsyncIterator[bytes], timeout_s: float, upstream: ListedUpstream
-) -> bytes | None:
-    """Returns the next bytes of a body, or None at its end.
-
-    Raises:
-        StageError: No bytes arrived within `timeout_s`.
-    """
-    with anyio.move_on_after(max(0.0, timeout_s)):
-        try:
-            return await anext(chunks)
-        except StopAsyncIteration:
-            return None
-    raise StageError(
-        FailureKind.TIMEOUT,
-        Verdict.MAY_HAVE_RUN,
-        upstream.name,
-        f"no event in {timeout_s:.2f} s",
-    )
-
-
 def _make_refusal(
     refusal_reason: reason.Reason,
     attempts: int,
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -38,11 +38,18 @@
     ),
     Guard(
         "relay: time-out of a stream without new events",
-        "relay/streams.py",
-        "timeout_s = min(timeout_s, EVENT_TIMEOUT_S)",
-        "pass",
+        "relay/silence.py",
+        "elif may_replace():",
+        "elif False:",
         (FORWARD, "A stream without new events"),
     ),
+    Guard(
+        "relay: a silent engine keeps a stream that no other one may continue",
+        "relay/silence.py",
+        "elif may_replace():",
+        "elif may_replace() or True:",
+        (FORWARD, "A silent engine keeps a stream"),
+    ),
     Guard(
         "relay: cancel when the caller disconnects",
         "relay/application.py",
