Continue a resumable stream elsewhere when its engine sends no head

Cause: the bound of silence counted only after the head of the answer had arrived. An engine that accepts a request and never answers kept it until the caller left.

Change: the silence counts from the request. Before the first bytes its bound is at least twice the measured time in which nine in ten requests of the pool get a first event, so that a busy engine is not given up; the stream moves only if a first event is likely before the caller leaves.

Test: 'A resumable stream whose engine sends no head goes on at another one' failed before; a guard removes the bound.

--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -37,6 +37,9 @@
 
 # Least time before the deadline at which another attempt is started.
 ATTEMPT_REMAINING_MIN_S = 0.2
+# An engine that has sent nothing for this multiple of the time in which most
+# engines of its pool send a first event is silent.
+FIRST_EVENT_RUNS = 2.0
 # Retry-After of a refusal for which no engine named a time.
 RETRY_AFTER_S = 0.3
 # Delay before a stream is resumed, so that the previous engine notices that its
@@ -217,9 +220,11 @@
 
     def _silence_limit_s(self, exchange: Exchange, attempt: Attempt) -> float:
         """Returns how long the engine of a resumable stream may be silent."""
+        limit_s = silence_limit_s(exchange.event_wait_s)
         if attempt.progress_at is None:
-            return exchange.deadline_at - exchange.arrived_at
-        return silence_limit_s(exchange.event_wait_s)
+            run_s = self._state.first_event(exchange.pool).run_s
+            return max(limit_s, FIRST_EVENT_RUNS * run_s)
+        return limit_s
 
     def _may_replace(self, exchange: Exchange, engine: str) -> bool:
         """Returns whether another engine may continue a stream now.
@@ -227,8 +232,12 @@
         If so, the retry for it is taken from the budget.
         """
         now = self._state.clock()
+        ends_at, needed_s = exchange.deadline_at, ATTEMPT_REMAINING_MIN_S
+        if not exchange.started:
+            ends_at = exchange.refuse_at
+            needed_s = self._state.first_event(exchange.pool).run_s
         return (
-            exchange.deadline_at - now >= ATTEMPT_REMAINING_MIN_S
+            ends_at - now >= needed_s
             and any(
                 upstream.name != engine
                 for upstream in self._state.usable_upstreams(exchange.pool)
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -275,4 +275,11 @@
         "if exc.verdict is Verdict.NOT_RUN and not exchange.started:",
         (FORWARD, "A stream goes to a third engine"),
     ),
+    Guard(
+        "relay: another engine instead of one that sends no head",
+        "relay/streams.py",
+        "            return max(limit_s, FIRST_EVENT_RUNS * run_s)\n",
+        "            return exchange.deadline_at - exchange.arrived_at\n",
+        (FORWARD, "A resumable stream whose engine sends no head"),
+    ),
 )
