Hold callers' connections for the time that answers state

Cause: a resting connection is closed by a timer that has the document's idle limit from when it began to rest (5 s before the first document was applied, which was polled each second), without any margin, and callers were told nothing.

Change: each answer states the time for which its connection may rest (Keep-Alive), and the server holds it 2 s longer. The time follows the document when it is accepted; a stated time outlives its document for as long as its answers may take. core/idle_limit.py decides, and needs no I/O.

--- a/features/relay_connections.feature
+++ b/features/relay_connections.feature
@@ -18,3 +18,12 @@
       | 2     | 20     |
       | 2     | 2      |
       | 20    | 2      |
+      | 10    | 10     |
+
+  Scenario: A limit that an answer in progress states still holds
+    Guards against a connection that is closed before the time that the head of
+    its answer stated, since the limit was lowered before the answer ended.
+    Given an idle limit of 20 s that is replaced by 2 s while answers take 12 s
+    Then a connection that rests from 11 s on stays open for over 20 s
+    And a connection that rests from 12 s on stays open for over 2 s
+    And the answers state 2 s
--- a/features/steps/relay_connection_steps.py
+++ b/features/steps/relay_connection_steps.py
@@ -6,6 +6,7 @@
 import h11
 from behave import given, then, when
 
+from applespring.core.idle_limit import HOLD_MARGIN_S, IdleLimit
 from applespring.platform.wire import PlatformProtocol
 from applespring.relay.compose import RelayInstance
 from applespring.relay.log import LogWriter
@@ -151,3 +152,24 @@
     finally:
         context.ports.close()
     assert context.caller.status is not None
+
+
+@given(
+    "an idle limit of {first:d} s that is replaced by {second:d} s while "
+    "answers take {answer:d} s"
+)
+def given_replaced(context, first, second, answer):
+    context.idle_limit = IdleLimit(float(first))
+    context.idle_limit.replace(float(second), float(answer), 0.0)
+
+
+@then(
+    "a connection that rests from {now:d} s on stays open for over {held:d} s"
+)
+def then_held(context, now, held):
+    assert context.idle_limit.held_s(float(now)) == held + HOLD_MARGIN_S
+
+
+@then("the answers state {seconds:d} s")
+def then_stated(context, seconds):
+    assert context.idle_limit.stated_s == seconds
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -212,7 +212,7 @@
             client_account,
             arrived_at,
             send,
-            lambda: self._state.leaving,
+            lambda: self._state.connection_header,
         )
 
     def _find_client_account(
@@ -311,7 +311,8 @@
         headers = self._protocol.refusal_headers(
             arrival.request_id, retry_after_s
         )
-        await send_refusal(send, exc, headers, close=self._state.leaving)
+        headers.append(self._state.connection_header)
+        await send_refusal(send, exc, headers)
 
     def _log_request(
         self,
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -27,6 +27,7 @@
 from applespring.relay.protocol import Protocol
 from applespring.relay.registry import Registry
 from applespring.relay.settings import RelaySettings
+from applespring.relay.state import RelayState
 
 BACKLOG = 512
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
@@ -105,7 +106,9 @@
             await tasks.start(self._components.run)
             tasks.start_soon(self._watch_settings)
             server_stopped = anyio.Event()
-            server_config = make_server_config(settings.caller_address)
+            server_config = make_server_config(
+                settings.caller_address, CallerServerConfig(self.state)
+            )
 
             async def serve_callers() -> None:
                 await hypercorn.asyncio.serve(
@@ -122,7 +125,6 @@
             tasks.start_soon(
                 self._serve_text, settings.metrics_address, self._metrics_text
             )
-            tasks.start_soon(self._apply_idle_timeout, server_config)
             with anyio.open_signal_receiver(
                 signal.SIGTERM, signal.SIGINT, signal.SIGHUP
             ) as signals:
@@ -166,28 +168,6 @@
         self._components.metrics.gauges.replace(gauges)
         return 200, self._components.metrics.render()
 
-    async def _apply_idle_timeout(self, server_config: Config) -> None:
-        """Applies the document's idle timeout to callers' connections."""
-        while True:
-            doc = self.state.document
-            if (
-                doc is not None
-                and server_config.keep_alive_timeout != doc.limits.idle_s
-            ):
-                logger.bind(
-                    event="idle_limit",
-                    limit_s=doc.limits.idle_s,
-                    previous_s=server_config.keep_alive_timeout,
-                    document_version=doc.version,
-                ).info(
-                    "idle connections of callers are closed after {:g} s from "
-                    "now on, not after {:g} s",
-                    doc.limits.idle_s,
-                    server_config.keep_alive_timeout,
-                )
-                server_config.keep_alive_timeout = doc.limits.idle_s
-            await anyio.sleep(SETTINGS_RELOAD_INTERVAL_S)
-
     async def _watch_settings(self) -> None:
         """Reloads the settings; of them, changed seeds are applied."""
         previous = None
@@ -255,11 +235,28 @@
             return
 
 
-def make_server_config(address: str) -> Config:
+class CallerServerConfig(Config):
+    """Configuration of the server of callers.
+
+    The server reads the idle timeout when a connection begins to rest.
+    """
+
+    def __init__(self, state: RelayState) -> None:
+        super().__init__()
+        self._state = state
+
+    @property
+    def keep_alive_timeout(self) -> float:
+        """Time after which a resting connection is closed, in seconds."""
+        return self._state.idle_limit.held_s(self._state.clock())
+
+
+def make_server_config(address: str, cfg: Config | None = None) -> Config:
     """Returns the configuration of a server, with its listening socket open.
 
     Args:
         address: IP:port.
+        cfg: Configuration to complete; a new one if None.
 
     Raises:
         OSError: The address is in use or not a local one.
@@ -269,7 +266,7 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
-    cfg = Config()
+    cfg = cfg or Config()
     cfg.bind = [f"fd://{sock.detach()}"]
     cfg.backlog = BACKLOG
     cfg.loglevel = "CRITICAL"
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -15,6 +15,7 @@
 from applespring.relay.protocol import CallerRequest
 
 Send = Callable[[dict], Awaitable[None]]
+Header = tuple[bytes, bytes]
 
 # A Retry-After is at most this share of the time until the caller's deadline,
 # so that the caller still has time to retry.
@@ -72,7 +73,7 @@
         "events",
         "first_event_at",
         "_send",
-        "_should_close",
+        "_connection_header",
     )
 
     def __init__(
@@ -84,7 +85,7 @@
         client_account: ClientAccount | None,
         arrived_at: float,
         send: Send,
-        should_close: Callable[[], bool],
+        connection_header: Callable[[], Header],
     ) -> None:
         self.req = req
         self.document = document
@@ -110,7 +111,7 @@
         self.events = 0
         self.first_event_at = -1.0
         self._send = send
-        self._should_close = should_close
+        self._connection_header = connection_header
 
     @property
     def leaves_at(self) -> float:
@@ -151,12 +152,12 @@
         """
         return ROUTE_PRIORITY_COUNT * self.priority + self.route.priority
 
-    async def start(
-        self, status: int, headers: Sequence[tuple[bytes, bytes]]
-    ) -> None:
+    async def start(self, status: int, headers: Sequence[Header]) -> None:
         """Sends the head of the answer; it can't be refused after that."""
         self.started = True
-        await send_head(self._send, status, headers, close=self._should_close())
+        await send_head(
+            self._send, status, [*headers, self._connection_header()]
+        )
 
     async def send_chunk(self, data: bytes) -> None:
         """Sends a chunk of the body; more follow."""
@@ -172,35 +173,22 @@
         )
 
 
-async def send_head(
-    send: Send,
-    status: int,
-    headers: Sequence[tuple[bytes, bytes]],
-    *,
-    close: bool,
-) -> None:
+async def send_head(send: Send, status: int, headers: Sequence[Header]) -> None:
     """Sends the head of an answer of an upstream or of this instance.
 
     Args:
         send: ASGI send function.
         status: HTTP status.
         headers: Headers; ASGI demands names in lower case.
-        close: Whether the server closes the connection after the answer.
     """
     headers = [(name.lower(), value) for name, value in headers]
-    if close:
-        headers.append((b"connection", b"close"))
     await send(
         {"type": "http.response.start", "status": status, "headers": headers}
     )
 
 
 async def send_refusal(
-    send: Send,
-    exc: RefusalError,
-    headers: Sequence[tuple[bytes, bytes]],
-    *,
-    close: bool,
+    send: Send, exc: RefusalError, headers: Sequence[Header]
 ) -> None:
     """Sends a refusal as a problem document (RFC 9457)."""
     body = orjson.dumps(
@@ -213,6 +201,6 @@
         }
     )
     headers = [*headers, (b"content-length", b"%d" % len(body))]
-    await send_head(send, exc.reason.status, headers, close=close)
+    await send_head(send, exc.reason.status, headers)
     await send({"type": "http.response.body", "body": body, "more_body": False})
     await anyio.lowlevel.checkpoint()
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -5,10 +5,11 @@
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
 from applespring.core.first_event import FirstEventEstimate
+from applespring.core.idle_limit import IdleLimit
 from applespring.core.peer_table import PeerTable
 from applespring.core.queue_waits import QueueWaits
 from applespring.core.reachability import DomainReachability
-from applespring.core.route import RoutingDocument
+from applespring.core.route import CallerLimits, RoutingDocument
 from applespring.core.window import AttemptWindow
 from applespring.relay.settings import RelaySettings
 
@@ -20,6 +21,7 @@
         settings: Settings in force.
         document: The routing document in force, or None before the first.
         document_data: The encoded document, for peers.
+        idle_limit: How long callers' connections may rest.
         catalog: Upstreams, from the registry or from peers.
         registry_read_at: When the registry last answered, or -1.
         entries_revision: Revision up to which the catalog has the upstreams'
@@ -38,6 +40,7 @@
         "settings",
         "document",
         "document_data",
+        "idle_limit",
         "catalog",
         "registry_read_at",
         "entries_revision",
@@ -59,6 +62,7 @@
         self.settings = settings
         self.document: RoutingDocument | None = None
         self.document_data = b""
+        self.idle_limit = IdleLimit(CallerLimits().idle_s)
         self.catalog = Catalog()
         self.registry_read_at = -1.0
         self.entries_revision = 0
@@ -73,6 +77,30 @@
         self._attempt_windows: dict[str, AttemptWindow] = {}
         self._first_events: dict[str, FirstEventEstimate] = {}
 
+    def replace_document(self, doc: RoutingDocument, data: bytes) -> None:
+        """Puts a document in force.
+
+        Args:
+            doc: The document.
+            data: Its encoding, for peers.
+        """
+        answer_s = 0.0
+        if self.document is not None:
+            answer_s = max(
+                (route.timeout_s for route in self.document.routes),
+                default=0.0,
+            )
+        self.idle_limit.replace(doc.limits.idle_s, answer_s, self.clock())
+        self.document = doc
+        self.document_data = data
+
+    @property
+    def connection_header(self) -> tuple[bytes, bytes]:
+        """Header of answers that tells what becomes of the connection."""
+        if self.leaving:
+            return b"connection", b"close"
+        return b"keep-alive", b"timeout=%d" % self.idle_limit.stated_s
+
     def attempt_window(self, pool: str) -> AttemptWindow:
         """Returns the retry budget of a pool, created at first use."""
         window = self._attempt_windows.get(pool)
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -194,8 +194,8 @@
         if held is not None and doc.version <= held.version:
             return
         previous = self._state.document_version
-        self._state.document = doc
-        self._state.document_data = data
+        previous_limit_s = self._state.idle_limit.limit_s
+        self._state.replace_document(doc, data)
         self._metrics.state_changes.inc("document_accepted")
         logger.bind(
             event="document_accepted",
@@ -209,6 +209,17 @@
             source,
             previous,
         )
+        if doc.limits.idle_s != previous_limit_s:
+            logger.bind(
+                event="idle_limit",
+                limit_s=doc.limits.idle_s,
+                previous_s=previous_limit_s,
+                document_version=doc.version,
+            ).info(
+                "callers may leave connections idle for {:g} s, not {:g} s",
+                doc.limits.idle_s,
+                previous_limit_s,
+            )
 
     def apply_upstreams(self, upstreams: Iterable[ListedUpstream]) -> None:
         """Applies entries that are newer than those in the catalog."""
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -3,6 +3,7 @@
 from guard import Guard
 
 FORWARD = "relay_forward"
+CONNECTIONS = "relay_connections"
 STAGING = "relay_staging"
 BATCH = "relay_batch"
 DECISIONS = "relay_decisions"
@@ -282,4 +283,18 @@
         "            return exchange.deadline_at - exchange.arrived_at\n",
         (FORWARD, "A resumable stream whose engine sends no head"),
     ),
+    Guard(
+        "relay: connections stay open for the stated time",
+        "core/idle_limit.py",
+        ") + HOLD_MARGIN_S",
+        ")",
+        (CONNECTIONS, "A connection is not closed while its caller"),
+    ),
+    Guard(
+        "relay: idle limit of the document at the server",
+        "relay/compose.py",
+        "return self._state.idle_limit.held_s(self._state.clock())",
+        "return 5.0",
+        (CONNECTIONS, "A connection is not closed while its caller"),
+    ),
 )
