Let callers of the idle scenario be a round trip away

The guard of the margin went unnoticed: caller and server counted from the same moment. The caller now sends 6 ms later, as on the platform; stricter than before. Both guards of the idle limit are shown.

--- a/features/steps/relay_connection_steps.py
+++ b/features/steps/relay_connection_steps.py
@@ -21,6 +21,8 @@
 REUSE_SHARE = 0.8
 # The platform's bound for a change to be in force (`configApplyMs`).
 CONFIG_APPLY_S = 2.0
+# Way of an answer to its caller and of the next request back.
+ROUND_TRIP_S = 0.006
 WAIT_LIMIT_S = 60.0
 
 
@@ -123,7 +125,7 @@
         rest_s = REUSE_SHARE * context.idle_limit_s
         if caller.keep_alive_s is not None:
             rest_s = min(rest_s, caller.keep_alive_s)
-        await anyio.sleep(rest_s)
+        await anyio.sleep(rest_s + ROUND_TRIP_S)
         await caller.request("r2")
 
     context.actions.append(ask)
