Refuse a request whose stages do not answer while its caller waits

Seen by callers: neither an answer nor a refusal. A caller whose stage upstreams fall silent for ever waits until its deadline, or until it has got no event for the time that it allows, and leaves.

Cause: the submitter waited for results without a bound. The only bounds were the scheduler's: a queued piece is given up in time, but a call in progress ends after the larger of 1 s and three times its expected time, whatever its pieces have left. A caller with 0.9 s left, or one whose upstreams had become slow before they fell silent, had left by then.

Evidence: both examples of the new scenario fail without the change (the caller got no head before it left); they are listed as guards.

Change: the submitter ends the stages `run_s` before the caller leaves, with 503 and "not run". `run_s` is the measured time from sending a request to an engine to its first event, and already part of the deadline of each piece, so no request is refused that the scheduler would still have called.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -194,3 +194,16 @@
     Given relay instances one with 1 stage upstreams and an engine
     When the engine's entry lapses while the registry is unreachable for 1 s
     Then no state of the engine is left
+
+  Scenario Outline: Stage upstreams fall silent for ever
+    Guards against a caller that gets neither an answer nor a refusal: a stage
+    call that was not answered ended after <bound>, when the caller had left.
+    Given relay instances one with 2 stage upstreams and an engine
+    And stage upstreams that answer <answers> calls after 0.9 s, then none
+    When a caller with a deadline of <deadline> ms sends a staged request after <answers> others
+    Then it is refused with 503 as not run, 0.2 s before it leaves
+
+    Examples:
+      | answers | deadline | bound                      |
+      | 0       | 900      | its least bound of 1 s     |
+      | 8       | 12000    | three times its usual time |
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import math
 
 import anyio
 import httpx
@@ -11,6 +12,9 @@
 from features.fixtures.virtual import run_virtual
 
 RUN_LIMIT_S = 60
+# Time without an event after which the caller of a staged request leaves: four
+# times the latency target of its route.
+EVENT_WAIT_S = 5.2
 CONNECTION_CUT = httpx.RemoteProtocolError("cut")
 
 
@@ -55,6 +59,17 @@
     engine.default = (200, SIGNED, events(2, 2))
 
 
+@given(
+    "stage upstreams that answer {count:d} calls after {seconds:g} s, then none"
+)
+def given_silent_stages(context, count, seconds):
+    context.slow_answer_s = seconds
+    for name, upstream in context.world.upstreams.items():
+        if name != "engine":
+            upstream.stage_delays = [seconds] * (count // 2)
+            upstream.stage_delays += [math.inf] * 100
+
+
 def run_instances(context, actions, seconds=6.0):
     """Starts the instances and runs actions, in virtual time.
 
@@ -540,3 +555,44 @@
         state.engines.unread_prompt_tokens("engine", [("part", 100)], 0.0)
         == 100
     )
+
+
+@when(
+    "a caller with a deadline of {deadline:d} ms sends a staged request after "
+    "{count:d} others"
+)
+def when_after_others(context, deadline, count):
+    async def actions(tasks):
+        for n in range(0, count, 2):
+            for k in (n, n + 1):
+                send(context, tasks, "one", f"other{k}", "4,0")
+            await anyio.sleep(context.slow_answer_s + 0.1)
+        context.replies.clear()
+        # The longest wait of its caller, by its deadline or for an event.
+        wait_s = min(deadline / 1000, EVENT_WAIT_S)
+        context.leaves_at = anyio.current_time() + wait_s
+        send(
+            context,
+            tasks,
+            "one",
+            "r0",
+            "1,0",
+            deadline_ms=deadline,
+            disconnect_after_s=wait_s,
+        )
+
+    run_instances(context, actions)
+
+
+@then(
+    "it is refused with {status:d} as not run, {seconds:g} s before it leaves"
+)
+def then_refused_in_time(context, status, seconds):
+    (reply,) = context.replies.values()
+    assert reply.status == status and reply.ended, (reply.status, reply.body)
+    assert json.loads(reply.body)["verdict"] == "not_run", reply.body
+    assert float(reply.headers[b"retry-after"]) > 0
+    assert reply.ended_at <= context.leaves_at - seconds, (
+        reply.ended_at,
+        context.leaves_at,
+    )
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -60,6 +60,29 @@
     async def execute(self, run: StageRun) -> None:
         """Executes all stages of a request.
 
+        Ends `run.run_s` before the caller leaves, even while a call or a
+        scheduler does not answer. An engine that got the results later would
+        not send its first event in time, and the caller could not read a
+        refusal any more.
+
+        Raises:
+            RefusalError: A stage cannot be executed; the request has not run.
+        """
+        limit_s = run.leaves_at - run.run_s - self._state.clock()
+        with anyio.move_on_after(max(0.0, limit_s)):
+            await self._execute(run)
+            return
+        raise RefusalError(
+            reason.DEADLINE_UNREACHABLE,
+            Verdict.NOT_RUN,
+            f"the stages did not end within {limit_s:.2f} s, and the caller "
+            f"leaves {run.run_s:.2f} s after that",
+            retry_after_s=LATE_RETRY_AFTER_S,
+        )
+
+    async def _execute(self, run: StageRun) -> None:
+        """Executes all stages of a request, however long that takes.
+
         Raises:
             RefusalError: A stage cannot be executed; the request has not run.
         """
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -67,6 +67,14 @@
         "pass",
         (STAGING, "The scheduler of a pool is lost -- @1.1"),
     ),
+    Guard(
+        "relay: stages end before the caller leaves",
+        "relay/stage_submitter.py",
+        "with anyio.move_on_after(max(0.0, limit_s)):",
+        "if True:",
+        (STAGING, "Stage upstreams fall silent for ever -- @1.1"),
+        (STAGING, "Stage upstreams fall silent for ever -- @1.2"),
+    ),
     Guard(
         "relay: queued pieces returned",
         "relay/stage_scheduler.py",
