Go on calling stage upstreams while a submitter is silent

Seen by callers: late answers, or refusals for want of time, of requests at any instance, for up to 0.8 s after one other instance fell silent.

Cause: the loop that starts the calls of a pool told submitters of overdue pieces itself, and waited for their acknowledgement: two attempts of 0.4 s at a silent instance, in which no call of the pool started.

Evidence: the new scenario fails without the change.

Change: submitters are told in a task of their own.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -207,3 +207,10 @@
       | answers | deadline | bound                      |
       | 0       | 900      | its least bound of 1 s     |
       | 8       | 12000    | three times its usual time |
+
+  Scenario: A submitter is silent when its pieces are too late
+    Guards against calls for all callers that wait until the silent instance
+    has been told, and so against refusals for want of time.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When a submitter falls silent whose pieces become too late, and another one submits a piece just before that
+    Then the caller of the other one gets an answer within 0.8 s
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -596,3 +596,30 @@
         reply.ended_at,
         context.leaves_at,
     )
+
+
+@when(
+    "a submitter falls silent whose pieces become too late, and another one "
+    "submits a piece just before that"
+)
+def when_late_and_silent(context):
+    async def actions(tasks):
+        scheduler = find_scheduler(context)
+        silent, other = (n for n in context.names if n != scheduler)
+        # Ten calls of 0.25 s, for which there is no time.
+        send(context, tasks, silent, "late", "40,0", deadline_ms=2000)
+        await anyio.sleep(0.1)
+        context.world.network.transports[silent].resumed = anyio.Event()
+        await anyio.sleep(1.4)
+        context.sent_at = {"r0": anyio.current_time()}
+        send(context, tasks, other, "r0", "1,0")
+
+    run_instances(context, actions)
+
+
+@then("the caller of the other one gets an answer within {seconds:g} s")
+def then_answered_within(context, seconds):
+    reply = context.replies["r0"]
+    assert reply.status == 200 and reply.ended, (reply.status, reply.body)
+    took_s = reply.ended_at - context.sent_at["r0"]
+    assert took_s <= seconds, took_s
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -294,7 +294,10 @@
             queue.set_upstreams(self._state.usable_upstreams(pool))
             overdue = queue.take_overdue(now)
             if overdue:
-                await self._send_failures(overdue, PieceReply.LATE)
+                # Not awaited: a silent submitter would hold up all calls.
+                self._tasks.start_soon(
+                    self._send_failures, overdue, PieceReply.LATE
+                )
             for call in queue.next_calls(now):
                 self._tasks.start_soon(self._make_call, pool, queue, call)
             delay_s = min(
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -82,6 +82,15 @@
         "pass",
         (STAGING, "A scheduler that shuts down returns"),
     ),
+    Guard(
+        "relay: calls go on while a submitter is silent",
+        "relay/stage_scheduler.py",
+        "self._tasks.start_soon(\n"
+        "                    self._send_failures, overdue, PieceReply.LATE\n"
+        "                )",
+        "await self._send_failures(overdue, PieceReply.LATE)",
+        (STAGING, "A submitter is silent when its pieces"),
+    ),
     Guard(
         "relay: withdrawal of pieces",
         "relay/stage_scheduler.py",
