Deliver stage results to an instance that was silent for a second

Seen by callers: neither an answer nor a refusal, up to the deadline.

Cause: a scheduler sent results, and failures, twice with 0.4 s each, then released the results. Nothing else told the submitter: while heartbeats of the scheduler reach it, in a fleet of more than 17 by way of third instances, it waits for the results and submits nothing again. Two silences had the same effect in a milder form. Results that arrived after a late second were released all the same, and results whose acknowledgement was lost were sent again, answered with "unknown ticket" and released while the next stage read them.

Evidence: the new scenarios fail without the change.

Change: results are sent until they are useless, or until the heartbeats of the submitter have stopped; then the submitter submits elsewhere. It acknowledges results again whose submission is complete. A shutdown returns the queues of all pools together, within 0.8 s in total; it took that long for each pool at a silent submitter.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -212,5 +212,30 @@
     Guards against calls for all callers that wait until the silent instance
     has been told, and so against refusals for want of time.
     Given relay instances one, two, three with 1 stage upstreams and an engine
-    When a submitter falls silent whose pieces become too late, and another one submits a piece just before that
-    Then the caller of the other one gets an answer within 0.8 s
+    When a submitter falls silent whose pieces become too late, and another one submits a piece just after that
+    Then the caller of the other one gets an answer within 0.5 s
+
+  Scenario Outline: A submitter is silent when results are delivered to it
+    Guards against results that are dropped, or released at the upstream while
+    the submitter still needs them, because of a second of silence. Nothing was
+    submitted again, since heartbeats of others told the submitter that its
+    scheduler runs, and the caller got neither an answer nor a refusal.
+    Given 20 relay instances with 1 stage upstreams and an engine
+    When <fault> for 1.2 s, 0.1 s after a caller sent a staged request
+    Then every caller gets an answer
+    And each piece was made 1 times
+    And no result was released before the engine was called
+
+    Examples:
+      | fault                                        |
+      | the submitter and the scheduler are cut off  |
+      | the submitter gets no message and sends none |
+
+  Scenario: The acknowledgement of results is lost
+    Guards against a scheduler that delivers results again, is told that nobody
+    waits for them, and releases what the next stage is about to read.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When the first acknowledgement of results is lost after a caller sent a staged request
+    Then every caller gets an answer
+    And each piece was made 1 times
+    And no result was released before the engine was called
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -8,6 +8,8 @@
 import httpx
 from behave import given, then, when
 
+from applespring.peer import message
+from applespring.peer.codec import decode
 from features.fixtures.relay_world import SIGNED, RelayWorld, events
 from features.fixtures.virtual import run_virtual
 
@@ -113,8 +115,8 @@
     tasks.start_soon(send_request)
 
 
-def find_scheduler(context):
-    ranked = context.world.instances["one"].state.peer_table.rank_schedulers(
+def find_scheduler(context, name="one"):
+    ranked = context.world.instances[name].state.peer_table.rank_schedulers(
         "stage", anyio.current_time(), self_link_mbps=1000.0
     )
     return ranked[0]
@@ -600,17 +602,17 @@
 
 @when(
     "a submitter falls silent whose pieces become too late, and another one "
-    "submits a piece just before that"
+    "submits a piece just after that"
 )
 def when_late_and_silent(context):
     async def actions(tasks):
         scheduler = find_scheduler(context)
         silent, other = (n for n in context.names if n != scheduler)
-        # Ten calls of 0.25 s, for which there is no time.
-        send(context, tasks, silent, "late", "40,0", deadline_ms=2000)
+        # Six calls of 0.25 s, for which there is no time.
+        send(context, tasks, silent, "late", "24,0", deadline_ms=1250)
         await anyio.sleep(0.1)
         context.world.network.transports[silent].resumed = anyio.Event()
-        await anyio.sleep(1.4)
+        await anyio.sleep(0.85)
         context.sent_at = {"r0": anyio.current_time()}
         send(context, tasks, other, "r0", "1,0")
 
@@ -623,3 +625,87 @@
     assert reply.status == 200 and reply.ended, (reply.status, reply.body)
     took_s = reply.ended_at - context.sent_at["r0"]
     assert took_s <= seconds, took_s
+
+
+@when(
+    "the submitter and the scheduler are cut off for {seconds:g} s, "
+    "{delay:g} s after a caller sent a staged request"
+)
+def when_cut_during(context, seconds, delay):
+    def begin(submitter, scheduler):
+        context.world.network.cut([submitter], [scheduler])
+        return context.world.network.heal
+
+    silence_submitter(context, begin, seconds, delay)
+
+
+@when(
+    "the submitter gets no message and sends none for {seconds:g} s, "
+    "{delay:g} s after a caller sent a staged request"
+)
+def when_paused_during(context, seconds, delay):
+    def begin(submitter, scheduler):
+        del scheduler
+        transport = context.world.network.transports[submitter]
+        transport.resumed = anyio.Event()
+        return transport.resumed.set
+
+    silence_submitter(context, begin, seconds, delay)
+
+
+def silence_submitter(context, begin, seconds, delay):
+    """Silences the submitter of a staged request for a time.
+
+    Args:
+        context: Context of the scenario.
+        begin: Called with the names of the submitter and its scheduler;
+            returns the function that ends the silence.
+        seconds: Length of the silence.
+        delay: Time from the request to the silence.
+    """
+
+    async def actions(tasks):
+        scheduler = find_scheduler(context, context.names[0])
+        submitter = next(n for n in context.names if n != scheduler)
+        send(context, tasks, submitter, "r0", "1,2")
+        await anyio.sleep(delay)
+        end = begin(submitter, scheduler)
+        await anyio.sleep(seconds)
+        end()
+
+    run_instances(context, actions)
+
+
+@when(
+    "the first acknowledgement of results is lost after a caller sent a staged "
+    "request"
+)
+def when_acknowledgement_lost(context):
+    async def actions(tasks):
+        scheduler = find_scheduler(context)
+        submitter = next(n for n in context.names if n != scheduler)
+        transport = context.world.network.transports[submitter]
+        handle = transport._on_request
+        acknowledged = []
+
+        async def handle_and_lose(data):
+            reply = await handle(data)
+            if isinstance(decode(data), message.StageDone):
+                acknowledged.append(reply)
+                if len(acknowledged) == 1:
+                    return None
+            return reply
+
+        transport._on_request = handle_and_lose
+        send(context, tasks, submitter, "r0", "1,2")
+
+    run_instances(context, actions)
+
+
+@then("no result was released before the engine was called")
+def then_not_released_early(context):
+    called_at = min(a.at for a in engine_arrivals(context, "r0"))
+    released_at = min(
+        a.at for a in context.world.arrivals if a.target == "/stage-free"
+    )
+    assert called_at <= released_at, (called_at, released_at)
--- a/src/applespring/core/peer_table.py
+++ b/src/applespring/core/peer_table.py
@@ -214,6 +214,13 @@
             and self._has_recent_heartbeat(peer, now)
         )
 
+    def is_heard_from(self, address: str, now: float) -> bool:
+        """Whether an instance with this address sends heartbeats."""
+        return any(
+            peer.address == address and self._has_recent_heartbeat(peer, now)
+            for peer in self._peers.values()
+        )
+
     def reachable(self, now: float) -> list[Peer]:
         """Returns the live instances with recent heartbeats, not suspect."""
         return [
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -7,8 +7,9 @@
 handed over.
 """
 
+import math
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import anyio
 import httpx
@@ -39,7 +40,14 @@
 CALL_TIMEOUT_FACTOR = 3.0
 # A queue is checked at least this often, since deadlines pass without an event.
 POLL_INTERVAL_S = 0.1
+# Pause before results are sent again to an instance that did not answer,
+# doubled up to the maximum.
+DELIVERY_PAUSE_MIN_S = 0.05
+DELIVERY_PAUSE_MAX_S = 0.4
 RELEASE_TIMEOUT_S = 1.0
+# Time allowed at a shutdown for returning pieces, two attempts at a submitter
+# that does not answer.
+RETURN_TIMEOUT_S = 0.8
 REPORT_TIMEOUT_S = 0.5
 # Interval between reports of an upstream whose memory results of unknown origin
 # fill. Shorter than `UNKNOWN_RESULTS_S`, so that each report follows on the
@@ -147,17 +155,22 @@
         The submitters submit them to the next scheduler. Called when this
         instance shuts down.
         """
-        for pool, queue in self._queues.items():
-            pieces = queue.take_all()
-            if pieces:
-                logger.bind(
-                    event="queue_handed_back", pool=pool, pieces=len(pieces)
-                ).info(
-                    "queue of pool {} returned to its submitters: {} pieces",
-                    pool,
-                    len(pieces),
-                )
-                await self._send_failures(pieces, MOVED)
+        with anyio.move_on_after(RETURN_TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                for pool, queue in self._queues.items():
+                    tasks.start_soon(self._return_pieces, pool, queue)
+
+    async def _return_pieces(self, pool: str, queue: BatchQueue) -> None:
+        pieces = queue.take_all()
+        if pieces:
+            logger.bind(
+                event="queue_handed_back", pool=pool, pieces=len(pieces)
+            ).info(
+                "queue of pool {} returned to its submitters: {} pieces",
+                pool,
+                len(pieces),
+            )
+            await self._send_failures(pieces, MOVED)
 
     def _get_or_create_queue(self, pool: str) -> BatchQueue | None:
         queue = self._queues.get(pool)
@@ -440,9 +453,7 @@
             self._tasks.start_soon(
                 self._refresh_free_memory, pool, queue, call.upstream
             )
-        results_by_submission: dict[
-            tuple[str, int], list[message.PieceResult]
-        ] = {}
+        results: list[tuple[Piece, message.PieceResult]] = []
         for piece, reply in zip(call.pieces, replies, strict=True):
             if reply.handle in unneeded_set:
                 continue
@@ -454,22 +465,18 @@
                 self._metrics.piece_failures.inc(pool, reply.failure)
                 if queue.requeue(piece, call, now):
                     continue
-            key = (piece.origin.address, piece.origin.submission_number)
-            results_by_submission.setdefault(key, []).append(
-                message.PieceResult(
-                    segment=piece.segment,
-                    handle=reply.handle,
-                    failure=reply.failure,
-                    failure_domain=call.upstream.failure_domain,
-                )
+            result = message.PieceResult(
+                segment=piece.segment,
+                handle=reply.handle,
+                failure=reply.failure,
+                failure_domain=call.upstream.failure_domain,
             )
+            results.append((piece, result))
         if unneeded:
             self.release(pool, unneeded)
         async with anyio.create_task_group() as tasks:
-            for (address, number), results in results_by_submission.items():
-                tasks.start_soon(
-                    self._send_results, pool, address, number, results
-                )
+            for delivery in _group_by_submission(results):
+                tasks.start_soon(self._deliver, pool, delivery)
 
     async def _follow_free_memory(
         self, pool: str, queue: BatchQueue, upstream: ListedUpstream
@@ -526,41 +533,48 @@
     async def _send_failures(
         self, pieces: Sequence[Piece], failure: str
     ) -> None:
-        results_by_submission: dict[
-            tuple[str, int], list[message.PieceResult]
-        ] = {}
-        for piece in pieces:
-            key = (piece.origin.address, piece.origin.submission_number)
-            results_by_submission.setdefault(key, []).append(
-                message.PieceResult(segment=piece.segment, failure=failure)
-            )
+        results = [
+            (piece, message.PieceResult(segment=piece.segment, failure=failure))
+            for piece in pieces
+        ]
         async with anyio.create_task_group() as tasks:
-            for (address, number), results in results_by_submission.items():
-                tasks.start_soon(
-                    self._send_results, "", address, number, results
-                )
+            for delivery in _group_by_submission(results):
+                tasks.start_soon(self._deliver, "", delivery)
 
-    async def _send_results(
-        self,
-        pool: str,
-        address: str,
-        submission_number: int,
-        results: Sequence[message.PieceResult],
-    ) -> None:
+    async def _deliver(self, pool: str, delivery: "_Delivery") -> None:
+        """Sends results to the instance that submitted their pieces.
+
+        An instance that does not answer may only be silent for a moment, and
+        nothing else would tell it of the results. They are sent until they are
+        useless, or until no heartbeat of the instance arrives any more; it then
+        submits the pieces elsewhere.
+        """
+        address, results = delivery.address, delivery.results
         done = message.StageDone(
-            ticket=submission_number,
-            results=tuple(results),
+            ticket=delivery.submission_number, results=tuple(results)
         )
-        for _ in range(2):
+        pause_s = DELIVERY_PAUSE_MIN_S
+        while True:
             try:
                 reply = await self._peers.request(address, done)
             except ApplespringError as exc:
-                logger.bind(event="delivery_failed", peer=address).warning(
+                now = self._state.clock()
+                given_up = now >= delivery.until or not (
+                    address == self._peers.address
+                    or self._peers.table.is_heard_from(address, now)
+                )
+                logger.bind(
+                    event="delivery_failed", peer=address, given_up=given_up
+                ).warning(
                     "{} results were not delivered to {}: {}",
                     len(results),
                     address,
                     exc,
                 )
+                if given_up:
+                    break
+                await anyio.sleep(pause_s)
+                pause_s = min(DELIVERY_PAUSE_MAX_S, 2 * pause_s)
                 continue
             if isinstance(reply, message.Ack) and reply.accepted:
                 return
@@ -568,3 +582,36 @@
         handles = [r.handle for r in results if r.handle]
         if handles and pool:
             self.release(pool, handles)
+
+
+class _Delivery:
+    """Results of one submission that are sent to its instance together.
+
+    Attributes:
+        address: Peer address of the instance.
+        submission_number: Number of the submission there.
+        results: The results.
+        until: When the last of them becomes useless.
+    """
+
+    __slots__ = ("address", "submission_number", "results", "until")
+
+    def __init__(self, origin: _Origin) -> None:
+        self.address = origin.address
+        self.submission_number = origin.submission_number
+        self.results: list[message.PieceResult] = []
+        self.until = -math.inf
+
+
+def _group_by_submission(
+    results: Iterable[tuple[Piece, message.PieceResult]],
+) -> list[_Delivery]:
+    """Returns what each submission of these pieces gets."""
+    deliveries: dict[_Origin, _Delivery] = {}
+    for piece, result in results:
+        delivery = deliveries.get(piece.origin)
+        if delivery is None:
+            delivery = deliveries[piece.origin] = _Delivery(piece.origin)
+        delivery.results.append(result)
+        delivery.until = max(delivery.until, piece.deadline_at)
+    return list(deliveries.values())
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -1,6 +1,7 @@
 """Executes the stages of a request by submitting pieces to schedulers."""
 
 import itertools
+from collections import OrderedDict
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 
@@ -31,6 +32,9 @@
 SCHEDULERS_MAX = 3
 # How many times the lost or failed pieces of a request are submitted again.
 RESUBMITS_MAX = 6
+# Completed submissions that are recorded. A scheduler that got no answer sends
+# results again within seconds.
+COMPLETED_MAX = 4096
 # Retry-after time of a request whose stages cannot be executed in time, or for
 # which no scheduler was found.
 LATE_RETRY_AFTER_S = 0.5
@@ -49,6 +53,8 @@
         self._peers = peers
         self._submission_numbers = itertools.count(1)
         self._submissions: dict[int, StageSubmission] = {}
+        # Numbers of submissions whose results have all come, oldest first.
+        self._completed: OrderedDict[int, None] = OrderedDict()
         self._tasks: TaskGroup | None = None
         peers.register_handler(message.StageDone, self._on_done)
 
@@ -101,7 +107,7 @@
             completed = True
         finally:
             for number in run.submission_numbers:
-                self._submissions.pop(number, None)
+                self._close_submission(number)
             if not completed:
                 self.abandon(run)
 
@@ -295,7 +301,7 @@
             submission = self._submissions.get(number)
             if submission is None or not submission.missing:
                 numbers.discard(number)
-                self._submissions.pop(number, None)
+                self._close_submission(number)
                 continue
             if submission.scheduler == self._peers.name:
                 continue
@@ -319,6 +325,14 @@
                 self._withdraw(submission)
         return lost
 
+    def _close_submission(self, number: int) -> None:
+        """Ends a submission; it is recorded whether all results have come."""
+        submission = self._submissions.pop(number, None)
+        if submission is not None and not submission.missing:
+            self._completed[number] = None
+            while len(self._completed) > COMPLETED_MAX:
+                self._completed.popitem(last=False)
+
     def _withdraw(self, submission: StageSubmission) -> None:
         """Asks a scheduler that may only be slow to drop pieces.
 
@@ -445,7 +459,11 @@
     async def _on_done(self, msg: message.StageDone) -> message.Message:
         submission = self._submissions.get(msg.ticket)
         if submission is None:
-            return message.Ack(accepted=False, detail="unknown ticket")
+            # Results come again if their scheduler did not get the answer. A
+            # refusal would make it release them.
+            return message.Ack(
+                accepted=msg.ticket in self._completed, detail="unknown ticket"
+            )
         run = submission.run
         for result in msg.results:
             if result.segment not in submission.missing:
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -91,6 +91,20 @@
         "await self._send_failures(overdue, PieceReply.LATE)",
         (STAGING, "A submitter is silent when its pieces"),
     ),
+    Guard(
+        "relay: results sent again to a silent submitter",
+        "relay/stage_scheduler.py",
+        "now >= delivery.until or not (",
+        "pause_s > DELIVERY_PAUSE_MIN_S or not (",
+        (STAGING, "A submitter is silent when results .* -- @1.1"),
+    ),
+    Guard(
+        "relay: results that came before their acknowledgement was lost",
+        "relay/stage_submitter.py",
+        "accepted=msg.ticket in self._completed",
+        "accepted=False",
+        (STAGING, "The acknowledgement of results is lost"),
+    ),
     Guard(
         "relay: withdrawal of pieces",
         "relay/stage_scheduler.py",
