Wait on for a silent stage upstream when nothing may replace it

Seen by callers: 503 "the retry budget of its pool is used up", 1 s after a sound upstream fell silent for a second and went on.

Cause: a call ended after 1 s (or three times its expected time) before it was known whether its pieces may be called again.

Evidence: "A stage upstream is silent while the retry budget is used up" fails without the change: silence of 1.2 s, 503 instead of an answer.

Change: at the time-out the budget is asked first. If it denies another call, this one gets 1.5 s beyond its expected time, then fails as before. While the budget lasts nothing changes: pieces go to another upstream after 1 s.

The other new scenario passes before and after: it keeps a call that is silent for ever from being held longer than that.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -239,3 +239,22 @@
     Then every caller gets an answer
     And each piece was made 1 times
     And no result was released before the engine was called
+
+  Scenario: A stage upstream is silent while the retry budget is used up
+    Guards against a request that is refused after a second of silence of an
+    upstream which then answers.
+    Given relay instances one with 1 stage upstreams and an engine
+    And no retry budget
+    And a stage upstream that is silent for 1.2 s in its first call
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller gets an answer
+    And each piece was made 1 times
+
+  Scenario: A stage upstream stays silent while the retry budget is used up
+    Guards against a request that is held until its caller leaves, with no
+    retry in sight.
+    Given relay instances one with 1 stage upstreams and an engine
+    And no retry budget
+    And a stage upstream that is silent for 60 s in its first call
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller is refused within 2 s
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -10,7 +10,7 @@
 
 from applespring.peer import message
 from applespring.peer.codec import decode
-from features.fixtures.relay_world import SIGNED, RelayWorld, events
+from features.fixtures.relay_world import CALL_S, SIGNED, RelayWorld, events
 from features.fixtures.virtual import run_virtual
 
 RUN_LIMIT_S = 60
@@ -72,6 +72,16 @@
             upstream.stage_delays += [math.inf] * 100
 
 
+@given("no retry budget")
+def given_no_budget(context):
+    context.world.settings = {"retry_ratio": 0.0, "retry_extra": 0.0}
+
+
+@given("a stage upstream that is silent for {seconds:g} s in its first call")
+def given_silent_call(context, seconds):
+    context.world.upstreams["s0"].stage_delays = [CALL_S + seconds]
+
+
 def run_instances(context, actions, seconds=6.0):
     """Starts the instances and runs actions, in virtual time.
 
@@ -83,6 +93,7 @@
     """
 
     async def run():
+        context.started_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             for name in context.names:
                 await context.world.start(name, tasks)
@@ -709,3 +720,12 @@
         a.at for a in context.world.arrivals if a.target == "/stage-free"
     )
     assert called_at <= released_at, (called_at, released_at)
+
+
+@then("every caller is refused within {seconds:g} s")
+def then_refused_within(context, seconds):
+    for reply in context.replies.values():
+        assert reply.status == 503, (reply.status, reply.body)
+        assert json.loads(reply.body)["verdict"] == "not_run", reply.body
+        # The requests are sent 1 s after the start.
+        assert reply.ended_at <= context.started_at + 1.0 + seconds
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -38,6 +38,9 @@
 # minimum.
 CALL_TIMEOUT_MIN_S = 1.0
 CALL_TIMEOUT_FACTOR = 3.0
+# Silence after which a call ends that may not be made again. A sound upstream
+# may be silent for a second or so (the users' rules).
+SILENCE_MAX_S = 1.5
 # A queue is checked at least this often, since deadlines pass without an event.
 POLL_INTERVAL_S = 0.1
 # Pause before results are sent again to an instance that did not answer,
@@ -337,8 +340,12 @@
         )
         replies: list[PieceReply] | None = None
         refused, unreachable, failure = False, False, "timeout"
+        limit = _CallLimit()
+        self._tasks.start_soon(
+            self._end_silent_call, pool, limit, timeout_s, call.expected_s
+        )
         try:
-            with anyio.move_on_after(timeout_s):
+            with limit.call_scope:
                 async with self._client.call(
                     call.upstream, "POST", path.encode(), headers, body
                 ) as answer:
@@ -356,19 +363,21 @@
             failure = exc.kind.value
         except (httpx.HTTPError, OSError, ValueError, MessageError) as exc:
             failure = type(exc).__name__
+        finally:
+            limit.wait_scope.cancel()
         took_s = self._state.clock() - now
         if replies is None:
             self._metrics.stage_calls.inc(pool, "failed")
             log.bind(failure=failure, took_s=took_s, refused=refused).warning(
-                "stage call to upstream {} failed after {:.3f} s of at most "
-                "{:.3f} s: {}",
+                "stage call to upstream {} failed after {:.3f} s, with a "
+                "time-out of {:.3f} s: {}",
                 call.upstream.name,
                 took_s,
                 timeout_s,
                 failure,
             )
             await self._handle_failed_call(
-                pool, queue, call, refused, unreachable
+                pool, queue, call, refused, unreachable, limit.may_retry
             )
         else:
             self._metrics.stage_calls.inc(pool, "done")
@@ -382,6 +391,27 @@
             await self._handle_replies(pool, queue, call, replies)
         self._wake_events[pool].set()
 
+    async def _end_silent_call(
+        self,
+        pool: str,
+        limit: "_CallLimit",
+        timeout_s: float,
+        expected_s: float,
+    ) -> None:
+        """Cancels a call that takes too long.
+
+        If the retry budget does not allow another one, its pieces would fail,
+        and their requests be refused. The call then gets more time, in case its
+        upstream is sound and only silent.
+        """
+        with limit.wait_scope:
+            await anyio.sleep(timeout_s)
+            window = self._state.attempt_window(pool)
+            limit.may_retry = window.try_acquire(self._state.clock(), 1)
+            if not limit.may_retry:
+                await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)
+            limit.call_scope.cancel()
+
     def _record_handles(
         self, call: Call, replies: Sequence[PieceReply]
     ) -> bool:
@@ -416,12 +446,15 @@
         call: Call,
         refused: bool,
         unreachable: bool,
+        may_retry: bool | None,
     ) -> None:
         now = self._state.clock()
         # A call that was refused, or never reached its upstream, does not use
         # up the retry budget.
-        window = self._state.attempt_window(pool)
-        may_retry = refused or window.try_acquire(now, 1)
+        if refused:
+            may_retry = True
+        elif may_retry is None:
+            may_retry = self._state.attempt_window(pool).try_acquire(now, 1)
         failed = queue.fail(
             call,
             now,
@@ -584,6 +617,24 @@
             self.release(pool, handles)
 
 
+class _CallLimit:
+    """Time limit of one call.
+
+    Attributes:
+        call_scope: Scope of the call; cancelled when it takes too long.
+        wait_scope: Scope of the wait for that; cancelled when the call ends.
+        may_retry: Whether the retry budget granted another call after the
+            time-out, or None before it.
+    """
+
+    __slots__ = ("call_scope", "wait_scope", "may_retry")
+
+    def __init__(self) -> None:
+        self.call_scope = anyio.CancelScope()
+        self.wait_scope = anyio.CancelScope()
+        self.may_retry: bool | None = None
+
+
 class _Delivery:
     """Results of one submission that are sent to its instance together.
 
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -82,6 +82,20 @@
         "pass",
         (STAGING, "A scheduler that shuts down returns"),
     ),
+    Guard(
+        "relay: silent call that may not be made again goes on",
+        "relay/stage_scheduler.py",
+        "await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)",
+        "pass",
+        (STAGING, "A stage upstream is silent while the retry"),
+    ),
+    Guard(
+        "relay: silent call that may not be made again ends",
+        "relay/stage_scheduler.py",
+        "limit.call_scope.cancel()",
+        "pass",
+        (STAGING, "A stage upstream stays silent while the retry"),
+    ),
     Guard(
         "relay: calls go on while a submitter is silent",
         "relay/stage_scheduler.py",
