Read a store that takes more than a second for each answer

Seen by callers: 503 "not ready" for as long as the store is slow, from an instance that starts then without a peer that has the document.

Cause: each read timed out after 1 s, and was repeated with the same time-out. A store that answers each call after 1.2 s was never read.

Evidence: "A store that answers each read late is read all the same" fails without the change (four reads failed). The other new scenario passes before and after: it keeps a dead connection from being noticed late.

Change: a read without an answer doubles the time-out, up to 4 s; an answer sets it to twice its own time, 1 s at least.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -157,3 +157,18 @@
     Given a store at revision 12 with a configuration of version 7 and an item of another writer
     When the document is read from the store
     Then it has version 7, the watch starts at 12, and 1 call was made
+
+  Scenario: A store that answers each read late is read all the same
+    Guards against an instance that refuses every caller as not ready for as
+    long as the store is slow. Each read of it failed at the same time-out.
+    Given a store that answers each of the 3 pages of a read after 1.2 s
+    When the store is read, again after each failure, at most 4 times
+    Then the store's document has version 7
+
+  Scenario: Reads of a store that answers at once again time out early
+    Guards against connections that stopped answering for good and are noticed
+    late, because the store was slow once.
+    Given a store that answers each of the 3 pages of a read after 1.2 s
+    When the store is read, again after each failure, at most 4 times
+    And it answers at once in one read, and not at all in the next one
+    Then that read has failed after 1 s
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -2,9 +2,11 @@
 
 import base64
 import json
+import math
 import subprocess
 import sys
 
+import anyio
 import httpx
 from behave import given, then, when
 
@@ -13,7 +15,7 @@
 from applespring.platform.document import decode_document, decode_entry
 from applespring.platform.registry import PlatformRegistry
 from applespring.platform.settings import decode_settings, parse_lines
-from applespring.platform.store import Store
+from applespring.platform.store import Store, StoreError
 from applespring.platform.wire import PlatformProtocol
 from features.fixtures.platform_text import SETTINGS, make_configuration
 from features.fixtures.virtual import run_virtual
@@ -329,3 +331,85 @@
     assert reading.revision == revision
     assert reading.changes == []
     assert len(context.store_calls) == calls, context.store_calls
+
+
+class SlowStore:
+    """A store that answers each call after a time.
+
+    Attributes:
+        pages: Pages of a read, which answers the configuration on the last.
+        delay_s: Time from a call to its answer.
+    """
+
+    def __init__(self, pages, delay_s):
+        self.pages = pages
+        self.delay_s = delay_s
+
+    async def answer(self, request):
+        """Returns a page of a read.
+
+        Raises:
+            httpx.ReadTimeout: The answer takes longer than the call allows.
+        """
+        limit_s = request.extensions["timeout"]["read"]
+        await anyio.sleep(min(limit_s, self.delay_s))
+        if limit_s < self.delay_s:
+            raise httpx.ReadTimeout("no answer")
+        number = int(request.url.params.get("after", 0)) + 1
+        last = number == self.pages
+        item = {"key": str(number), "revision": 3, "value": "AAAA"}
+        if last:
+            value = base64.b64encode(make_configuration(7)).decode()
+            item = {"key": "op/config", "revision": 4, "value": value}
+        page = {"items": [item], "hasMore": not last, "at": 12}
+        return httpx.Response(200, json=page)
+
+
+@given(
+    "a store that answers each of the {pages:d} pages of a read after "
+    "{seconds:g} s"
+)
+def given_slow_store(context, pages, seconds):
+    context.store = SlowStore(pages, seconds)
+    transport = httpx.MockTransport(context.store.answer)
+    context.registry = PlatformRegistry(Store(transport, "127.0.0.1:1"))
+    context.read = None
+
+
+@when("the store is read, again after each failure, at most {count:d} times")
+def when_read_with_retries(context, count):
+    async def read():
+        for _ in range(count):
+            try:
+                context.read = await context.registry.read()
+                return
+            except StoreError:
+                await anyio.sleep(0.5)
+
+    run_virtual(read)
+
+
+@when("it answers at once in one read, and not at all in the next one")
+def when_fast_then_silent(context):
+    async def read():
+        context.store.delay_s = 0.0
+        await context.registry.read()
+        context.store.delay_s = math.inf
+        started_at = anyio.current_time()
+        try:
+            await context.registry.read()
+        except StoreError:
+            context.failed_after_s = anyio.current_time() - started_at
+
+    run_virtual(read)
+
+
+@then("the store's document has version {version:d}")
+def then_document_version(context, version):
+    assert context.read is not None, "every read failed"
+    assert decode_document(context.read.document).version == version
+
+
+@then("that read has failed after {seconds:g} s")
+def then_failed_after(context, seconds):
+    assert context.failed_after_s <= seconds + 0.01, context.failed_after_s
--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -2,13 +2,17 @@
 
 from typing import Any
 
+import anyio
 import httpx
 import orjson
 
 from applespring.core.errors import ApplespringError, MessageError
 
-# Timeout of a read; the store usually answers in milliseconds.
+# Least and greatest timeout of a read. The store usually answers in
+# milliseconds. While it is slow, the timeout is twice the time of its last
+# answer, and doubles after each read without one.
 READ_TIMEOUT_S = 1.0
+READ_TIMEOUT_MAX_S = 4.0
 # A watch times out this long after the store should have answered it, since its
 # connection is then assumed to be dead.
 WATCH_MARGIN_S = 0.6
@@ -37,6 +41,7 @@
     ) -> None:
         self._transport = transport
         self.address = address
+        self._read_timeout_s = READ_TIMEOUT_S
 
     async def read_prefix(self, prefix: str) -> tuple[list[dict], int]:
         """Returns all items whose keys have a prefix, and a revision.
@@ -52,7 +57,7 @@
         revision = None
         query = {"prefix": prefix}
         for _ in range(PAGES_MAX):
-            page = await self._get("/kv-range", query, READ_TIMEOUT_S)
+            page = await self._read_page(query)
             if page is None:
                 break
             if revision is None:
@@ -64,6 +69,23 @@
             query = {"prefix": prefix, "after": page_items[-1]["key"]}
         return items, revision or 0
 
+    async def _read_page(self, query: dict[str, Any]) -> dict[str, Any] | None:
+        """Reads one page, and sets the timeout of the next one."""
+        started_at = anyio.current_time()
+        next_timeout_s = self._read_timeout_s
+        try:
+            page = await self._get("/kv-range", query, self._read_timeout_s)
+            next_timeout_s = 2 * (anyio.current_time() - started_at)
+            return page
+        except StoreError:
+            if anyio.current_time() - started_at >= self._read_timeout_s:
+                next_timeout_s *= 2
+            raise
+        finally:
+            self._read_timeout_s = min(
+                READ_TIMEOUT_MAX_S, max(READ_TIMEOUT_S, next_timeout_s)
+            )
+
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> tuple[list[dict], int]:
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -82,6 +82,20 @@
         "pass",
         (STAGING, "A scheduler that shuts down returns"),
     ),
+    Guard(
+        "relay: longer time-out for a slow store",
+        "platform/store.py",
+        "next_timeout_s *= 2",
+        "pass",
+        ("platform", "A store that answers each read late"),
+    ),
+    Guard(
+        "relay: usual time-out for a store that is fast again",
+        "platform/store.py",
+        "next_timeout_s = 2 * (anyio.current_time() - started_at)",
+        "pass",
+        ("platform", "Reads of a store that answers at once again"),
+    ),
     Guard(
         "relay: silent call that may not be made again goes on",
         "relay/stage_scheduler.py",
