--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -194,3 +194,67 @@
     Given relay instances one with 1 stage upstreams and an engine
     When the engine's entry lapses while the registry is unreachable for 1 s
     Then no state of the engine is left
+
+  Scenario Outline: Stage upstreams fall silent for ever
+    Guards against a caller that gets neither an answer nor a refusal: a stage
+    call that was not answered ended after <bound>, when the caller had left.
+    Given relay instances one with 2 stage upstreams and an engine
+    And stage upstreams that answer <answers> calls after 0.9 s, then none
+    When a caller with a deadline of <deadline> ms sends a staged request after <answers> others
+    Then it is refused with 503 as not run, 0.2 s before it leaves
+
+    Examples:
+      | answers | deadline | bound                      |
+      | 0       | 900      | its least bound of 1 s     |
+      | 8       | 12000    | three times its usual time |
+
+  Scenario: A submitter is silent when its pieces are too late
+    Guards against calls for all callers that wait until the silent instance
+    has been told, and so against refusals for want of time.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When a submitter falls silent whose pieces become too late, and another one submits a piece just after that
+    Then the caller of the other one gets an answer within 0.5 s
+
+  Scenario Outline: A submitter is silent when results are delivered to it
+    Guards against results that are dropped, or released at the upstream while
+    the submitter still needs them, because of a second of silence. Nothing was
+    submitted again, since heartbeats of others told the submitter that its
+    scheduler runs, and the caller got neither an answer nor a refusal.
+    Given 20 relay instances with 1 stage upstreams and an engine
+    When <fault> for 1.2 s, 0.1 s after a caller sent a staged request
+    Then every caller gets an answer
+    And each piece was made 1 times
+    And no result was released before the engine was called
+
+    Examples:
+      | fault                                        |
+      | the submitter and the scheduler are cut off  |
+      | the submitter gets no message and sends none |
+
+  Scenario: The acknowledgement of results is lost
+    Guards against a scheduler that delivers results again, is told that nobody
+    waits for them, and releases what the next stage is about to read.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When the first acknowledgement of results is lost after a caller sent a staged request
+    Then every caller gets an answer
+    And each piece was made 1 times
+    And no result was released before the engine was called
+
+  Scenario: A stage upstream is silent while the retry budget is used up
+    Guards against a request that is refused after a second of silence of an
+    upstream which then answers.
+    Given relay instances one with 1 stage upstreams and an engine
+    And no retry budget
+    And a stage upstream that is silent for 1.2 s in its first call
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller gets an answer
+    And each piece was made 1 times
+
+  Scenario: A stage upstream stays silent while the retry budget is used up
+    Guards against a request that is held until its caller leaves, with no
+    retry in sight.
+    Given relay instances one with 1 stage upstreams and an engine
+    And no retry budget
+    And a stage upstream that is silent for 60 s in its first call
+    When a caller sends a staged request with 1,2 pieces to each instance
+    Then every caller is refused within 2 s
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -2,15 +2,21 @@
 
 import collections
 import json
+import math
 
 import anyio
 import httpx
 from behave import given, then, when
 
-from features.fixtures.relay_world import SIGNED, RelayWorld, events
+from applespring.peer import message
+from applespring.peer.codec import decode
+from features.fixtures.relay_world import CALL_S, SIGNED, RelayWorld, events
 from features.fixtures.virtual import run_virtual
 
 RUN_LIMIT_S = 60
+# Time without an event after which the caller of a staged request leaves: four
+# times the latency target of its route.
+EVENT_WAIT_S = 5.2
 CONNECTION_CUT = httpx.RemoteProtocolError("cut")
 
 
@@ -55,6 +61,27 @@
     engine.default = (200, SIGNED, events(2, 2))
 
 
+@given(
+    "stage upstreams that answer {count:d} calls after {seconds:g} s, then none"
+)
+def given_silent_stages(context, count, seconds):
+    context.slow_answer_s = seconds
+    for name, upstream in context.world.upstreams.items():
+        if name != "engine":
+            upstream.stage_delays = [seconds] * (count // 2)
+            upstream.stage_delays += [math.inf] * 100
+
+
+@given("no retry budget")
+def given_no_budget(context):
+    context.world.settings = {"retry_ratio": 0.0, "retry_extra": 0.0}
+
+
+@given("a stage upstream that is silent for {seconds:g} s in its first call")
+def given_silent_call(context, seconds):
+    context.world.upstreams["s0"].stage_delays = [CALL_S + seconds]
+
+
 def run_instances(context, actions, seconds=6.0):
     """Starts the instances and runs actions, in virtual time.
 
@@ -66,6 +93,7 @@
     """
 
     async def run():
+        context.started_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             for name in context.names:
                 await context.world.start(name, tasks)
@@ -98,8 +126,8 @@
     tasks.start_soon(send_request)
 
 
-def find_scheduler(context):
-    ranked = context.world.instances["one"].state.peer_table.rank_schedulers(
+def find_scheduler(context, name="one"):
+    ranked = context.world.instances[name].state.peer_table.rank_schedulers(
         "stage", anyio.current_time(), self_link_mbps=1000.0
     )
     return ranked[0]
@@ -540,3 +568,164 @@
         state.engines.unread_prompt_tokens("engine", [("part", 100)], 0.0)
         == 100
     )
+
+
+@when(
+    "a caller with a deadline of {deadline:d} ms sends a staged request after "
+    "{count:d} others"
+)
+def when_after_others(context, deadline, count):
+    async def actions(tasks):
+        for n in range(0, count, 2):
+            for k in (n, n + 1):
+                send(context, tasks, "one", f"other{k}", "4,0")
+            await anyio.sleep(context.slow_answer_s + 0.1)
+        context.replies.clear()
+        # The longest wait of its caller, by its deadline or for an event.
+        wait_s = min(deadline / 1000, EVENT_WAIT_S)
+        context.leaves_at = anyio.current_time() + wait_s
+        send(
+            context,
+            tasks,
+            "one",
+            "r0",
+            "1,0",
+            deadline_ms=deadline,
+            disconnect_after_s=wait_s,
+        )
+
+    run_instances(context, actions)
+
+
+@then(
+    "it is refused with {status:d} as not run, {seconds:g} s before it leaves"
+)
+def then_refused_in_time(context, status, seconds):
+    (reply,) = context.replies.values()
+    assert reply.status == status and reply.ended, (reply.status, reply.body)
+    assert json.loads(reply.body)["verdict"] == "not_run", reply.body
+    assert float(reply.headers[b"retry-after"]) > 0
+    assert reply.ended_at <= context.leaves_at - seconds, (
+        reply.ended_at,
+        context.leaves_at,
+    )
+
+
+@when(
+    "a submitter falls silent whose pieces become too late, and another one "
+    "submits a piece just after that"
+)
+def when_late_and_silent(context):
+    async def actions(tasks):
+        scheduler = find_scheduler(context)
+        silent, other = (n for n in context.names if n != scheduler)
+        # Six calls of 0.25 s, for which there is no time.
+        send(context, tasks, silent, "late", "24,0", deadline_ms=1250)
+        await anyio.sleep(0.1)
+        context.world.network.transports[silent].resumed = anyio.Event()
+        await anyio.sleep(0.85)
+        context.sent_at = {"r0": anyio.current_time()}
+        send(context, tasks, other, "r0", "1,0")
+
+    run_instances(context, actions)
+
+
+@then("the caller of the other one gets an answer within {seconds:g} s")
+def then_answered_within(context, seconds):
+    reply = context.replies["r0"]
+    assert reply.status == 200 and reply.ended, (reply.status, reply.body)
+    took_s = reply.ended_at - context.sent_at["r0"]
+    assert took_s <= seconds, took_s
+
+
+@when(
+    "the submitter and the scheduler are cut off for {seconds:g} s, "
+    "{delay:g} s after a caller sent a staged request"
+)
+def when_cut_during(context, seconds, delay):
+    def begin(submitter, scheduler):
+        context.world.network.cut([submitter], [scheduler])
+        return context.world.network.heal
+
+    silence_submitter(context, begin, seconds, delay)
+
+
+@when(
+    "the submitter gets no message and sends none for {seconds:g} s, "
+    "{delay:g} s after a caller sent a staged request"
+)
+def when_paused_during(context, seconds, delay):
+    def begin(submitter, scheduler):
+        del scheduler
+        transport = context.world.network.transports[submitter]
+        transport.resumed = anyio.Event()
+        return transport.resumed.set
+
+    silence_submitter(context, begin, seconds, delay)
+
+
+def silence_submitter(context, begin, seconds, delay):
+    """Silences the submitter of a staged request for a time.
+
+    Args:
+        context: Context of the scenario.
+        begin: Called with the names of the submitter and its scheduler;
+            returns the function that ends the silence.
+        seconds: Length of the silence.
+        delay: Time from the request to the silence.
+    """
+
+    async def actions(tasks):
+        scheduler = find_scheduler(context, context.names[0])
+        submitter = next(n for n in context.names if n != scheduler)
+        send(context, tasks, submitter, "r0", "1,2")
+        await anyio.sleep(delay)
+        end = begin(submitter, scheduler)
+        await anyio.sleep(seconds)
+        end()
+
+    run_instances(context, actions)
+
+
+@when(
+    "the first acknowledgement of results is lost after a caller sent a staged "
+    "request"
+)
+def when_acknowledgement_lost(context):
+    async def actions(tasks):
+        scheduler = find_scheduler(context)
+        submitter = next(n for n in context.names if n != scheduler)
+        transport = context.world.network.transports[submitter]
+        handle = transport._on_request
+        acknowledged = []
+
+        async def handle_and_lose(data):
+            reply = await handle(data)
+            if isinstance(decode(data), message.StageDone):
+                acknowledged.append(reply)
+                if len(acknowledged) == 1:
+                    return None
+            return reply
+
+        transport._on_request = handle_and_lose
+        send(context, tasks, submitter, "r0", "1,2")
+
+    run_instances(context, actions)
+
+
+@then("no result was released before the engine was called")
+def then_not_released_early(context):
+    called_at = min(a.at for a in engine_arrivals(context, "r0"))
+    released_at = min(
+        a.at for a in context.world.arrivals if a.target == "/stage-free"
+    )
+    assert called_at <= released_at, (called_at, released_at)
+
+
+@then("every caller is refused within {seconds:g} s")
+def then_refused_within(context, seconds):
+    for reply in context.replies.values():
+        assert reply.status == 503, (reply.status, reply.body)
+        assert json.loads(reply.body)["verdict"] == "not_run", reply.body
+        # The requests are sent 1 s after the start.
+        assert reply.ended_at <= context.started_at + 1.0 + seconds
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -24,7 +24,7 @@
         call_s: Expected time of a call of each stage, by index.
         priority: Priority in the queues of stage pools; 0 is the most urgent.
         target_at: When the first event of its answer is due.
-        leaves_at: When its caller disconnects if no event has come.
+        leaves_at: Until when its caller waits for the first event or a refusal.
         run_s: Expected time from the end of the last stage to the first event.
         preferred_domain: Failure domain for large results, which is that of
             the engine that is expected to read them, or "" for any.
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -88,7 +88,7 @@
             exchange.document,
             priority=exchange.stage_priority,
             target_at=exchange.target_at,
-            leaves_at=exchange.leaves_at,
+            leaves_at=exchange.refuse_at,
             run_s=self._state.first_event(exchange.pool).run_s,
         )
         self._state.attempt_window(exchange.pool).record_request(
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -75,6 +75,14 @@
         "pass",
         (STAGING, "The scheduler of a pool is lost -- @1.1"),
     ),
+    Guard(
+        "relay: stages end before the caller leaves",
+        "relay/stage_submitter.py",
+        "with anyio.move_on_after(max(0.0, limit_s)):",
+        "if True:",
+        (STAGING, "Stage upstreams fall silent for ever -- @1.1"),
+        (STAGING, "Stage upstreams fall silent for ever -- @1.2"),
+    ),
     Guard(
         "relay: queued pieces returned",
         "relay/stage_scheduler.py",
@@ -82,6 +90,57 @@
         "pass",
         (STAGING, "A scheduler that shuts down returns"),
     ),
+    Guard(
+        "relay: longer time-out for a slow store",
+        "platform/store.py",
+        "next_timeout_s *= 2",
+        "pass",
+        ("platform", "A store that answers each read late"),
+    ),
+    Guard(
+        "relay: usual time-out for a store that is fast again",
+        "platform/store.py",
+        "next_timeout_s = 2 * (anyio.current_time() - started_at)",
+        "pass",
+        ("platform", "Reads of a store that answers at once again"),
+    ),
+    Guard(
+        "relay: silent call that may not be made again goes on",
+        "relay/stage_scheduler.py",
+        "await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)",
+        "pass",
+        (STAGING, "A stage upstream is silent while the retry"),
+    ),
+    Guard(
+        "relay: silent call that may not be made again ends",
+        "relay/stage_scheduler.py",
+        "limit.call_scope.cancel()",
+        "pass",
+        (STAGING, "A stage upstream stays silent while the retry"),
+    ),
+    Guard(
+        "relay: calls go on while a submitter is silent",
+        "relay/stage_scheduler.py",
+        "self._tasks.start_soon(\n"
+        "                    self._send_failures, overdue, PieceReply.LATE\n"
+        "                )",
+        "await self._send_failures(overdue, PieceReply.LATE)",
+        (STAGING, "A submitter is silent when its pieces"),
+    ),
+    Guard(
+        "relay: results sent again to a silent submitter",
+        "relay/stage_scheduler.py",
+        "now >= delivery.until or not (",
+        "pause_s > DELIVERY_PAUSE_MIN_S or not (",
+        (STAGING, "A submitter is silent when results .* -- @1.1"),
+    ),
+    Guard(
+        "relay: results that came before their acknowledgement was lost",
+        "relay/stage_submitter.py",
+        "accepted=msg.ticket in self._completed",
+        "accepted=False",
+        (STAGING, "The acknowledgement of results is lost"),
+    ),
     Guard(
         "relay: withdrawal of pieces",
         "relay/stage_scheduler.py",
