--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -290,7 +290,12 @@
         if disconnected:
             raise CallerGoneError
         if timed_out and not exchange.ended:
-            raise RefusalError(reason.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN)
+            raise RefusalError(
+                reason.DEADLINE_EXCEEDED,
+                Verdict.MAY_HAVE_RUN,
+                f"no answer in {clock() - exchange.arrived_at:.2f} s; the "
+                "caller is about to stop waiting",
+            )
 
     async def _refuse(
         self,
