soak: let upstreams fall silent, change idle limits, check that all is answered

Its upstreams lost answers only as a fault of their host, which excused the relay, its callers waited past the deadline without regard to gaps, and every configuration had the same idle limit, under which no connection rested longer than 0.15 s.

Change: the faults "workers silent" (nothing for 0.8 to 1.5 s, then on), "workers never answer" (for 2 to 5 s, before the head or within an answer) and "idle limit changes"; each configuration has another idle limit of 1 to 6 s. If the limit is raised meanwhile, some use the connection when the former limit ends.

The check `answered` finds requests without the head of an answer: of a stream while its caller waits for an event, of others 0.5 s after their deadline, as in rule CONFIG. No fault of an upstream is an excuse. `lost` now excuses a stream that breaks off only by faults of the upstreams that executed it, not by those of any host, and, as in rule LOST, by its deadline. The row of `lost` for a request that is not answered while its instance stops moved to an outline of its own: the same records now violate `answered` as well. The check of the logs moved to soak/log_audit.py.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,7 +32,9 @@
       | stages   | a piece uses only some of its input results                          |
       | stages   | a stream is generated without its input results                      |
       | late     | 8 answers come 0.6 s after their deadline                            |
-      | lost     | a request that was executed is not answered while its instance stops |
+      | answered | a caller waits in vain for the first event of a stream               |
+      | answered | the answer to an unsafe request comes 0.6 s after its deadline       |
+      | lost     | a stream that had begun breaks off                                   |
       | config   | a new route is unknown 2.1 s after it was stored                     |
       | config   | a removed key is accepted 2.1 s after its removal                    |
       | denied   | a valid request gets 404                                             |
@@ -42,6 +44,58 @@
       | overstay | a process does not exit in time after SIGTERM                        |
       | recover  | no stream is served after the last fault                             |
 
+  Scenario Outline: The audit finds a request that ends without an answer
+    Guards against an audit that takes the end of a connection without an answer
+    for a closed idle connection.
+    Given records of 1 successful request of each kind
+    When in the records <what>
+    Then the audit finds answered, lost and nothing else
+
+    Examples:
+      | what                                                                 |
+      | a request that was executed is not answered while its instance stops |
+      | a request that was executed ends with its connection                 |
+
+  Scenario: A request that crosses the end of its connection was not read
+    Guards against violations that are reported for requests that no instance
+    has read.
+    Given records of 1 successful request of each kind
+    When in the records a request that no upstream got ends with its connection
+    Then the audit finds nothing
+
+  Scenario Outline: Only its own upstream excuses that a stream breaks off
+    Guards against an audit that takes the silence of an upstream, or a fault of
+    another one, for the reason of the end.
+    Given records of 1 successful request of each kind
+    When in the records a stream that had begun breaks off
+    And in the records <fault>
+    Then the audit finds lost and nothing else
+
+    Examples:
+      | fault                       |
+      | its upstream is silent      |
+      | another upstream is cut off |
+
+  Scenario Outline: A stream may break off with its upstream or at its deadline
+    Guards against violations that are reported for the faults of upstreams.
+    Given records of 1 successful request of each kind
+    When in the records <what>
+    And in the records <fault>
+    Then the audit finds nothing
+
+    Examples:
+      | what                                               | fault                   |
+      | a stream that had begun breaks off                 | its upstream is cut off |
+      | a stream that had begun breaks off at its deadline | its upstream is silent  |
+
+  Scenario: The fault of an upstream is no excuse for a missing answer
+    Guards against an audit that excuses the instance by a fault of an upstream,
+    after which it can still answer that the request has failed.
+    Given records of 1 successful request of each kind
+    When in the records a caller waits in vain for the first event of a stream
+    And in the records its upstream is cut off
+    Then the audit finds answered and nothing else
+
   Scenario: A pause of the soak's own process excuses times measured in it
     Guards against violations that are reported because the soak was late.
     Given records of 1 successful request of each kind
@@ -62,6 +116,13 @@
     When the soak runs seed 501 with 6 faults "relay signalled while it stops"
     Then no guarantee is violated
 
+  Scenario: Silent upstreams and changing idle limits end no answer
+    Guards against requests without an answer when upstreams accept requests and
+    send nothing, and against connections that an earlier idle limit closes
+    after their next request was read. Incident inc-lost showed this fault.
+    When the soak runs seed 3003 with 8 faults "workers silent,workers never answer,idle limit changes"
+    Then no guarantee is violated
+
   Scenario Outline: A short run of a fixed seed violates no guarantee
     Guards against violations under a mix of all kinds of faults.
     When the soak runs seed <seed>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,14 +1,17 @@
 """Steps for the soak and its audit."""
 
+import math
 import pathlib
 import tempfile
 
 from behave import given, then, when
 
 from soak import document
-from soak.audit import audit, audit_logs
+from soak.audit import audit
+from soak.log_audit import audit_logs
 from soak.main import run_seed
 from soak.record import (
+    NO_EVENT,
     RESUMABLE,
     SAFE,
     STAGED,
@@ -58,7 +61,7 @@
         sent_at=sent_at,
         **options,
     )
-    request.ended_at = sent_at + ANSWER_TIME_S
+    request.answered_at = request.ended_at = sent_at + ANSWER_TIME_S
     request.status, request.complete = 200, True
     inputs = []
     if kind == STAGED:
@@ -116,10 +119,15 @@
         add_request(context.records, kind, kind)
 
 
-@when('the soak runs seed {seed:d} with {count:d} faults "{kind}"')
-def when_runs_kind(context, seed, count, kind):
+@when('the soak runs seed {seed:d} with {count:d} faults "{kinds}"')
+def when_runs_kinds(context, seed, count, kinds):
     plan = Plan(
-        seed, length_s=4.0, faults=count, relays=3, callers=6, only=[kind]
+        seed,
+        length_s=4.0,
+        faults=count,
+        relays=3,
+        callers=6,
+        only=kinds.split(","),
     )
     run_and_audit(context, plan)
 
@@ -168,10 +176,11 @@
     assert audit(context.records) == []
 
 
-@then("the audit finds {name:w} and nothing else")
-def then_finds(context, name):
+@then("the audit finds {names} and nothing else")
+def then_finds(context, names):
     found = audit(context.records)
-    assert {line.partition(":")[0] for line in found} == {name}, found
+    found_names = {line.partition(":")[0] for line in found}
+    assert found_names == set(names.split(", ")), found
 
 
 @violation("an upstream executes what no caller sent")
@@ -279,6 +288,81 @@
     records.faults_ended_at = SENT_AT + 1
     request = records.requests[UNSAFE]
     request.complete, request.status = False, 0
+    request.answered_at = math.inf
+
+
+@violation("a caller waits in vain for the first event of a stream")
+def violate_no_event(records):
+    wait_in_vain(records.requests[STREAM], document.patience_s(STREAM))
+    records.faults_ended_at = SENT_AT + 1
+
+
+@violation("the answer to an unsafe request comes 0.6 s after its deadline")
+def violate_answer_late(records):
+    request = records.requests[UNSAFE]
+    request.ended_at = SENT_AT + request.deadline_s + 0.6
+    request.answered_at = request.ended_at
+
+
+@violation("a request that was executed ends with its connection")
+def violate_closed(records):
+    """Closes a connection that rested, at a time without planned work."""
+    request = records.requests[UNSAFE]
+    request.rested_s = 1.0
+    request.complete, request.status = False, 0
+    request.failure, request.answered_at = "closed", math.inf
+    records.faults_ended_at = SENT_AT + 1
+
+
+@violation("a request that no upstream got ends with its connection")
+def violate_crossed(records):
+    violate_closed(records)
+    records.executions.pop(UNSAFE)
+
+
+@violation("its upstream is silent")
+def violate_silent(records):
+    add_fault(records, "silent:worker")
+
+
+@violation("its upstream is cut off")
+def violate_cut_off(records):
+    add_fault(records, "place:worker")
+
+
+@violation("another upstream is cut off")
+def violate_cut_off_other(records):
+    add_fault(records, "place:another")
+
+
+@violation("a stream that had begun breaks off")
+def violate_broken(records):
+    request = records.requests[RESUMABLE]
+    request.answer = make_event(RESUMABLE, 1)
+    request.complete, request.failure = False, "closed"
+    records.faults_ended_at = SENT_AT + 1
+
+
+@violation("a stream that had begun breaks off at its deadline")
+def violate_due(records):
+    violate_broken(records)
+    request = records.requests[RESUMABLE]
+    request.ended_at = SENT_AT + request.deadline_s
+    records.faults_ended_at = request.ended_at
+
+
+def wait_in_vain(request, wait_s):
+    """Lets a caller leave after a time without an answer."""
+    request.ended_at, request.answered_at = SENT_AT + wait_s, math.inf
+    request.status, request.answer, request.complete = 0, b"", False
+    request.disconnected, request.failure = True, NO_EVENT
+
+
+def add_fault(records, target):
+    """Adds a fault that lasts until the requests have ended."""
+    fault = Fault("fault", [target], SENT_AT)
+    fault.ended_at = SENT_AT + ANSWER_TIME_S
+    records.faults.append(fault)
 
 
 @violation("the soak's own process was paused meanwhile")
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -1,9 +1,7 @@
 """Checks the records of a run against the guarantees of the relay."""
 
-import json
 import math
-import pathlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 from soak import document
 from soak.document import SEGMENTS
@@ -30,6 +28,7 @@
 RETRY_RATIO = 0.2  # retryBudgetRatio
 RETRY_EXTRA = 50  # budgetExtraRetries, its default
 RETRY_WINDOW_S = 10.0  # budgetWindowS
+# An answer may come at the deadline itself (rule CONFIG).
 # The users count answers as late when more than LATE_ANSWERS_MAX requests, and
 # over a quarter of those that reach their deadline, have no answer after a
 # further LATE_ANSWER_S (rule CONFIG).
@@ -240,32 +239,94 @@
         yield f"{len(late)} of {due_count} had no answer in time: {late[:5]}"
 
 
+@check("answered")
+def check_answered(records: Records) -> Iterator[str]:
+    """An answer, a refusal or a stream begins while the caller waits for it.
+
+    The caller of a stream waits for the first event for its patience, others
+    wait until their deadline. Nothing that an upstream does is an excuse: the
+    instance can answer that the request has failed.
+    """
+    for request in records.requests.values():
+        wait_s = request.deadline_s + LATE_ANSWER_S
+        if request.kind in STREAMING:
+            wait_s = min(wait_s, document.patience_s(request.kind))
+        if (
+            request.answered_at <= request.sent_at + wait_s
+            or request.failure == DISCONNECTED
+            or not _is_owed_answer(records, request, ["peer:"])
+        ):
+            continue
+        yield (
+            f"{_describe(request)} had no answer within {wait_s:.2f} s and "
+            f"ended after {request.ended_at - request.sent_at:.2f} s with "
+            f"{request.failure or request.status}"
+        )
+
+
 @check("lost")
 def check_lost(records: Records) -> Iterator[str]:
-    """A request that was read is answered, even while its instance stops."""
+    """A request that was read is answered, even while its instance stops.
+
+    Once a stream has begun, only its own upstreams, its deadline and its caller
+    may end it. The silence of an upstream is no reason to do so.
+    """
     for request in records.requests.values():
         if request.complete or request.disconnected:
             continue
-        since, until = request.sent_at - CONTACT_S, request.ended_at
-        if not records.is_undisturbed(
-            since, until, [f"instance:{request.instance}", "peer:", "place:"]
-        ):
-            continue
-        sigterm_at = records.last_sigterm_at(request.instance, until)
-        if request.sent_at > sigterm_at + TERM_ACCEPT_S and (
-            until < sigterm_at + TERM_GRACE_S + 1.0
-        ):
-            continue
-        executed = request.request_id in records.executions
-        if executed or until > request.sent_at + LOSS_SLACK_S:
+        executions = records.executions.get(request.request_id, [])
+        excuses = ["peer:", "place:"]
+        if request.kind in STREAMING and request.status == 200:
+            if request.ended_at >= request.sent_at + request.deadline_s:
+                continue
+            excuses = ["peer:"]
+            for execution in executions:
+                excuses.append(f"place:{execution.host}")
+                excuses.append(f"leaving:{execution.host}")
+        if _is_owed_answer(records, request, excuses):
             yield (
-                f"{request.request_id} ({request.kind}) at {request.instance} "
-                f"ended with {request.failure} after "
-                f"{until - request.sent_at:.2f} s"
-                + (", although it was executed" if executed else "")
+                f"{_describe(request)} ended with {request.failure} after "
+                f"{request.ended_at - request.sent_at:.2f} s"
+                + (", although it was executed" if executions else "")
             )
 
 
+def _is_owed_answer(
+    records: Records, request: CallerRequest, excuses: Sequence[str]
+) -> bool:
+    """Returns whether an instance that was undisturbed has read a request.
+
+    Args:
+        records: Records of the run.
+        request: The request.
+        excuses: Targets whose faults excuse the instance, besides its own.
+    """
+    until = request.ended_at
+    if not records.is_undisturbed(
+        request.sent_at - CONTACT_S,
+        until,
+        [f"instance:{request.instance}", *excuses],
+    ):
+        return False
+    sigterm_at = records.last_sigterm_at(request.instance, until)
+    if request.sent_at > sigterm_at + TERM_ACCEPT_S and (
+        until < sigterm_at + TERM_GRACE_S + 1.0
+    ):
+        return False
+    # A request that crosses the end of its connection was not read.
+    return (
+        request.request_id in records.executions
+        or until > request.sent_at + LOSS_SLACK_S
+    )
+
+
+def _describe(request: CallerRequest) -> str:
+    return (
+        f"{request.request_id} ({request.kind}) at {request.instance}, sent "
+        f"{request.sent_at:.3f} after a rest of {request.rested_s:.3f} s,"
+    )
+
+
 @check("config")
 def check_config(records: Records) -> Iterator[str]:
     """A configuration is in force within `CONFIG_APPLY_S` of its storage."""
@@ -392,71 +453,23 @@
             )
 
 
-def audit_logs(records: Records, logs: dict[str, pathlib.Path]) -> list[str]:
-    """Returns failed requests without a line in the log of their instance.
-
-    A killed process loses its last lines, so requests that end near a fault of
-    their instance are not checked. An instance whose buffer was full drops
-    lines and logs that it did; its log is not checked at all.
-
-    Args:
-        records: Records of the run.
-        logs: Log file of each instance.
-    """
-    violations = []
-    for instance, path in logs.items():
-        logged_ids, is_complete = _read_log(path)
-        if not is_complete:
-            continue
-        for request in records.requests.values():
-            if (
-                request.instance == instance
-                and request.complete
-                and request.status >= 400
-                and request.request_id not in logged_ids
-                and records.is_undisturbed(
-                    request.sent_at,
-                    request.ended_at + 1.0,
-                    [f"instance:{instance}"],
-                )
-            ):
-                violations.append(
-                    f"log: {request.request_id} got {request.status} and has "
-                    f"no line in {path.name}"
-                )
-    return violations
-
-
-def _read_log(path: pathlib.Path) -> tuple[set[str], bool]:
-    """Returns the ids of logged requests, and whether no line was dropped."""
-    logged_ids: set[str] = set()
-    is_complete = True
-    for text in path.read_bytes().splitlines():
-        try:
-            line = json.loads(text)
-        except ValueError:
-            # The last line of a killed process may be truncated.
-            continue
-        is_complete = is_complete and (
-            line.get("message") != "log lines left out"
-        )
-        if line.get("event") == "request":
-            logged_ids.add(line["request"])
-    return logged_ids, is_complete
-
-
 def summarize(records: Records) -> str:
     """Returns the counts of a run in one line."""
     requests = list(records.requests.values())
     served = sum(request.served for request in requests)
     refused = sum(request.status in NOT_RUN_STATUSES for request in requests)
+    late = sum(
+        math.inf > request.answered_at > request.sent_at + request.deadline_s
+        for request in requests
+    )
     disconnected = sum(a.failure == DISCONNECTED for a in requests)
     unsafe = sum(request.kind == UNSAFE for request in requests)
     executions = sum(map(len, records.executions.values()))
     stalls = sum(fault.kind == STALL for fault in records.faults)
     return (
         f"{len(requests)} requests ({unsafe} unsafe), {served} served, "
-        f"{refused} refused, {disconnected} disconnected, "
+        f"{refused} refused, {late} after their deadline, "
+        f"{disconnected} disconnected, "
         f"{executions} executions, "
         f"{len(records.pieces)} pieces, {len(records.faults) - stalls} faults, "
         f"{len(records.versions)} configurations, {stalls} pauses of the soak"
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -1,7 +1,8 @@
 """Callers with persistent connections that record the answers they get."""
 
+import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 import h11
@@ -10,6 +11,8 @@
 from soak.net import Address, Conn, ConnError, connect
 from soak.record import (
     DISCONNECTED,
+    NO_ANSWER,
+    NO_EVENT,
     RESUMABLE,
     SAFE,
     STAGED,
@@ -21,10 +24,19 @@
 )
 
 CONNECT_LIMIT_S = 1.0
+EVENT_END = b"\n\n"
 # Upper bound of the requests that a caller sends on one connection.
 CONNECTION_REQUESTS_MAX = 20
 # Shortest and longest time between two requests on a connection.
 PAUSE_RANGE_S = (0.0, 0.15)
+# Share of pauses in which a connection rests longer, and the share of the idle
+# limit in force for which it may rest.
+REST_SHARE = 0.15
+IDLE_USE_SHARE = 0.8
+# Share of these rests that last as long as the former limit, less an offset of
+# at most this, if the limit is raised meanwhile.
+FORMER_LIMIT_SHARE = 0.5
+FORMER_LIMIT_OFFSET_S = 0.0015
 # Share of requests whose caller disconnects before the answer ends.
 DISCONNECT_SHARE = 0.06
 # Share of safe requests for a route or key that only one version of the
@@ -89,10 +101,12 @@
         self, instance: str, conn: Conn, stop: anyio.Event
     ) -> None:
         state = h11.Connection(h11.CLIENT)
+        rest_s = 0.0
         for _ in range(self._rng.randint(1, CONNECTION_REQUESTS_MAX)):
             if stop.is_set():
                 return
             request = self._make_request(instance)
+            request.rested_s = rest_s
             self._records.requests[request.request_id] = request
             try:
                 await self._exchange(request, conn, state)
@@ -107,7 +121,46 @@
             ):
                 return
             state.start_next_cycle()
-            await anyio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
+            rested_from = self._clock()
+            if not await self._rest(request, conn, state):
+                return
+            rest_s = self._clock() - rested_from
+
+    async def _rest(
+        self, request: CallerRequest, conn: Conn, state: h11.Connection
+    ) -> bool:
+        """Lets a connection rest; returns whether it may be used again.
+
+        The idle limit may change meanwhile. If it is raised, the caller may use
+        the connection at the moment at which the former limit ends.
+
+        Args:
+            request: The last request on the connection.
+            conn: The connection.
+            state: Its protocol state.
+        """
+        rng = self._rng
+        if rng.random() >= REST_SHARE:
+            await anyio.sleep(rng.uniform(*PAUSE_RANGE_S))
+            return True
+        rested_from = self._clock()
+        keep_alive_s = _read_keep_alive(request.headers)
+        rest_s = rng.random() * min(self._idle_use_s(), keep_alive_s)
+        if rng.random() < FORMER_LIMIT_SHARE:
+            former_s = self._records.versions[-1].idle_timeout_s
+            former_s -= rng.uniform(0.0, FORMER_LIMIT_OFFSET_S)
+            rest_s = min(self._idle_use_s(), keep_alive_s)
+            if not await _wait_open(rest_s, conn, state):
+                return False
+            if former_s <= min(self._idle_use_s(), keep_alive_s):
+                rest_s = former_s
+        rested_s = self._clock() - rested_from
+        is_open = await _wait_open(rest_s - rested_s, conn, state)
+        return is_open and rest_s <= self._idle_use_s()
+
+    def _idle_use_s(self) -> float:
+        """Returns how long a connection may rest under the limit in force."""
+        return IDLE_USE_SHARE * self._records.versions[-1].idle_timeout_s
 
     def _make_request(self, instance: str) -> CallerRequest:
         rng = self._rng
@@ -149,11 +202,17 @@
         disconnects = self._rng.random() < DISCONNECT_SHARE
         if disconnects:
             wait_s = self._rng.uniform(0.0, 0.5)
-        with anyio.move_on_after(wait_s) as scope:
-            await _read_answer(request, conn, state)
+        with (
+            anyio.move_on_after(wait_s) as scope,
+            anyio.move_on_after(_patience_s(request)) as gap_scope,
+        ):
+            await self._read_answer(request, conn, state, gap_scope)
         if scope.cancelled_caught:
             request.disconnected = True
-            request.failure = DISCONNECTED if disconnects else "no answer"
+            request.failure = DISCONNECTED if disconnects else NO_ANSWER
+        elif gap_scope.cancelled_caught:
+            request.disconnected = True
+            request.failure = NO_EVENT
 
     def _encode(self, request: CallerRequest, state: h11.Connection) -> bytes:
         method = "GET" if request.kind == SAFE else "POST"
@@ -186,25 +245,67 @@
             data += state.send(h11.Data(data=request.body))
         return data + state.send(h11.EndOfMessage())
 
+    async def _read_answer(
+        self,
+        request: CallerRequest,
+        conn: Conn,
+        state: h11.Connection,
+        gap_scope: anyio.CancelScope,
+    ) -> None:
+        """Reads the answer to its end into the record of its request.
+
+        Args:
+            request: The request.
+            conn: Its connection.
+            state: Protocol state of the connection.
+            gap_scope: Ends the wait for the next event of a stream.
+        """
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                state.receive_data(await conn.receive())
+            elif isinstance(event, h11.Response):
+                request.status = event.status_code
+                request.answered_at = self._clock()
+                request.headers = {
+                    name.decode("latin-1").lower(): value.decode("latin-1")
+                    for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                request.answer += bytes(event.data)
+                if EVENT_END in event.data:
+                    gap_scope.deadline = self._clock() + _patience_s(request)
+            elif isinstance(event, h11.EndOfMessage):
+                request.complete = True
+                return
+            else:
+                raise ConnError("closed without an answer")
+
+
+def _patience_s(request: CallerRequest) -> float:
+    """Returns how long its caller waits for the next event."""
+    if request.kind not in STREAMING:
+        return math.inf
+    return document.patience_s(request.kind)
+
+
+async def _wait_open(limit_s: float, conn: Conn, state: h11.Connection) -> bool:
+    """Waits on a resting connection; returns whether it is still open."""
+    with anyio.move_on_after(limit_s):
+        try:
+            data = await conn.receive()
+        except ConnError:
+            return False
+        # Bytes that answer no request are taken for the next answer.
+        state.receive_data(data)
+        return bool(data)
+    return True
+
 
-async def _read_answer(
-    request: CallerRequest, conn: Conn, state: h11.Connection
-) -> None:
-    """Reads the answer to its end into the record of its request."""
-    while True:
-        event = state.next_event()
-        if event is h11.NEED_DATA:
-            state.receive_data(await conn.receive())
-        elif isinstance(event, h11.Response):
-            request.status = event.status_code
-            request.headers = {
-                name.decode("latin-1").lower(): value.decode("latin-1")
-                for name, value in event.headers
-            }
-        elif isinstance(event, h11.Data):
-            request.answer += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            request.complete = True
-            return
-        else:
-            raise ConnError("closed without an answer")
+def _read_keep_alive(headers: Mapping[str, str]) -> float:
+    """Returns the limit in the `Keep-Alive` header, inf if it has none."""
+    for parameter in headers.get("keep-alive", "").split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return math.inf
--- a/soak/document.py
+++ b/soak/document.py
@@ -24,6 +24,22 @@
 # Number of pieces of each stage, by index.
 SEGMENTS = (2, 1)
 CONNECTIONS_MAX = 200
+TARGET_GAP_S = 0.2
+# The longest wait of a caller for the next event of a stream is the greatest of
+# a time, a multiple of the latency target and a multiple of the gap target.
+PATIENCE_MIN_S = 2.0
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+IDLE_TIMEOUT_S = 15.0
+
+
+def patience_s(kind: str) -> float:
+    """Returns how long a caller waits for the next event of a stream."""
+    return max(
+        PATIENCE_MIN_S,
+        PATIENCE_TARGETS * TARGETS_S[kind],
+        PATIENCE_GAPS * TARGET_GAP_S,
+    )
 
 
 def versioned_path(version: int) -> str:
@@ -36,8 +52,10 @@
     return f"key-of-{version}"
 
 
-def make_document(version: int) -> dict[str, Any]:
-    """Returns the configuration with the given version."""
+def make_document(
+    version: int, idle_timeout_s: float = IDLE_TIMEOUT_S
+) -> dict[str, Any]:
+    """Returns the configuration with the given version and idle limit."""
     routes = [_make_route(kind, f"/{kind}/", kind) for kind in POOL_BY_KIND]
     routes.append(_make_route("versioned", versioned_path(version), SAFE))
     return {
@@ -66,7 +84,7 @@
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 1_000_000,
             "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
+            "idleTimeoutMs": int(idle_timeout_s * 1000),
         },
         "tenants": [
             {
@@ -103,7 +121,7 @@
         "public": False,
         "stickySessions": streaming,
         "resumable": kind == RESUMABLE,
-        "targetGapMs": 200,
+        "targetGapMs": int(TARGET_GAP_S * 1000),
     }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak.proxy import LinkFaults
 from soak.record import Fault, Version
 from soak.relays import Relay
+from soak.silence import PHASES
 from soak.worker_hosts import WorkerHost
 
 if TYPE_CHECKING:
@@ -21,6 +22,14 @@
 KINDS: dict[str, Inject] = {}
 # Shortest and longest duration of a fault.
 DURATION_RANGE_S = (0.3, 2.5)
+# Shortest and longest silence of a sound upstream, and time in which upstreams
+# accept requests without answering them.
+SILENCE_RANGE_S = (0.8, 1.5)
+UNANSWERED_RANGE_S = (2.0, 5.0)
+IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
+# Shortest and longest time between changes of the idle limit, which overlap
+# with connections that rest under an earlier limit.
+IDLE_CHANGE_RANGE_S = (0.5, 2.0)
 # Number of configurations in a burst, and the mean time between them.
 BURST_VERSIONS = 5
 BURST_GAP_S = 0.25
@@ -306,6 +315,54 @@
             setattr(worker_host.misbehaviour, name, initial)
 
 
+@fault("workers silent")
+async def pause_answers(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets sound workers send nothing for about a second, then go on."""
+    worker_hosts = _sample(rng, testbed.worker_hosts, 1.0)
+    phases = _sample(rng, PHASES, 1.0)
+    with (
+        recorded_fault(
+            testbed,
+            f"silent {sorted(phases)}",
+            [f"silent:{p.name}" for p in worker_hosts],
+        ),
+        _counted([p.silence.pausing for p in worker_hosts], phases),
+    ):
+        await anyio.sleep(rng.uniform(*SILENCE_RANGE_S))
+
+
+@fault("workers never answer")
+async def end_answers(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets workers accept requests and never answer, or end within answers."""
+    worker_hosts = _sample(rng, testbed.worker_hosts)
+    phases = _sample(rng, PHASES, 1.0)
+    with (
+        recorded_fault(
+            testbed,
+            f"never answering {sorted(phases)}",
+            [f"silent:{p.name}" for p in worker_hosts],
+        ),
+        _counted([p.silence.ending for p in worker_hosts], phases),
+    ):
+        await anyio.sleep(rng.uniform(*UNANSWERED_RANGE_S))
+
+
+@contextmanager
+def _counted(
+    counts: Sequence[dict[str, int]], phases: Sequence[str]
+) -> Iterator[None]:
+    """Counts an active fault in phases until the context is left."""
+    for count in counts:
+        for phase in phases:
+            count[phase] += 1
+    try:
+        yield
+    finally:
+        for count in counts:
+            for phase in phases:
+                count[phase] -= 1
+
+
 @fault("store misbehaves")
 async def misbehave_store(testbed: "Testbed", rng: random.Random) -> None:
     """Lets the store refuse, answer slowly, drop answers or its history."""
@@ -335,11 +392,25 @@
         await anyio.sleep(rng.uniform(0.0, 2 * BURST_GAP_S))
 
 
+@fault("idle limit changes")
+async def change_idle_limit(testbed: "Testbed", rng: random.Random) -> None:
+    """Stores some configurations, each with another idle limit."""
+    for _ in range(rng.randint(2, 4)):
+        publish(testbed)
+        await anyio.sleep(rng.uniform(*IDLE_CHANGE_RANGE_S))
+
+
 def publish(testbed: "Testbed", step: int = 1) -> None:
     """Stores a configuration whose version is `step` above the last one."""
     versions = testbed.records.versions
     number = step + (versions[-1].number if versions else 0)
+    last_s = versions[-1].idle_timeout_s if versions else 0.0
+    idle_timeout_s = random.Random(f"{testbed.plan.seed} {number}").choice(
+        [timeout_s for timeout_s in IDLE_TIMEOUTS_S if timeout_s != last_s]
+    )
     if versions:
         versions[-1].replaced_at = testbed.clock()
-    acked_at = testbed.store.put("op/config", document.make_document(number))
-    versions.append(Version(number, acked_at))
+    acked_at = testbed.store.put(
+        "op/config", document.make_document(number, idle_timeout_s)
+    )
+    versions.append(Version(number, acked_at, idle_timeout_s))
--- a/soak/main.py
+++ b/soak/main.py
@@ -9,8 +9,9 @@
 from typing import Annotated
 
 from applespring.cli import Range, run_program
-from soak.audit import audit, audit_logs, summarize
+from soak.audit import audit, summarize
 from soak.faults import KINDS
+from soak.log_audit import audit_logs
 from soak.testbed import Plan, run_plan
 
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -33,6 +33,8 @@
         version: Configuration version whose route or key it needs, 0 for any.
         deadline_s: Deadline sent with the request.
         sent_at: When its last byte was written.
+        rested_s: How long its connection had been idle before it.
+        answered_at: When the head of its answer came; inf if none came.
         ended_at: When the caller had its answer or gave up; inf before.
         status: Status of the answer, 0 when none came.
         headers: Headers of the answer, names in lower case.
@@ -55,6 +57,8 @@
         "version",
         "deadline_s",
         "sent_at",
+        "rested_s",
+        "answered_at",
         "ended_at",
         "status",
         "headers",
@@ -78,6 +82,7 @@
         version: int = 0,
         deadline_s: float = 1.0,
         sent_at: float = 0.0,
+        rested_s: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.kind = kind
@@ -90,6 +95,8 @@
         self.version = version
         self.deadline_s = deadline_s
         self.sent_at = sent_at
+        self.rested_s = rested_s
+        self.answered_at = math.inf
         self.ended_at = math.inf
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -109,7 +116,7 @@
 
     Attributes:
         request_id: Value of the `Request-Id` header as received.
-        upstream: Name of the upstream.
+        upstream: Name of the upstream; the name of its host and a number.
         pool: Pool of the upstream.
         started_at: When the upstream started it.
         path: Path and query as received.
@@ -167,6 +174,11 @@
         self.answer = answer
         self.signature = signature
 
+    @property
+    def host(self) -> str:
+        """Name of the worker host of the upstream."""
+        return self.upstream.rpartition("-")[0]
+
 
 class Piece:
     """One execution of a piece at a stage upstream.
@@ -211,8 +223,11 @@
         return (self.request_id, self.stage, self.segment)
 
 
-# `failure` of a request whose caller disconnected by choice before the answer.
+# `failure` of a request whose caller disconnected by choice before the answer,
+# and of one whose caller waited in vain for the answer or the next event.
 DISCONNECTED = "the caller disconnected"
+NO_ANSWER = "no answer"
+NO_EVENT = "no event"
 # Kind and target of a pause of the soak's own process. Times measured during
 # it are not reliable.
 STALL = "stall"
@@ -228,7 +243,8 @@
             an instance that is shut down with SIGTERM; `store:NAME`, the link
             from an instance to the store; `peer:NAME`, the link from the other
             instances to an instance; `place:NAME`, a worker host or the link
-            to it; `leaving:NAME`, a worker host whose worker is drained.
+            to it; `leaving:NAME`, a worker host whose worker is drained;
+            `silent:NAME`, a worker host whose workers only send nothing.
         started_at: When it started.
         ended_at: When it ended; inf while it lasts.
     """
@@ -251,13 +267,20 @@
         number: Its `version` field.
         acked_at: When the store acknowledged it.
         replaced_at: Just before the next one was stored; inf until then.
+        idle_timeout_s: Its limit for idle connections of callers.
     """
 
-    __slots__ = ("number", "acked_at", "replaced_at")
+    __slots__ = ("number", "acked_at", "replaced_at", "idle_timeout_s")
 
-    def __init__(self, number: int, acked_at: float) -> None:
+    def __init__(
+        self,
+        number: int,
+        acked_at: float,
+        idle_timeout_s: float = math.inf,
+    ) -> None:
         self.number = number
         self.acked_at = acked_at
+        self.idle_timeout_s = idle_timeout_s
         self.replaced_at = math.inf
 
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskStatus
 
 from soak.net import Address, Conn, ConnError, serve
+from soak.silence import BODY, CONTROL, HEAD, Silence
 
 
 class Request:
@@ -31,27 +32,41 @@
 
 
 class Reply:
-    """Writes the answer to one request."""
+    """Writes the answer to one request.
 
-    __slots__ = ("_conn", "_state")
+    Attributes:
+        silence: Silence that delays the answer, or None.
+        is_control: Whether it answers a release or a report.
+    """
+
+    __slots__ = ("silence", "is_control", "_conn", "_state")
 
     def __init__(self, conn: Conn, state: h11.Connection) -> None:
+        self.silence: Silence | None = None
+        self.is_control = False
         self._conn = conn
         self._state = state
 
+    async def _wait(self, phase: str) -> None:
+        if self.silence is not None:
+            await self.silence.wait(CONTROL if self.is_control else phase)
+
     async def send_head(
         self, status: int, headers: Sequence[tuple[str, str]]
     ) -> None:
         """Sends status and headers."""
+        await self._wait(HEAD)
         event = h11.Response(status_code=status, headers=list(headers))
         await self._conn.send(self._state.send(event))
 
     async def send_part(self, data: bytes) -> None:
         """Sends a part of the body."""
+        await self._wait(BODY)
         await self._conn.send(self._state.send(h11.Data(data=data)))
 
     async def send_end(self) -> None:
         """Sends the end of the answer."""
+        await self._wait(BODY)
         await self._conn.send(self._state.send(h11.EndOfMessage()))
 
     async def send_complete(
--- a/soak/worker_hosts.py
+++ b/soak/worker_hosts.py
@@ -9,6 +9,7 @@
 from soak.net import Address
 from soak.proxy import LinkFaults, TcpProxy
 from soak.server import HttpServer, Reply, Request
+from soak.silence import CONTROL_TARGETS, Silence
 from soak.store import Store
 from soak.upstream import (
     EngineWorker,
@@ -41,6 +42,7 @@
         link: Faults of the link to it.
         proxy: Proxy of that link.
         misbehaviour: Deviations of its workers from the protocol.
+        silence: Phases in which its workers send nothing.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.link = LinkFaults()
         self.proxy = TcpProxy(proxy_address, server_address, self.link)
         self.misbehaviour = Misbehaviour()
+        self.silence = Silence()
         self._address = f"{proxy_address[0]}:{proxy_address[1]}"
         self._server = HttpServer(server_address, self._handle)
         self._store = store
@@ -124,4 +127,6 @@
         if self.worker is None:
             reply.reset()
         else:
+            reply.silence = self.silence
+            reply.is_control = req.target in CONTROL_TARGETS
             await self.worker.handle(req, reply)
