soak: find requests that were read although their connection was closed

A connection that rested as long as a former idle limit was closed when its next request was read; the attempt was cancelled within 2 ms, before the soak's upstream had read it, and the request was taken for one that crossed the end of its connection. The log of the instance tells them apart.

Change: the audit of the logs reports, under `answered`, a request without an answer whose connection was closed and which the log of its instance names.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -107,7 +107,15 @@
     Guards against an audit that misses failures without a log line.
     Given records of 1 successful request of each kind
     When a request is refused and its instance logs nothing
-    Then the audit of the logs finds it
+    Then the audit of the logs finds log for the safe request
+
+  Scenario: A request whose connection was closed after it was read is found
+    Guards against an audit that takes a request that its instance has read for
+    one that crossed the end of its connection.
+    Given records of 1 successful request of each kind
+    When in the records a request that no upstream got ends with its connection
+    And its instance has logged it
+    Then the audit of the logs finds answered for the unsafe request
 
   Scenario: Signals during the shutdown of an instance lose no request
     Guards against a shutdown in which signals are no longer handled, so that a
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -155,15 +155,22 @@
     request = context.records.requests[SAFE]
     request.status = 503
     context.records.executions.pop(SAFE)
+    context.log_line = '{"event": "start"}'
 
 
-@then("the audit of the logs finds it")
-def then_log_found(context):
+@when("its instance has logged it")
+def when_logged(context):
+    context.log_line = f'{{"event": "request", "request": "{UNSAFE}"}}'
+
+
+@then("the audit of the logs finds {name:w} for the {kind:w} request")
+def then_log_found(context, name, kind):
     with tempfile.TemporaryDirectory() as directory:
         path = pathlib.Path(directory) / "relay-0.log"
-        path.write_text('{"event": "start"}\n')
+        path.write_text(f"{context.log_line}\n")
         found = audit_logs(context.records, {"relay-0": path})
-    assert len(found) == 1 and SAFE in found[0], found
+    assert len(found) == 1, found
+    assert found[0].startswith(f"{name}: {kind} "), found
 
 
 @when("in the records {what}")
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -254,11 +254,12 @@
         if (
             request.answered_at <= request.sent_at + wait_s
             or request.failure == DISCONNECTED
-            or not _is_owed_answer(records, request, ["peer:"])
+            or not was_read(records, request)
+            or not was_sound(records, request, ["peer:"])
         ):
             continue
         yield (
-            f"{_describe(request)} had no answer within {wait_s:.2f} s and "
+            f"{describe(request)} had no answer within {wait_s:.2f} s and "
             f"ended after {request.ended_at - request.sent_at:.2f} s with "
             f"{request.failure or request.status}"
         )
@@ -283,18 +284,18 @@
             for execution in executions:
                 excuses.append(f"place:{execution.host}")
                 excuses.append(f"leaving:{execution.host}")
-        if _is_owed_answer(records, request, excuses):
+        if was_read(records, request) and was_sound(records, request, excuses):
             yield (
-                f"{_describe(request)} ended with {request.failure} after "
+                f"{describe(request)} ended with {request.failure} after "
                 f"{request.ended_at - request.sent_at:.2f} s"
                 + (", although it was executed" if executions else "")
             )
 
 
-def _is_owed_answer(
+def was_sound(
     records: Records, request: CallerRequest, excuses: Sequence[str]
 ) -> bool:
-    """Returns whether an instance that was undisturbed has read a request.
+    """Returns whether no fault or stop excuses the instance of a request.
 
     Args:
         records: Records of the run.
@@ -309,18 +310,24 @@
     ):
         return False
     sigterm_at = records.last_sigterm_at(request.instance, until)
-    if request.sent_at > sigterm_at + TERM_ACCEPT_S and (
-        until < sigterm_at + TERM_GRACE_S + 1.0
-    ):
-        return False
-    # A request that crosses the end of its connection was not read.
+    return request.sent_at <= sigterm_at + TERM_ACCEPT_S or (
+        until >= sigterm_at + TERM_GRACE_S + 1.0
+    )
+
+
+def was_read(records: Records, request: CallerRequest) -> bool:
+    """Returns whether callers and upstreams saw that a request was read.
+
+    A request that crosses the end of its connection is not read.
+    """
     return (
         request.request_id in records.executions
-        or until > request.sent_at + LOSS_SLACK_S
+        or request.ended_at > request.sent_at + LOSS_SLACK_S
     )
 
 
-def _describe(request: CallerRequest) -> str:
+def describe(request: CallerRequest) -> str:
+    """Returns the words with which a violation names a request."""
     return (
         f"{request.request_id} ({request.kind}) at {request.instance}, sent "
         f"{request.sent_at:.3f} after a rest of {request.rested_s:.3f} s,"
