--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -6,10 +6,16 @@
 import orjson
 
 from applespring.core.errors import RefusalError
-from applespring.core.route import ClientAccount, Route, RoutingDocument
+from applespring.core.route import (
+    ClientAccount,
+    Route,
+    RouteKind,
+    RoutingDocument,
+)
 from applespring.relay.protocol import CallerRequest
 
 Send = Callable[[dict], Awaitable[None]]
+Header = tuple[bytes, bytes]
 
 # A Retry-After is at most this share of the time until the caller's deadline,
 # so that the caller still has time to retry.
@@ -21,6 +27,11 @@
 EVENT_WAIT_MIN_S = 2.0
 EVENT_WAIT_TARGETS = 4.0
 EVENT_WAIT_GAPS = 8.0
+# A refusal is sent this share of the caller's wait before its end, at most this
+# time, so that it arrives while the caller still reads. The wait counts from
+# when the caller sent the request, which is up to 0.2 s before it was read.
+REFUSAL_MARGIN_SHARE = 0.05
+REFUSAL_MARGIN_MAX_S = 0.25
 # Route priorities are 0 to 9.
 ROUTE_PRIORITY_COUNT = 10
 
@@ -62,7 +73,7 @@
         "events",
         "first_event_at",
         "_send",
-        "_should_close",
+        "_connection_header",
     )
 
     def __init__(
@@ -74,7 +85,7 @@
         client_account: ClientAccount | None,
         arrived_at: float,
         send: Send,
-        should_close: Callable[[], bool],
+        connection_header: Callable[[], Header],
     ) -> None:
         self.req = req
         self.document = document
@@ -100,13 +111,22 @@
         self.events = 0
         self.first_event_at = -1.0
         self._send = send
-        self._should_close = should_close
+        self._connection_header = connection_header
 
     @property
     def leaves_at(self) -> float:
         """When the caller of a stream disconnects if it got no event."""
         return min(self.deadline_at, self.arrived_at + self.event_wait_s)
 
+    @property
+    def refuse_at(self) -> float:
+        """Latest time for a refusal that the caller still receives."""
+        waits_until = self.deadline_at
+        if self.route.kind is RouteKind.STREAMING:
+            waits_until = self.leaves_at
+        margin_s = REFUSAL_MARGIN_SHARE * (waits_until - self.arrived_at)
+        return waits_until - min(REFUSAL_MARGIN_MAX_S, margin_s)
+
     @property
     def account_name(self) -> str:
         """Name of the client account, sent to upstreams; "" without one."""
@@ -132,12 +152,12 @@
         """
         return ROUTE_PRIORITY_COUNT * self.priority + self.route.priority
 
-    async def start(
-        self, status: int, headers: Sequence[tuple[bytes, bytes]]
-    ) -> None:
+    async def start(self, status: int, headers: Sequence[Header]) -> None:
         """Sends the head of the answer; it can't be refused after that."""
         self.started = True
-        await send_head(self._send, status, headers, close=self._should_close())
+        await send_head(
+            self._send, status, [*headers, self._connection_header()]
+        )
 
     async def send_chunk(self, data: bytes) -> None:
         """Sends a chunk of the body; more follow."""
@@ -153,35 +173,22 @@
         )
 
 
-async def send_head(
-    send: Send,
-    status: int,
-    headers: Sequence[tuple[bytes, bytes]],
-    *,
-    close: bool,
-) -> None:
+async def send_head(send: Send, status: int, headers: Sequence[Header]) -> None:
     """Sends the head of an answer of an upstream or of this instance.
 
     Args:
         send: ASGI send function.
         status: HTTP status.
         headers: Headers; ASGI demands names in lower case.
-        close: Whether the server closes the connection after the answer.
     """
     headers = [(name.lower(), value) for name, value in headers]
-    if close:
-        headers.append((b"connection", b"close"))
     await send(
         {"type": "http.response.start", "status": status, "headers": headers}
     )
 
 
 async def send_refusal(
-    send: Send,
-    exc: RefusalError,
-    headers: Sequence[tuple[bytes, bytes]],
-    *,
-    close: bool,
+    send: Send, exc: RefusalError, headers: Sequence[Header]
 ) -> None:
     """Sends a refusal as a problem document (RFC 9457)."""
     body = orjson.dumps(
@@ -194,6 +201,6 @@
         }
     )
     headers = [*headers, (b"content-length", b"%d" % len(body))]
-    await send_head(send, exc.reason.status, headers, close=close)
+    await send_head(send, exc.reason.status, headers)
     await send({"type": "http.response.body", "body": body, "more_body": False})
     await anyio.lowlevel.checkpoint()
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -3,6 +3,7 @@
 from guard import Guard
 
 FORWARD = "relay_forward"
+CONNECTIONS = "relay_connections"
 STAGING = "relay_staging"
 BATCH = "relay_batch"
 DECISIONS = "relay_decisions"
@@ -38,11 +39,18 @@
     ),
     Guard(
         "relay: time-out of a stream without new events",
-        "relay/streams.py",
-        "timeout_s = min(timeout_s, EVENT_TIMEOUT_S)",
-        "pass",
+        "relay/silence.py",
+        "elif may_replace():",
+        "elif False:",
         (FORWARD, "A stream without new events"),
     ),
+    Guard(
+        "relay: a silent engine keeps a stream that no other one may continue",
+        "relay/silence.py",
+        "elif may_replace():",
+        "elif may_replace() or True:",
+        (FORWARD, "A silent engine keeps a stream"),
+    ),
     Guard(
         "relay: cancel when the caller disconnects",
         "relay/application.py",
@@ -254,4 +262,39 @@
             "one of a failed engine, is not fetched -- @1.2",
         ),
     ),
+    Guard(
+        "relay: refusal before the caller leaves",
+        "relay/exchange.py",
+        "            waits_until = self.leaves_at\n",
+        "            pass\n",
+        (FORWARD, "A request to a silent upstream is refused"),
+    ),
+    Guard(
+        "relay: third engine after a refusal by the second one",
+        "relay/streams.py",
+        "if exc.verdict is Verdict.NOT_RUN:",
+        "if exc.verdict is Verdict.NOT_RUN and not exchange.started:",
+        (FORWARD, "A stream goes to a third engine"),
+    ),
+    Guard(
+        "relay: another engine instead of one that sends no head",
+        "relay/streams.py",
+        "            return max(limit_s, FIRST_EVENT_RUNS * run_s)\n",
+        "            return exchange.deadline_at - exchange.arrived_at\n",
+        (FORWARD, "A resumable stream whose engine sends no head"),
+    ),
+    Guard(
+        "relay: connections stay open for the stated time",
+        "core/idle_limit.py",
+        ") + HOLD_MARGIN_S",
+        ")",
+        (CONNECTIONS, "A connection is not closed while its caller"),
+    ),
+    Guard(
+        "relay: idle limit of the document at the server",
+        "relay/compose.py",
+        "return self._state.idle_limit.held_s(self._state.clock())",
+        "return 5.0",
+        (CONNECTIONS, "A connection is not closed while its caller"),
+    ),
 )
