Return a stalled stream to its engine when others refuse it

Seen by callers of the JSON interface: a started stream that ends with the error event 502, 0.4 s after its submission, though its engine was only silent for a moment.

Cause: a stream without a token for 0.25 s (or five times the usual gap) is taken from its engine with a token of the retry budget. If the next engine refused it and that was the last token, the stream ended, though nothing had run since.

Evidence: the first example of the new feature fails without the change; with no token at all the stream stays at its engine and is complete.

Change: until another engine has run the stream, a refusal that states "not run" uses no further token, three times at most, and the stalled engine may be chosen again.

--- a/src/applespring/entry/execution/stage.py
+++ b/src/applespring/entry/execution/stage.py
@@ -71,6 +71,10 @@
         attempt: Number of the current attempt, from 1.
         retry_granted: Whether the next attempt is already allowed and counted
             in the retry budget.
+        stalled_upstream: The upstream from which the stream was taken because
+            it stalled, until a later attempt fails other than by a refusal; ""
+            otherwise.
+        refusals: Refused attempts since then.
     """
 
     __slots__ = (
@@ -87,6 +91,8 @@
         "tokens",
         "attempt",
         "retry_granted",
+        "stalled_upstream",
+        "refusals",
     )
 
     def __init__(
@@ -116,6 +122,8 @@
         self.tokens = TokenStream()
         self.attempt = 0
         self.retry_granted = False
+        self.stalled_upstream = ""
+        self.refusals = 0
 
     @property
     def emitted(self) -> bool:
@@ -190,6 +198,9 @@
                 if not self._may_retry(work, exc, reroutes):
                     raise _make_refusal(work, exc) from exc
                 failed.add(exc.upstream)
+                if exc.kind is FailureKind.REFUSED:
+                    # It may only have been silent for a moment.
+                    failed.discard(work.stalled_upstream)
                 await self._wait_for_evidence()
                 work.progress.added_attempts += not unwritten
                 cause = "reroute" if unwritten else "retry"
@@ -355,6 +366,8 @@
         )
         if self._may_retry(work, exc, 0):
             work.retry_granted = True
+            work.stalled_upstream = call.upstream.name
+            work.refusals = 0
             scope.cancel()
 
     def _find_timing(self, pool: Pool) -> StreamTiming:
@@ -386,6 +399,13 @@
             return False
         if not self._prepare_stream(work):
             return False
+        if exc.kind is FailureKind.REFUSED and work.stalled_upstream:
+            # The token that took the stream from its upstream is not used yet.
+            # Without another one the stream would end, though it might have
+            # gone on there.
+            work.refusals += 1
+            return work.refusals <= REROUTES_MAX
+        work.stalled_upstream = ""
         return self._budget.try_retry()
 
     def _prepare_stream(self, work: StageWork) -> bool:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -8,6 +8,13 @@
 PAIRS = "fault_pairs"
 
 GUARDS = (
+    Guard(
+        "return of a stalled stream that others refuse",
+        "entry/execution/stage.py",
+        "if exc.kind is FailureKind.REFUSED and work.stalled_upstream:",
+        "if False:",
+        ("stalled_stream", "the other one refuses -- @1.1"),
+    ),
     Guard(
         "echo check of the request",
         "core/integrity.py",
