Avoid an engine that let a caller wait in vain

Callers saw: request after request at the same engine that accepts them and sends nothing.

Cause: an attempt that ended since its caller stopped waiting counted neither as failed nor as unknown but as progress: end_request reset the pause of the engine and its last progress, and so did the unread prompt that was taken off its load.

Change: such an attempt has failed if the engine was silent for as long as another one would have been sought; a caller that leaves earlier shows nothing about the engine. The time since the last bytes has one place, Attempt.

Test: 'An engine that let a caller wait in vain is avoided for a time' failed before (eight requests, four at the engine); a guard.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -240,3 +240,12 @@
     And the next engine sends the events 3 to 5 and ends
     When a caller sends a resume request
     Then it gets the events 1 to 5 and the end
+
+  Scenario: An engine that let a caller wait in vain is avoided for a time
+    Guards against further requests at an engine that accepts them and sends
+    nothing: a request that ended without an answer counted as its progress
+    (inc-lost).
+    Given a relay with the engines a, b
+    And a never answers and b answers at once
+    When a caller sends 8 stream requests of different sessions
+    Then a was called 1 times
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -246,6 +246,14 @@
     other.default = (200, SIGNED, events(1, 2))
 
 
+@given("{name} never answers and {other} answers at once")
+def given_never_answers(context, name, other):
+    for upstream in context.world.upstreams.values():
+        upstream.script = []
+    context.world.upstreams[name].default = "no_answer"
+    context.world.upstreams[other].default = (200, SIGNED, events(1, 2))
+
+
 @when("a caller sends {count:d} stream requests of different sessions")
 def when_sends_sessions(context, count):
     async def run():
@@ -264,6 +272,11 @@
 @then("all are answered and {name} was called {count:d} times")
 def then_called(context, name, count):
     assert {reply.status for reply in context.replies} == {200}
+    then_called_times(context, name, count)
+
+
+@then("{name:w} was called {count:d} times")
+def then_called_times(context, name, count):
     asked = [a for a in context.world.arrivals if a.upstream == name]
     assert len(asked) == count, len(asked)
 
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -138,7 +138,20 @@
         """Records that an engine sent an event of a stream."""
         self._find_or_add(name, now).last_progress_at = now
 
-    def end_request(self, name: str, now: float, *, failed: bool) -> None:
+    def discard_unread_prompt(self, name: str, unread: int, now: float) -> None:
+        """Removes a prompt that an engine did not read from its load.
+
+        Args:
+            name: The engine.
+            unread: Prompt tokens given to `start_request`.
+            now: Current time.
+        """
+        engine = self._find_or_add(name, now)
+        engine.unread_tokens = max(0, engine.unread_tokens - unread)
+
+    def end_request(
+        self, name: str, now: float, *, failed: bool, answered: bool = True
+    ) -> None:
         """Removes an ended request from the load of an engine.
 
         Args:
@@ -146,6 +159,8 @@
             now: Current time.
             failed: Whether it failed by a fault of the engine, which is then
                 paused.
+            answered: Whether the engine sent anything. The end of a request
+                whose caller left before shows nothing about its engine.
         """
         engine = self._find_or_add(name, now)
         engine.requests = max(0, engine.requests - 1)
@@ -153,7 +168,7 @@
             engine.unread_tokens = 0
         if failed:
             engine.pause.fail(now)
-        else:
+        elif answered:
             engine.pause.succeed()
             engine.last_progress_at = now
 
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -22,20 +22,28 @@
     Attributes:
         outcome: How it ended, for the log and the metrics.
         failed: Whether selectors should avoid the upstream for a time.
-        progress_at: When the upstream last sent bytes, or None before that.
+        answered: Whether the upstream has sent a part of the body.
+        progress_at: When it last did, or when the attempt began.
     """
 
-    __slots__ = ("outcome", "failed", "progress_at")
+    __slots__ = ("outcome", "failed", "answered", "progress_at")
 
-    def __init__(self, *, failed: bool = False) -> None:
+    def __init__(self, now: float, *, failed: bool = False) -> None:
         """Sets the result of an attempt that is cancelled.
 
         Args:
+            now: Current time.
             failed: Whether a cancelled attempt counts against the upstream.
         """
         self.outcome = CANCELLED
         self.failed = failed
-        self.progress_at: float | None = None
+        self.answered = False
+        self.progress_at = now
+
+    def record_progress(self, now: float) -> None:
+        """Records that a part of the body arrived."""
+        self.answered = True
+        self.progress_at = now
 
 
 @contextmanager
@@ -87,16 +95,13 @@
     finally:
         metrics.attempts.inc(exchange.pool, attempt.outcome)
         now = state.clock()
-        progress_at = started_at
-        if attempt.progress_at is not None:
-            progress_at = attempt.progress_at
         logger.bind(
             event="attempt",
             request=exchange.req.request_id,
             upstream=upstream.name,
             outcome=attempt.outcome,
             took_s=round(now - started_at, 4),
-            silent_s=round(now - progress_at, 4),
+            silent_s=round(now - attempt.progress_at, 4),
             left_s=round(remaining_s, 3),
             **fields,
         ).info(
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -196,7 +196,7 @@
         started_at = clock()
         pool = exchange.document.pools.get(exchange.pool)
         # Failed unless it answers: a timeout counts against the upstream.
-        attempt = Attempt(failed=True)
+        attempt = Attempt(started_at, failed=True)
         self.selector.start_request(upstream.name)
         headers = self._protocol.encode_request(
             exchange.req,
--- a/src/applespring/relay/silence.py
+++ b/src/applespring/relay/silence.py
@@ -60,24 +60,20 @@
         EngineSilentError: The engine was silent and the attempt was ended.
         StageError: The attempt failed.
     """
-    started_at = clock()
     silent_s = 0.0
     failure: Exception | None = None
 
-    def silence_s() -> float:
-        progress_at = attempt.progress_at
-        return clock() - (started_at if progress_at is None else progress_at)
-
     async with anyio.create_task_group() as tasks:
 
         async def watch() -> None:
             nonlocal silent_s
             while True:
-                remaining_s = limit_s() - silence_s()
+                silence_s = clock() - attempt.progress_at
+                remaining_s = limit_s() - silence_s
                 if remaining_s > 0.0:
                     await anyio.sleep(min(remaining_s, LIMIT_CHECK_INTERVAL_S))
                 elif may_replace():
-                    silent_s = silence_s()
+                    silent_s = silence_s
                     attempt.outcome = FailureKind.TIMEOUT.value
                     attempt.failed = True
                     tasks.cancel_scope.cancel()
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -16,7 +16,7 @@
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
-from applespring.relay.attempt import Attempt, record_attempt
+from applespring.relay.attempt import CANCELLED, Attempt, record_attempt
 from applespring.relay.client import Answer, UpstreamClient
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
@@ -149,7 +149,7 @@
                 ready, upstream, subject=prefix_name, parts=parts, now=now
             )
             may_resume = route.resumable and attempts + 1 < route.attempts_max
-            attempt = Attempt()
+            attempt = Attempt(now)
             call = partial(
                 self._attempt,
                 exchange,
@@ -221,7 +221,7 @@
     def _silence_limit_s(self, exchange: Exchange, attempt: Attempt) -> float:
         """Returns how long the engine of a resumable stream may be silent."""
         limit_s = silence_limit_s(exchange.event_wait_s)
-        if attempt.progress_at is None:
+        if not attempt.answered:
             run_s = self._state.first_event(exchange.pool).run_s
             return max(limit_s, FIRST_EVENT_RUNS * run_s)
         return limit_s
@@ -421,8 +421,17 @@
                     attempt.outcome = "done"
         finally:
             now = clock()
-            unread_prompt.record_read(engines, upstream.name, now)
-            engines.end_request(upstream.name, now, failed=attempt.failed)
+            cancelled = attempt.outcome == CANCELLED
+            silent_s = now - attempt.progress_at
+            if cancelled and silent_s >= silence_limit_s(exchange.event_wait_s):
+                attempt.failed = True
+            unread_prompt.discard(engines, upstream.name, now)
+            engines.end_request(
+                upstream.name,
+                now,
+                failed=attempt.failed,
+                answered=attempt.answered or not cancelled,
+            )
 
     async def _handle_failure(
         self,
@@ -475,7 +484,8 @@
         """
         clock, engines = self._state.clock, self._state.engines
         async for chunk in answer.chunks():
-            now = attempt.progress_at = clock()
+            now = clock()
+            attempt.record_progress(now)
             complete_events = splitter.feed(chunk)
             if not complete_events:
                 continue
@@ -531,6 +541,11 @@
             engines.record_prompt_read(name, self._unread_tokens, now)
             self._unread_tokens = 0
 
+    def discard(self, engines: EngineSelector, name: str, now: float) -> None:
+        """Records that the engine will not read the prompt any more."""
+        engines.discard_unread_prompt(name, self._unread_tokens, now)
+        self._unread_tokens = 0
+
 
 def _make_refusal(
     refusal_reason: reason.Reason,
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -356,4 +356,11 @@
         "return 5.0",
         (CONNECTIONS, "A connection is not closed while its caller"),
     ),
+    Guard(
+        "relay: an engine that never answered has failed",
+        "relay/streams.py",
+        "                attempt.failed = True\n            unread_prompt",
+        "                pass\n            unread_prompt",
+        (FORWARD, "An engine that let a caller wait in vain"),
+    ),
 )
