Hold connections for the longest answer of any document

A stated time was kept for as long as answers of the replaced document may take; one admitted by an earlier document with a longer timeout may still be in progress. replace(2, 5, 0) on a limit of 20 s held 4 s although a head had stated 20. The longest timeout of all documents counts now. By reading; the wiring has no test of its own.

--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -52,6 +52,7 @@
         "closed",
         "requests",
         "clock",
+        "_answer_limit_s",
         "_attempt_windows",
         "_first_events",
     )
@@ -63,6 +64,7 @@
         self.document: RoutingDocument | None = None
         self.document_data = b""
         self.idle_limit = IdleLimit(CallerLimits().idle_s)
+        self._answer_limit_s = 0.0
         self.catalog = Catalog()
         self.registry_read_at = -1.0
         self.entries_revision = 0
@@ -84,13 +86,13 @@
             doc: The document.
             data: Its encoding, for peers.
         """
-        answer_s = 0.0
-        if self.document is not None:
-            answer_s = max(
-                (route.timeout_s for route in self.document.routes),
-                default=0.0,
-            )
-        self.idle_limit.replace(doc.limits.idle_s, answer_s, self.clock())
+        self.idle_limit.replace(
+            doc.limits.idle_s, self._answer_limit_s, self.clock()
+        )
+        # An answer in progress may have been admitted by an earlier document.
+        self._answer_limit_s = max(
+            [self._answer_limit_s, *(route.timeout_s for route in doc.routes)]
+        )
         self.document = doc
         self.document_data = data
 
