Refuse closer to the end of the caller's wait

An answer that was ready 0.96 s after a request with 1 s was dropped for a refusal at 0.95 s. The margin is 2% of the wait, 0.02 to 0.1 s: a refusal has to travel, and the caller counts from when it sent the request. An answer in that time arrives after the caller has left or just before.

--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -27,11 +27,13 @@
 EVENT_WAIT_MIN_S = 2.0
 EVENT_WAIT_TARGETS = 4.0
 EVENT_WAIT_GAPS = 8.0
-# A refusal is sent this share of the caller's wait before its end, at most this
-# time, so that it arrives while the caller still reads. The wait counts from
-# when the caller sent the request, which is up to 0.2 s before it was read.
-REFUSAL_MARGIN_SHARE = 0.05
-REFUSAL_MARGIN_MAX_S = 0.25
+# A refusal is sent this share of the caller's wait before its end, within these
+# bounds, so that it arrives while the caller still reads. The wait counts from
+# when the caller sent the request: a connection is opened, the request travels,
+# and it waits for the event loop before it is read here.
+REFUSAL_MARGIN_SHARE = 0.02
+REFUSAL_MARGIN_MIN_S = 0.02
+REFUSAL_MARGIN_MAX_S = 0.1
 # Route priorities are 0 to 9.
 ROUTE_PRIORITY_COUNT = 10
 
@@ -125,7 +127,9 @@
         if self.route.kind is RouteKind.STREAMING:
             waits_until = self.leaves_at
         margin_s = REFUSAL_MARGIN_SHARE * (waits_until - self.arrived_at)
-        return waits_until - min(REFUSAL_MARGIN_MAX_S, margin_s)
+        return waits_until - min(
+            REFUSAL_MARGIN_MAX_S, max(REFUSAL_MARGIN_MIN_S, margin_s)
+        )
 
     @property
     def account_name(self) -> str:
