Await a slow answer when no other upstream may be asked

Callers saw: 502 at 0.3 s, while the answer came at 0.5 s of 1 s.

Cause: the attempt of a request that may be retried ended at its time limit, and only then was the retry budget asked, and whether there is another upstream. With one upstream it was asked again and executed the request twice.

Change: the same rule as for streams (run_until_replaced): the retry is taken, and another upstream must exist, before the attempt ends; otherwise it goes on until its caller stops waiting.

--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -1,7 +1,8 @@
 """Forwards requests whose answer is read completely before it is sent on."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
+from functools import partial
 
 import anyio
 from loguru import logger
@@ -18,11 +19,12 @@
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import Protocol
+from applespring.relay.silence import UpstreamSilentError, run_until_replaced
 from applespring.relay.state import RelayState
 
 BODY_BYTES_MAX = 8 * 1024 * 1024
-# An attempt of a request that may be retried ends after this multiple of the
-# latency target of its route; the request is then sent to another upstream.
+# A request that may be retried is sent to another upstream, if there is one and
+# the budget allows it, after this multiple of the latency target of its route.
 ATTEMPT_TIMEOUT_TARGETS = 1.5
 # Shortest timeout of such an attempt.
 ATTEMPT_TIMEOUT_MIN_S = 0.25
@@ -102,18 +104,30 @@
             may_retry = (
                 route.idempotent and attempts_run + 1 < route.attempts_max
             )
-            timeout_s = remaining_s
-            if may_retry:
-                timeout_s = min(
-                    remaining_s,
-                    max(
+            # Failed unless it answers: a timeout counts against the upstream.
+            attempt = Attempt(now, failed=True)
+            call = partial(
+                self._attempt, exchange, upstream, attempt, remaining_s
+            )
+            granted = False
+            try:
+                if may_retry:
+                    limit_s = max(
                         ATTEMPT_TIMEOUT_MIN_S,
                         ATTEMPT_TIMEOUT_TARGETS * route.target_s,
-                    ),
-                )
-            try:
-                answer = await self._attempt(exchange, upstream, timeout_s)
+                    )
+                    answer = await run_until_replaced(
+                        call,
+                        attempt,
+                        upstream.name,
+                        lambda limit_s=limit_s: limit_s,
+                        partial(self._prepare_replacement, exchange, tried),
+                        clock,
+                    )
+                else:
+                    answer = await call()
             except StageError as exc:
+                granted = isinstance(exc, UpstreamSilentError)
                 verdicts.append(exc.verdict)
                 detail = str(exc)
                 if exc.verdict is Verdict.NOT_RUN:
@@ -142,7 +156,7 @@
                     break
             if attempts_run >= route.attempts_max:
                 break
-            if not window.try_acquire(clock(), instance_count):
+            if not granted and not window.try_acquire(clock(), instance_count):
                 logger.bind(
                     event="retry_denied",
                     request=exchange.req.request_id,
@@ -155,6 +169,26 @@
                 break
         await self._send_answer(exchange, last_answer, verdicts, detail)
 
+    async def _prepare_replacement(
+        self, exchange: Exchange, tried: Sequence[str]
+    ) -> bool:
+        """Takes the retry of a request from the budget.
+
+        Returns:
+            Whether another upstream may be asked instead of a silent one.
+        """
+        now = self._state.clock()
+        return (
+            exchange.deadline_at - now >= ATTEMPT_REMAINING_MIN_S
+            and any(
+                upstream.name not in tried
+                for upstream in self._state.usable_upstreams(exchange.pool)
+            )
+            and self._state.attempt_window(exchange.pool).try_acquire(
+                now, 1 + len(self._peers.table.reachable(now))
+            )
+        )
+
     async def _send_answer(
         self,
         exchange: Exchange,
@@ -185,7 +219,11 @@
         raise RefusalError(reason.UPSTREAM_FAILED, verdict, detail)
 
     async def _attempt(
-        self, exchange: Exchange, upstream: ListedUpstream, timeout_s: float
+        self,
+        exchange: Exchange,
+        upstream: ListedUpstream,
+        attempt: Attempt,
+        timeout_s: float,
     ) -> _CompleteAnswer:
         """Sends the request to one upstream and reads its complete answer.
 
@@ -195,8 +233,6 @@
         clock = self._state.clock
         started_at = clock()
         pool = exchange.document.pools.get(exchange.pool)
-        # Failed unless it answers: a timeout counts against the upstream.
-        attempt = Attempt(started_at, failed=True)
         self.selector.start_request(upstream.name)
         headers = self._protocol.encode_request(
             exchange.req,
