Leave a silent engine only when all is ready elsewhere

Change: before the first event an engine is silent only if it made no progress on any request, for at least twice the measured time to a first event and to read the prompt; an attempt that is given up is measured as at least that long, and the next engine gets as much time as this one had. A send is no silence. Stages run again while the silent engine still has the stream, which is left when they have, if it is still silent. An attempt that ends keeps its result. A stream that has begun is left after three quarters of its caller's wait at most.

Scenarios with the load and the others; guards.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -249,3 +249,45 @@
     And a never answers and b answers at once
     When a caller sends 8 stream requests of different sessions
     Then a was called 1 times
+
+  Scenario: Engines that take long to a first event are busy, not silent
+    Load pattern: 40 requests, 4 per second, to three engines that each send the
+    first event after 3 s. Guards against engines that are given up in turn, so
+    that hardly any request is answered in its caller's time.
+    Given a relay with the engines a, b, c
+    And each engine sends its first event after 3.0 s
+    When 40 resume requests come 4 per second
+    Then at least 38 are answered and the engines got at most 48 requests
+
+  Scenario: A slow caller is no reason to leave its engine
+    Guards against an event that is lost, since the time for which a caller does
+    not read counted as a silence of the engine and its stream was resumed.
+    Given a relay with the engines a, b
+    And the engine sends the events 1 to 3 and ends
+    When a caller that reads nothing for 2.6 s after event 1 sends a resume request
+    Then it gets the events 1 to 3 and the end
+    And 1 upstreams got the request
+
+  Scenario: A silent engine keeps a stream whose stages cannot run again
+    Guards against a stream that is cut off, since it was taken from its silent
+    engine before its stages were executed again for the next one.
+    Given a relay with the engines a, b
+    And the engine sends the events 1 to 2, is silent for 4.0 s, and ends with event 3
+    And a stage upstream that is lost when the stream has begun
+    When a caller sends a request on the route staged-resume
+    Then it gets the events 1 to 3 and the end
+    And 1 upstreams got the request
+
+  Scenario Outline: A slow answer is awaited when no other upstream may be asked
+    Guards against a failure while the only upstream that may answer still works
+    on the request.
+    Given a relay with the plain upstreams <upstreams>
+    And the retry budget of the plain pool is <budget>
+    And the upstreams answer after 0.5 s
+    When a caller sends a safe request
+    Then it gets 200 and 1 upstreams got the request
+
+    Examples:
+      | upstreams | budget  |
+      | a, b      | used up |
+      | a         | free    |
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -57,6 +57,7 @@
     context.outage_s = 0.0
     context.ready = True
     context.preparations = []
+    context.background = None
 
 
 @given("a relay with the plain upstreams {names}")
@@ -175,21 +176,49 @@
     context.script.append(FAILURES["503 not executed"])
 
 
-@given("the retry budget of the engines is free")
-def given_budget_free(context):
-    del context
+@given("the retry budget of the {pool} is free")
+def given_budget_free(context, pool):
+    del context, pool
 
 
-@given("the retry budget of the engines is used up")
-def given_budget_used(context):
+@given("the retry budget of the {pool} is used up")
+def given_budget_used(context, pool):
+    name = {"engines": "engines", "plain pool": "plain"}[pool]
+
     def use_up():
         state = context.world.instances["one"].state
-        while state.attempt_window("engines").try_acquire(state.clock(), 1):
+        while state.attempt_window(name).try_acquire(state.clock(), 1):
             pass
 
     context.preparations.append(use_up)
 
 
+@given("the upstreams answer after {seconds:f} s")
+def given_slow_answers(context, seconds):
+    for upstream in context.world.upstreams.values():
+        upstream.head_delay_s = seconds
+
+
+@given("each engine sends its first event after {seconds:f} s")
+def given_slow_engines(context, seconds):
+    for upstream in context.world.upstreams.values():
+        upstream.script = []
+        upstream.default = (200, SIGNED, events(1, 2))
+        upstream.head_delay_s = seconds
+
+
+@given("a stage upstream that is lost when the stream has begun")
+def given_stage_lost(context):
+    stage = context.world.add_upstream("stage-one", "stage")
+
+    async def lose():
+        while not context.world.find_arrivals():
+            await anyio.sleep(0.05)
+        stage.down = True
+
+    context.background = lose
+
+
 def send_requests(context, kind, count=1, **options):
     """Starts an instance, prepares it and sends requests one by one."""
 
@@ -203,6 +232,8 @@
             for step in context.preparations:
                 step()
                 await anyio.sleep(0.5)
+            if context.background:
+                tasks.start_soon(context.background)
             if context.outage_s:
                 context.world.registries["one"].unreachable = True
                 await anyio.sleep(context.outage_s)
@@ -231,6 +262,54 @@
     send_requests(context, kind)
 
 
+@when("a caller sends a request on the route {route}")
+def when_sends_staged(context, route):
+    headers = [(b"segments", b"1,1"), (b"segment-key", b"k")]
+    send_requests(context, route, headers=headers)
+
+
+@when(
+    "a caller that reads nothing for {seconds:f} s after event 1 sends a "
+    "{kind:w} request"
+)
+def when_reads_slowly(context, seconds, kind):
+    send_requests(context, kind, pause_after_first_s=seconds)
+
+
+@when("{count:d} resume requests come {rate:d} per second")
+def when_load(context, count, rate):
+    context.replies = []
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            await context.world.start("one", tasks)
+            await anyio.sleep(0.5)
+            async with anyio.create_task_group() as callers:
+
+                async def call(number):
+                    reply = await context.world.request(
+                        "one", "/resume/x", request=f"r{number}"
+                    )
+                    context.replies.append(reply)
+
+                for number in range(count):
+                    callers.start_soon(call, number)
+                    await anyio.sleep(1 / rate)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
+@then(
+    "at least {answered:d} are answered and the engines got at most {sent:d} "
+    "requests"
+)
+def then_load(context, answered, sent):
+    served = [reply for reply in context.replies if reply.status == 200]
+    assert len(served) >= answered, len(served)
+    assert len(context.world.arrivals) <= sent, len(context.world.arrivals)
+
+
 @when("a caller sends {count:d} unsafe requests")
 def when_sends_many(context, count):
     send_requests(context, "unsafe", count)
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -180,7 +180,7 @@
         It is the first available engine in the prefix's rendezvous order, which
         is the same for all instances.
         """
-        usable = [u for u in upstreams if self._is_available(u.name, now)]
+        usable = [u for u in upstreams if self.is_available(u.name, now)]
         names = rank(f"prefix\x1f{subject}", [u.name for u in usable])
         by_name = {u.name: u for u in usable}
         return by_name[names[0]] if names else None
@@ -208,7 +208,7 @@
             tokens_per_s: Prompt tokens that an engine reads in a second.
             now: Current time.
         """
-        available = [u for u in upstreams if self._is_available(u.name, now)]
+        available = [u for u in upstreams if self.is_available(u.name, now)]
         home = self.home(upstreams, subject, now)
         best, best_cost = None, math.inf
         for upstream in available or upstreams:
@@ -251,7 +251,7 @@
             upstream
             for upstream in upstreams
             if upstream.name != target.name
-            and self._is_available(upstream.name, now)
+            and self.is_available(upstream.name, now)
         ]
         unread = {
             u.name: self.unread_prompt_tokens(u.name, parts, now)
@@ -319,7 +319,19 @@
                 unread += loads[name][1]
         return requests, unread
 
-    def _is_available(self, name: str, now: float) -> bool:
+    def is_silent(self, name: str, for_s: float, now: float) -> bool:
+        """Returns whether an engine made no progress on any request.
+
+        Args:
+            name: The engine.
+            for_s: For how long, in seconds.
+            now: Current time.
+        """
+        engine = self._engines.get(name)
+        return engine is None or now - engine.last_progress_at >= for_s
+
+    def is_available(self, name: str, now: float) -> bool:
+        """Returns whether an engine is neither paused nor without progress."""
         engine = self._engines.get(name)
         if engine is None:
             return True
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -24,9 +24,18 @@
         failed: Whether selectors should avoid the upstream for a time.
         answered: Whether the upstream has sent a part of the body.
         progress_at: When it last did, or when the attempt began.
+        sending: Whether a part of the answer is being sent to the caller.
+        replaceable: Whether another upstream may still be sought.
     """
 
-    __slots__ = ("outcome", "failed", "answered", "progress_at")
+    __slots__ = (
+        "outcome",
+        "failed",
+        "answered",
+        "progress_at",
+        "sending",
+        "replaceable",
+    )
 
     def __init__(self, now: float, *, failed: bool = False) -> None:
         """Sets the result of an attempt that is cancelled.
@@ -39,6 +48,8 @@
         self.failed = failed
         self.answered = False
         self.progress_at = now
+        self.sending = False
+        self.replaceable = True
 
     def record_progress(self, now: float) -> None:
         """Records that a part of the body arrived."""
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -28,8 +28,8 @@
 )
 from applespring.relay.protocol import Protocol
 from applespring.relay.silence import (
-    EngineSilentError,
-    run_until_silent,
+    UpstreamSilentError,
+    run_until_replaced,
     silence_limit_s,
 )
 from applespring.relay.stage_submitter import StageRun, StageSubmitter
@@ -163,12 +163,26 @@
             )
             try:
                 if may_resume:
-                    await run_until_silent(
+                    await run_until_replaced(
                         call,
                         attempt,
                         upstream.name,
-                        partial(self._silence_limit_s, exchange, attempt),
-                        partial(self._may_replace, exchange, upstream.name),
+                        partial(
+                            self._silence_limit_s,
+                            exchange,
+                            attempt,
+                            self._state.engines.unread_prompt_tokens(
+                                upstream.name, parts, now
+                            ),
+                        ),
+                        partial(
+                            self._prepare_replacement,
+                            exchange,
+                            run,
+                            upstream.name,
+                            attempt,
+                            attempts,
+                        ),
                         clock,
                     )
                 else:
@@ -193,7 +207,7 @@
                     continue
                 attempts += 1
                 # The retry after a silence was taken before its attempt ended.
-                may_continue = isinstance(exc, EngineSilentError) or (
+                may_continue = isinstance(exc, UpstreamSilentError) or (
                     may_resume
                     and exchange.deadline_at - clock()
                     >= ATTEMPT_REMAINING_MIN_S
@@ -218,34 +232,77 @@
                 )
                 await anyio.sleep(SWITCH_DELAY_S)
 
-    def _silence_limit_s(self, exchange: Exchange, attempt: Attempt) -> float:
+    def _silence_limit_s(
+        self, exchange: Exchange, attempt: Attempt, unread_tokens: int
+    ) -> float:
         """Returns how long the engine of a resumable stream may be silent."""
-        limit_s = silence_limit_s(exchange.event_wait_s)
+        limit_s = silence_limit_s(
+            exchange.event_wait_s, started=exchange.started
+        )
         if not attempt.answered:
-            run_s = self._state.first_event(exchange.pool).run_s
-            return max(limit_s, FIRST_EVENT_RUNS * run_s)
+            estimate = self._state.first_event(exchange.pool)
+            expected_s = estimate.run_s + unread_tokens / estimate.tokens_per_s
+            return max(limit_s, FIRST_EVENT_RUNS * expected_s)
         return limit_s
 
-    def _may_replace(self, exchange: Exchange, engine: str) -> bool:
-        """Returns whether another engine may continue a stream now.
+    async def _prepare_replacement(
+        self,
+        exchange: Exchange,
+        run: StageRun,
+        engine: str,
+        attempt: Attempt,
+        attempts: int,
+    ) -> bool:
+        """Prepares that another engine continues the stream of a silent one.
+
+        Takes the retry from the budget, and has the stages executed again if
+        their results were released.
 
-        If so, the retry for it is taken from the budget.
+        Returns:
+            Whether another engine may continue now.
         """
-        now = self._state.clock()
+        now, engines = self._state.clock(), self._state.engines
+        silent_s = now - attempt.progress_at
+        if not attempt.replaceable:
+            return False
+        if not attempt.answered and not engines.is_silent(
+            engine, silent_s, now
+        ):
+            # It answers other requests, so it is busy.
+            return False
         ends_at, needed_s = exchange.deadline_at, ATTEMPT_REMAINING_MIN_S
         if not exchange.started:
-            ends_at = exchange.refuse_at
-            needed_s = self._state.first_event(exchange.pool).run_s
-        return (
-            ends_at - now >= needed_s
-            and any(
-                upstream.name != engine
-                for upstream in self._state.usable_upstreams(exchange.pool)
-            )
-            and self._state.attempt_window(exchange.pool).try_acquire(
+            # The next engine gets as much time as this one had.
+            ends_at, needed_s = exchange.refuse_at, silent_s
+        others = [
+            upstream
+            for upstream in self._state.usable_upstreams(exchange.pool)
+            if upstream.name != engine
+            and engines.is_available(upstream.name, now)
+        ]
+        if (
+            ends_at - now < needed_s
+            or not others
+            or not self._state.attempt_window(exchange.pool).try_acquire(
                 now, self._instance_count()
             )
-        )
+        ):
+            return False
+        if run.chain.final_released:
+            try:
+                await self._restore_results(exchange, run, attempts + 1)
+            except RefusalError as exc:
+                logger.bind(
+                    event="engine_kept", request=exchange.req.request_id
+                ).info(
+                    "silent engine {} keeps the stream of request {}: {}",
+                    engine,
+                    exchange.req.request_id,
+                    exc,
+                )
+                attempt.replaceable = False
+                return False
+        return True
 
     async def _repeat_stages(
         self,
@@ -295,7 +352,7 @@
         run.target_at = run.leaves_at
         try:
             await self._submitter.execute_again(
-                run, "the previous engine broke off, its inputs are released"
+                run, "another engine is to continue, its inputs are released"
             )
         except RefusalError as exc:
             raise _make_refusal(
@@ -398,7 +455,7 @@
                             and (answer.status >= 500 or answer.reply.not_run)
                         )
                         await self._handle_failure(
-                            exchange, upstream, answer, run
+                            exchange, upstream, answer, run, attempt
                         )
                         return
                     if not answer.reply.signed:
@@ -423,8 +480,16 @@
             now = clock()
             cancelled = attempt.outcome == CANCELLED
             silent_s = now - attempt.progress_at
-            if cancelled and silent_s >= silence_limit_s(exchange.event_wait_s):
+            limit_s = silence_limit_s(
+                exchange.event_wait_s, started=exchange.started
+            )
+            if cancelled and silent_s >= limit_s:
                 attempt.failed = True
+            if attempt.failed and not attempt.answered:
+                # The first event would have taken longer than this.
+                unread_prompt.record_first_event(
+                    self._state.first_event(exchange.pool), now
+                )
             unread_prompt.discard(engines, upstream.name, now)
             engines.end_request(
                 upstream.name,
@@ -439,6 +504,7 @@
         upstream: ListedUpstream,
         answer: Answer,
         run: StageRun,
+        attempt: Attempt,
     ) -> None:
         """Sends an engine's error answer to the caller, if it is final.
 
@@ -463,6 +529,7 @@
                 upstream.name,
                 f"status {answer.status}",
             )
+        attempt.sending = True
         exchange.outcome = f"status_{answer.status}"
         headers = self._protocol.reply_headers(answer.headers)
         await exchange.start(answer.status, headers)
@@ -494,12 +561,15 @@
             )
             unread_prompt.record_read(engines, upstream.name, now)
             engines.record_progress(upstream.name, now)
+            attempt.sending = True
             if not exchange.started:
                 headers = self._protocol.reply_headers(answer.headers)
                 await exchange.start(answer.status, headers)
             if exchange.first_event_at < 0:
                 exchange.first_event_at = now
             await exchange.send_chunk(complete_events)
+            attempt.record_progress(clock())
+            attempt.sending = False
         if splitter.partial:
             raise StageError(
                 FailureKind.TRUNCATED,
@@ -507,6 +577,7 @@
                 upstream.name,
                 f'the stream ended inside the event after "{splitter.last_id}"',
             )
+        attempt.sending = True
         exchange.events = splitter.count
         exchange.outcome = "done"
         if not exchange.started:
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -40,15 +40,15 @@
     Guard(
         "relay: time-out of a stream without new events",
         "relay/silence.py",
-        "elif may_replace():",
-        "elif False:",
+        "elif not await prepare_replacement():",
+        "elif True:",
         (FORWARD, "A stream without new events"),
     ),
     Guard(
         "relay: a silent engine keeps a stream that no other one may continue",
         "relay/silence.py",
-        "elif may_replace():",
-        "elif may_replace() or True:",
+        "elif not await prepare_replacement():",
+        "elif False:",
         (FORWARD, "A silent engine keeps a stream"),
     ),
     Guard(
@@ -338,7 +338,7 @@
     Guard(
         "relay: another engine instead of one that sends no head",
         "relay/streams.py",
-        "            return max(limit_s, FIRST_EVENT_RUNS * run_s)\n",
+        "            return max(limit_s, FIRST_EVENT_RUNS * expected_s)\n",
         "            return exchange.deadline_at - exchange.arrived_at\n",
         (FORWARD, "A resumable stream whose engine sends no head"),
     ),
@@ -363,4 +363,33 @@
         "                pass\n            unread_prompt",
         (FORWARD, "An engine that let a caller wait in vain"),
     ),
+    Guard(
+        "relay: an engine that answers others is busy",
+        "relay/streams.py",
+        "            return max(limit_s, FIRST_EVENT_RUNS * expected_s)\n",
+        "            return limit_s\n",
+        (FORWARD, "Engines that take long to a first event"),
+    ),
+    Guard(
+        "relay: a slow caller is no silence of its engine",
+        "relay/silence.py",
+        "if attempt.sending:",
+        "if False:",
+        (FORWARD, "A slow caller is no reason"),
+    ),
+    Guard(
+        "relay: stages run again before a silent engine is left",
+        "relay/streams.py",
+        "                attempt.replaceable = False\n"
+        "                return False\n",
+        "                return True\n",
+        (FORWARD, "A silent engine keeps a stream whose stages"),
+    ),
+    Guard(
+        "relay: a slow answer is awaited without a replacement",
+        "relay/plain.py",
+        "upstream.name not in tried",
+        "True",
+        (FORWARD, "A slow answer is awaited"),
+    ),
 )
