--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -136,7 +136,7 @@
     Guard(
         "relay: withdrawal of pieces",
         "relay/stage_scheduler.py",
-        "queue.withdraw(msg.request)",
+        "queue.withdraw(msg.request, origin)",
         "pass",
         (STAGING, "The caller disconnects before"),
     ),
