Count a send as no silence in one place

Attempt.silent_s is its one place now. Only a silence is measured as a long wait for the first event; a refused connection counted as a short one.

--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -51,6 +51,14 @@
         self.sending = False
         self.replaceable = True
 
+    def silent_s(self, now: float) -> float:
+        """Returns for how long the upstream has sent nothing, in seconds.
+
+        It counts as 0 while a part of the answer is sent on, since the caller
+        may be slow to read it.
+        """
+        return 0.0 if self.sending else now - self.progress_at
+
     def record_progress(self, now: float) -> None:
         """Records that a part of the body arrived."""
         self.answered = True
@@ -112,7 +120,7 @@
             upstream=upstream.name,
             outcome=attempt.outcome,
             took_s=round(now - started_at, 4),
-            silent_s=round(now - attempt.progress_at, 4),
+            silent_s=round(attempt.silent_s(now), 4),
             left_s=round(remaining_s, 3),
             **fields,
         ).info(
--- a/src/applespring/relay/silence.py
+++ b/src/applespring/relay/silence.py
@@ -82,18 +82,14 @@
         async def watch() -> None:
             nonlocal replaced
             while True:
-                progress_at = attempt.progress_at
-                silent_s = clock() - progress_at
+                silent_s = attempt.silent_s(clock())
                 remaining_s = limit_s() - silent_s
-                if attempt.sending:
-                    # The caller is slow, not the upstream.
-                    await anyio.sleep(CHECK_INTERVAL_S)
-                elif remaining_s > 0.0:
+                if remaining_s > 0.0:
                     wait_s = min(remaining_s, LIMIT_CHECK_INTERVAL_S)
                     await anyio.sleep(max(WAIT_MIN_S, wait_s))
                 elif not await prepare_replacement():
                     await anyio.sleep(CHECK_INTERVAL_S)
-                elif attempt.progress_at == progress_at and not attempt.sending:
+                elif attempt.silent_s(clock()) >= silent_s:
                     replaced = True
                     attempt.outcome = FailureKind.TIMEOUT.value
                     attempt.failed = True
@@ -114,7 +110,7 @@
             FailureKind.TIMEOUT,
             Verdict.MAY_HAVE_RUN,
             upstream,
-            f"nothing was sent for {clock() - attempt.progress_at:.2f} s",
+            f"nothing was sent for {attempt.silent_s(clock()):.2f} s",
         ) from failure
     assert failure is not None
     raise failure
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -262,7 +262,7 @@
             Whether another engine may continue now.
         """
         now, engines = self._state.clock(), self._state.engines
-        silent_s = now - attempt.progress_at
+        silent_s = attempt.silent_s(now)
         if not attempt.replaceable:
             return False
         if not attempt.answered and not engines.is_silent(
@@ -479,13 +479,14 @@
         finally:
             now = clock()
             cancelled = attempt.outcome == CANCELLED
-            silent_s = now - attempt.progress_at
+            silent_s = attempt.silent_s(now)
             limit_s = silence_limit_s(
                 exchange.event_wait_s, started=exchange.started
             )
-            if cancelled and silent_s >= limit_s:
+            is_silent = silent_s >= limit_s
+            if cancelled and is_silent:
                 attempt.failed = True
-            if attempt.failed and not attempt.answered:
+            if is_silent and not attempt.answered:
                 # The first event would have taken longer than this.
                 unread_prompt.record_first_event(
                     self._state.first_event(exchange.pool), now
