--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -79,6 +79,18 @@
                 run.passed.append(name)
             else:
                 run.failed.append(name)
+                run.output += _describe_failure(name, element)
+
+
+def _describe_failure(name: str, element: dict) -> str:
+    """Returns the steps that failed, which the progress format leaves out."""
+    lines = [name]
+    for step in element.get("steps", ()):
+        message = step.get("result", {}).get("error_message")
+        if message:
+            text = message if isinstance(message, str) else "\n".join(message)
+            lines.append(f"  {step['name']}: {text}")
+    return "\n".join([*lines, ""])
 
 
 def read_known_red() -> list[str]:
