--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -45,6 +45,8 @@
 # Delay before a stream is resumed, so that the previous engine notices that its
 # connection was closed before the next one starts.
 SWITCH_DELAY_S = 0.05
+# How an attempt fails when its engine ends or closes the connection.
+BROKEN_OFF_KINDS = frozenset([FailureKind.RESET, FailureKind.TRUNCATED])
 # Statuses of an engine that executed nothing because it lacks an input.
 INPUTS_LOST_STATUSES = (400, 409)
 
@@ -476,6 +478,21 @@
                         unread_prompt,
                     )
                     attempt.outcome = "done"
+        except StageError as exc:
+            if exc.kind in BROKEN_OFF_KINDS:
+                logger.bind(
+                    event="engine_broke_off",
+                    request=req.request_id,
+                    upstream=upstream.name,
+                    begun=attempt.answered,
+                    parts=[name for name, _ in parts[:-1]],
+                ).warning(
+                    "engine {} broke off request {}: {}",
+                    upstream.name,
+                    req.request_id,
+                    exc,
+                )
+            raise
         finally:
             now = clock()
             cancelled = attempt.outcome == CANCELLED
