Quarantine prompt parts that crash engines

Cause: a request that ended an engine was held against the engine alone. Nothing recorded what broken requests had in common, no instance told others, and the next request with the part went to the next engine. Class: a fault of the request that is taken for a fault of the upstream. Evidence: with the parts in the log, one part is among the requests without an event at every crash, and none with it ever got one.

Change: each instance records which parts the requests had that an engine broke off before it had begun their answers, and tells all others at once and again each second. A part in two crashes (up to four where other crashes happen or it had been answered before) that no other part explains better is quarantined; any answer to a request with it clears it. Requests with a quarantined part are refused at once, before their stages, as not run; those in progress that have not begun are ended. One instance, chosen by rendezvous hashing, grants trials, after 5 s, then four times as long each time; an answer releases the part. Resets beside which the engine goes on, engines that leave, and simultaneous crashes are no or one piece of evidence.

Why it works: the evidence of all instances is merged, so that two crashes are enough wherever they are seen, and sound parts are answered elsewhere in less than a second.

Ordinary crashes in crash_ledger.feature: at most one request in 500 meets a quarantine. Nine guards, each shown.

--- a/features/relay_crash.feature
+++ b/features/relay_crash.feature
@@ -17,3 +17,55 @@
       | 7         | 9       | 20   | 0.15  | resume |
       | 3         | 18      | 30   | 0.3   | stream |
       | 20        | 12      | 30   | 0.1   | stream |
+
+  Scenario: A request with a quarantined part is refused at once
+    Guards against a refusal that comes late or is false, and against stages
+    that are executed for a request which no engine will get.
+    Given 3 relay instances with 9 engines
+    And the part dead is quarantined since engines crashed on it
+    When a caller sends a staged request with the part dead
+    Then it is refused within 50 ms with 503, prompt_quarantined and not_run
+    And neither a stage nor an engine got it
+
+  Scenario: A request at an engine is withdrawn when its part is quarantined
+    Guards against a crash by a request that was sent before the part was
+    known, and against a refusal that says it has not run.
+    Given 3 relay instances with 9 engines
+    When 3 requests with the part dead are sent, after 0.5 and 0.25 s
+    Then 2 engines crashed
+    And the last one is refused with 502, upstream_failed and may_have_run
+
+  Scenario: Connections of an engine that lives are reset
+    Guards against a part that is quarantined since an engine fails some
+    requests, or connections to it are reset.
+    Given 1 relay instances with 3 engines
+    When 40 requests a second come for 20 s, and one in ten has a part whose requests are reset
+    Then no instance quarantines a part
+
+  Scenario: Requests that a leaving engine breaks off
+    Guards against a part that is quarantined since engines end as planned.
+    Given 1 relay instances with 9 engines
+    When requests with the part late are at engines that are leaving and end
+    Then no instance quarantines a part
+
+  Scenario Outline: A part that engines no longer crash on is served again
+    Guards against a part that is refused for good, and against several trials
+    at once while it may still crash engines.
+    Given <instances> relay instances with 9 engines
+    And the part dead is quarantined since engines crashed on it
+    When engines no longer crash on it and a request with it comes each 0.5 s for 12 s
+    Then all requests with it sent later than 8 s after the last crash are served
+    And one request with it was sent as a trial
+
+    Examples:
+      | instances |
+      | 3         |
+      | 7         |
+
+  Scenario: A trial is granted on one instance's word
+    Guards against one trial for each instance of the fleet, each of which
+    crashes an engine.
+    Given 7 relay instances with 9 engines
+    And the part dead is quarantined since engines crashed on it
+    When 70 requests with it come at all instances 6 s after the last crash
+    Then one of them reached an engine, which crashed
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -45,6 +45,7 @@
         "requests",
         "unread_tokens",
         "last_progress_at",
+        "event_at",
         "pause",
         "parts",
     )
@@ -53,6 +54,7 @@
         self.requests = 0
         self.unread_tokens = 0
         self.last_progress_at = now
+        self.event_at = -math.inf
         self.pause = FailurePause(FAILED_PAUSE_S, FAILED_PAUSE_MAX_S)
         self.parts: OrderedDict[str, None] = OrderedDict()
 
@@ -136,7 +138,9 @@
 
     def record_progress(self, name: str, now: float) -> None:
         """Records that an engine sent an event of a stream."""
-        self._find_or_add(name, now).last_progress_at = now
+        engine = self._find_or_add(name, now)
+        engine.last_progress_at = now
+        engine.event_at = now
 
     def discard_unread_prompt(self, name: str, unread: int, now: float) -> None:
         """Removes a prompt that an engine did not read from its load.
@@ -330,6 +334,22 @@
         engine = self._engines.get(name)
         return engine is None or now - engine.last_progress_at >= for_s
 
+    def progressed_after(self, name: str, at: float) -> bool:
+        """Returns whether an engine sent an event of a stream after a time."""
+        engine = self._engines.get(name)
+        return engine is not None and engine.event_at > at
+
+    def find_least_loaded(
+        self, upstreams: Sequence[ListedUpstream], now: float
+    ) -> ListedUpstream | None:
+        """Returns the available engine with the fewest requests, or None."""
+        available = [u for u in upstreams if self.is_available(u.name, now)]
+        return min(
+            available or upstreams,
+            key=lambda upstream: self._load(upstream.name, now),
+            default=None,
+        )
+
     def is_available(self, name: str, now: float) -> bool:
         """Returns whether an engine is neither paused nor without progress."""
         engine = self._engines.get(name)
--- a/src/applespring/core/reason.py
+++ b/src/applespring/core/reason.py
@@ -167,6 +167,12 @@
 HEAD_TOO_LARGE = _define(
     "head_too_large", 431, "The request head is too large.", retryable=False
 )
+PROMPT_QUARANTINED = _define(
+    "prompt_quarantined",
+    503,
+    "Engines have crashed on a part of the prompt.",
+    retryable=True,
+)
 STAGE_FAILED = _define(
     "stage_failed", 503, "A stage could not be executed.", retryable=True
 )
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -281,19 +281,61 @@
     __slots__ = ("pool", "on_time_s", "whole_s")
 
 
+class CrashCandidate(Message):
+    """A prompt part of requests that a crashed engine had not begun to answer.
+
+    `position` is its place in the prompt, and `answered_before` says whether a
+    request with it had been answered earlier.
+    """
+
+    __slots__ = ("name", "position", "answered_before")
+
+
+class EngineCrash(Message):
+    """The end of the start of an engine at `born_ms`, `age_s` ago."""
+
+    __slots__ = ("engine", "born_ms", "age_s", "parts")
+    DEFAULTS = {"parts": ()}
+    NESTED = {"parts": CrashCandidate}
+
+
+class PartHistory(Message):
+    """When a prompt part was last answered, and last sent as a trial.
+
+    The ages are in seconds, and negative if that has not happened. `trials`
+    counts the trials since the last answer.
+    """
+
+    __slots__ = ("name", "answered_age_s", "trial_age_s", "trials")
+
+
 class Gossip(Message):
     """State of a relay instance and its peers, sent as a datagram."""
 
-    __slots__ = ("sender", "peers", "loads", "waits")
-    DEFAULTS = {"peers": (), "loads": (), "waits": ()}
+    __slots__ = ("sender", "peers", "loads", "waits", "crashes", "histories")
+    DEFAULTS = {
+        "peers": (),
+        "loads": (),
+        "waits": (),
+        "crashes": (),
+        "histories": (),
+    }
     NESTED = {
         "waits": PoolWait,
         "sender": PeerRow,
         "peers": PeerRow,
         "loads": UpstreamLoad,
+        "crashes": EngineCrash,
+        "histories": PartHistory,
     }
 
 
+class PartTrial(Message):
+    """Asks whether a request with a quarantined prompt part may be sent now."""
+
+    __slots__ = ("part",)
+
+
 class FetchUpstreams(Message):
     """Requests the upstreams' entries that are newer than a revision."""
 
@@ -450,4 +492,5 @@
     "upstreamList": UpstreamList,
     "fetchPeers": FetchPeers,
     "peerList": PeerList,
+    "partTrial": PartTrial,
 }
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -173,6 +173,32 @@
   peers @1 :List(PeerRow);
   loads @2 :List(UpstreamLoad);
   waits @3 :List(PoolWait);
+  crashes @4 :List(EngineCrash);
+  histories @5 :List(PartHistory);
+}
+
+struct CrashCandidate {
+  name @0 :Text;
+  position @1 :UInt16;
+  answeredBefore @2 :Bool;
+}
+
+struct EngineCrash {
+  engine @0 :Text;
+  bornMs @1 :UInt64;
+  ageS @2 :Float32;
+  parts @3 :List(CrashCandidate);
+}
+
+struct PartHistory {
+  name @0 :Text;
+  answeredAgeS @1 :Float32;
+  trialAgeS @2 :Float32;
+  trials @3 :UInt16;
+}
+
+struct PartTrial {
+  part @0 :Text;
 }
 
 struct PoolWait {
@@ -268,5 +294,6 @@
     upstreamList @18 :UpstreamList;
     fetchPeers @19 :FetchPeers;
     peerList @20 :PeerList;
+    partTrial @21 :PartTrial;
   }
 }
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -23,6 +23,7 @@
         outcome: How it ended, for the log and the metrics.
         failed: Whether selectors should avoid the upstream for a time.
         answered: Whether the upstream has sent a part of the body.
+        first_event_at: When its first complete event arrived, or -1.
         progress_at: When it last did, or when the attempt began.
         sending: Whether a part of the answer is being sent to the caller.
         replaceable: Whether another upstream may still be sought.
@@ -32,6 +33,7 @@
         "outcome",
         "failed",
         "answered",
+        "first_event_at",
         "progress_at",
         "sending",
         "replaceable",
@@ -47,6 +49,7 @@
         self.outcome = CANCELLED
         self.failed = failed
         self.answered = False
+        self.first_event_at = -1.0
         self.progress_at = now
         self.sending = False
         self.replaceable = True
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -11,6 +11,7 @@
 from applespring.peer.transport import Transport
 from applespring.relay.application import RelayApplication
 from applespring.relay.client import UpstreamClient
+from applespring.relay.crash_watch import CrashWatch
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peer_sync import PeerSync
 from applespring.relay.peers import Peers
@@ -34,6 +35,7 @@
         peers: Messages from and to the other instances.
         scheduler: Queues of the stage pools that the instance schedules.
         watcher: Reads the registry.
+        crash_watch: Prompt parts that crash engines.
         application: ASGI application for callers.
     """
 
@@ -68,6 +70,7 @@
             self.state, self.peers, self._client, protocol, self.metrics
         )
         self._submitter = StageSubmitter(self.state, self.peers)
+        self.crash_watch = CrashWatch(self.state, self.peers, self.metrics)
         plain = PlainForwarder(
             self.state, self._client, protocol, self.peers, self.metrics
         )
@@ -77,6 +80,7 @@
             protocol,
             self.peers,
             self._submitter,
+            self.crash_watch,
             self.metrics,
         )
         self.application = RelayApplication(
@@ -106,6 +110,7 @@
             await tasks.start(self.peers.run)
             tasks.start_soon(self.scheduler.run)
             tasks.start_soon(self._submitter.run)
+            tasks.start_soon(self.crash_watch.run)
             tasks.start_soon(self.watcher.run)
             tasks.start_soon(self._peer_sync.run)
             task_status.started()
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -52,6 +52,7 @@
         deadline_at: Latest time for the end of its answer.
         target_at: When its answer has to start to be on time.
         event_wait_s: Time for which the caller of a stream waits for an event.
+        sent: Whether an upstream may have received the request.
         started: Whether the head of an answer was sent.
         ended: Whether the last part of the answer was sent.
         outcome: How it ended, for the log and the metrics.
@@ -69,6 +70,7 @@
         "deadline_at",
         "target_at",
         "event_wait_s",
+        "sent",
         "started",
         "ended",
         "outcome",
@@ -107,6 +109,7 @@
             EVENT_WAIT_TARGETS * route.target_s,
             EVENT_WAIT_GAPS * route.gap_s,
         )
+        self.sent = False
         self.started = False
         self.ended = False
         self.outcome = ""
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -1,7 +1,7 @@
 """Messages between relay instances: heartbeats with gossip, and requests."""
 
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Protocol
 
 import anyio
@@ -103,6 +103,7 @@
         self._heartbeat_count = 0
         self._handlers: dict[type[message.Message], Handler] = {}
         self._gossip_source: GossipSource | None = None
+        self._crash_receiver: Callable[[message.Gossip], None] | None = None
         # Set once a peer has named the other instances, or none answers.
         self._joined = anyio.Event()
         self.register_handler(message.FetchPeers, self._on_fetch_peers)
@@ -111,6 +112,41 @@
         """Sets the source; without one, heartbeats carry no loads or waits."""
         self._gossip_source = source
 
+    def set_crash_receiver(
+        self, receive: Callable[[message.Gossip], None]
+    ) -> None:
+        """Sets what is called with the gossip of peers that has crashes."""
+        self._crash_receiver = receive
+
+    async def send_crashes(
+        self,
+        crashes: Sequence[message.EngineCrash],
+        histories: Sequence[message.PartHistory],
+        *,
+        to_all: bool,
+    ) -> None:
+        """Sends engine crashes in a datagram, as many as fit.
+
+        Args:
+            crashes: The crashes, most important first.
+            histories: What is known of their candidates.
+            to_all: Whether to send it to all instances, or to those that would
+                get the next heartbeat.
+        """
+        while True:
+            named = {part.name for crash in crashes for part in crash.parts}
+            gossip = message.Gossip(
+                sender=self.local_row(),
+                crashes=crashes,
+                histories=[h for h in histories if h.name in named],
+            )
+            data = encode(gossip)
+            if len(data) <= DATAGRAM_BYTES_MAX or len(crashes) <= 1:
+                break
+            crashes = crashes[: len(crashes) // 2]
+        for address in self._choose_addresses(to_all):
+            await self._transport.send(address, data)
+
     def register_handler(
         self, kind: type[message.Message], handler: Handler
     ) -> None:
@@ -328,7 +364,11 @@
         self._record_row(gossip.sender, now, direct=True)
         for row in gossip.peers:
             self._record_row(row, now, direct=False)
-        if self._gossip_source is not None:
+        if gossip.crashes:
+            # Datagrams with crashes have no loads, which stay as they were.
+            if self._crash_receiver is not None:
+                self._crash_receiver(gossip)
+        elif self._gossip_source is not None:
             self._gossip_source.record_gossip(gossip.sender.name, gossip)
 
     def _record_row(
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -18,6 +18,7 @@
 from applespring.core.window import AttemptWindow
 from applespring.relay.attempt import CANCELLED, Attempt, record_attempt
 from applespring.relay.client import Answer, UpstreamClient
+from applespring.relay.crash_watch import CrashWatch
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
@@ -47,6 +48,9 @@
 SWITCH_DELAY_S = 0.05
 # How an attempt fails when its engine ends or closes the connection.
 BROKEN_OFF_KINDS = frozenset([FailureKind.RESET, FailureKind.TRUNCATED])
+# An engine that has gone on with an answer for this long will not crash on its
+# prompt.
+BEGUN_S = 0.25
 # Statuses of an engine that executed nothing because it lacks an input.
 INPUTS_LOST_STATUSES = (400, 409)
 
@@ -68,6 +72,7 @@
         protocol: Protocol,
         peers: Peers,
         submitter: StageSubmitter,
+        crash_watch: CrashWatch,
         metrics: RelayMetrics,
     ) -> None:
         self._state = state
@@ -75,11 +80,24 @@
         self._protocol = protocol
         self._peers = peers
         self._submitter = submitter
+        self._crash_watch = crash_watch
         self._metrics = metrics
 
     async def forward(self, exchange: Exchange) -> None:
         """Sends the stream of an engine to the caller.
 
+        Raises:
+            RefusalError: The request gets a refusal, or its started stream
+                can't be completed.
+        """
+        prompt = _shared_parts(exchange)
+        is_trial = await self._crash_watch.admit(exchange, prompt)
+        with self._crash_watch.track(exchange, prompt, is_trial=is_trial):
+            await self._execute(exchange, is_trial=is_trial)
+
+    async def _execute(self, exchange: Exchange, *, is_trial: bool) -> None:
+        """Has the stages executed, then sends the stream of an engine.
+
         Raises:
             RefusalError: The request gets a refusal, or its started stream
                 can't be completed.
@@ -105,13 +123,18 @@
                 )
                 run.preferred_domain = home.failure_domain if home else ""
                 await self._submitter.execute(run)
-            await self._forward_stream(exchange, run)
+            await self._forward_stream(exchange, run, is_trial=is_trial)
         finally:
             self._submitter.release_remaining(run)
 
-    async def _forward_stream(self, exchange: Exchange, run: StageRun) -> None:
+    async def _forward_stream(
+        self, exchange: Exchange, run: StageRun, *, is_trial: bool
+    ) -> None:
         """Sends the request to engines until its stream is complete.
 
+        A trial of a quarantined prompt part goes to the engine with the fewest
+        requests, and to no second one if that breaks off.
+
         Raises:
             RefusalError: No engine completed the stream.
         """
@@ -129,8 +152,12 @@
             now = clock()
             remaining_s = exchange.deadline_at - now
             ready = self._state.usable_upstreams(exchange.pool)
+            untried = [u for u in ready if u.name not in tried] or ready
+            if is_trial:
+                idlest = self._state.engines.find_least_loaded(untried, now)
+                untried = [idlest] if idlest is not None else []
             upstream = self._state.engines.choose(
-                [u for u in ready if u.name not in tried] or ready,
+                untried,
                 subject=prefix_name,
                 parts=parts,
                 inputs=run.final_input_bytes_by_domain(),
@@ -150,7 +177,11 @@
             source_engine = self._state.engines.prefix_source(
                 ready, upstream, subject=prefix_name, parts=parts, now=now
             )
-            may_resume = route.resumable and attempts + 1 < route.attempts_max
+            may_resume = (
+                route.resumable
+                and not is_trial
+                and attempts + 1 < route.attempts_max
+            )
             attempt = Attempt(now)
             call = partial(
                 self._attempt,
@@ -423,6 +454,7 @@
         )
         pool = exchange.document.pools.get(exchange.pool)
         unread_prompt = _UnreadPrompt(unread_tokens, started_at)
+        exchange.sent = True
         result_release = nullcontext()
         if not exchange.route.resumable:
             result_release = self._submitter.release_after_fetch(run)
@@ -480,12 +512,15 @@
                     attempt.outcome = "done"
         except StageError as exc:
             if exc.kind in BROKEN_OFF_KINDS:
+                begun = 0.0 <= attempt.first_event_at <= clock() - BEGUN_S
+                prompt = _shared_parts(exchange)
+                self._crash_watch.record_break(upstream, prompt, begun=begun)
                 logger.bind(
                     event="engine_broke_off",
                     request=req.request_id,
                     upstream=upstream.name,
-                    begun=attempt.answered,
-                    parts=[name for name, _ in parts[:-1]],
+                    begun=begun,
+                    parts=prompt,
                 ).warning(
                     "engine {} broke off request {}: {}",
                     upstream.name,
@@ -568,6 +603,7 @@
             StageError: The stream ended inside an event.
         """
         clock, engines = self._state.clock, self._state.engines
+        answer_recorded = False
         async for chunk in answer.chunks():
             now = clock()
             attempt.record_progress(now)
@@ -579,6 +615,13 @@
             )
             unread_prompt.record_read(engines, upstream.name, now)
             engines.record_progress(upstream.name, now)
+            if attempt.first_event_at < 0.0:
+                attempt.first_event_at = now
+            elif (
+                not answer_recorded and now - attempt.first_event_at >= BEGUN_S
+            ):
+                answer_recorded = True
+                self._crash_watch.record_answer(_shared_parts(exchange))
             attempt.sending = True
             if not exchange.started:
                 headers = self._protocol.reply_headers(answer.headers)
@@ -595,6 +638,8 @@
                 upstream.name,
                 f'the stream ended inside the event after "{splitter.last_id}"',
             )
+        if not answer_recorded:
+            self._crash_watch.record_answer(_shared_parts(exchange))
         attempt.sending = True
         exchange.events = splitter.count
         exchange.outcome = "done"
@@ -662,6 +707,14 @@
     )
 
 
+def _shared_parts(exchange: Exchange) -> list[str]:
+    """Returns the parts of a prompt that other requests may share, in order.
+
+    The last part belongs to the request or its session alone.
+    """
+    return [part.name for part in exchange.req.prompt_parts[:-1]]
+
+
 def _prefix_name(exchange: Exchange) -> str:
     """Returns the name of the prompt prefix that a request shares with others.
 
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -7,6 +7,8 @@
 STAGING = "relay_staging"
 BATCH = "relay_batch"
 DECISIONS = "relay_decisions"
+CRASH = "relay_crash"
+LEDGER = "crash_ledger"
 
 RELAY_GUARDS = (
     Guard(
@@ -391,4 +393,74 @@
         "True",
         (FORWARD, "A slow answer is awaited"),
     ),
+    Guard(
+        "relay: quarantine of a part that crashes engines",
+        "relay/streams.py",
+        "self._crash_watch.record_break(upstream, prompt, begun=begun)",
+        "pass",
+        (CRASH, "stop reaching them"),
+    ),
+    Guard(
+        "relay: withdrawal of requests whose part is quarantined",
+        "relay/crash_watch.py",
+        "tracked.scope.cancel()",
+        "pass",
+        (CRASH, "is withdrawn when"),
+    ),
+    Guard(
+        "relay: an engine that goes on has not crashed",
+        "relay/crash_watch.py",
+        "if self._state.engines.progressed_after(",
+        "if False and self._state.engines.progressed_after(",
+        (CRASH, "Connections of an engine that lives"),
+    ),
+    Guard(
+        "relay: an engine that leaves has not crashed",
+        "relay/crash_watch.py",
+        "if not self._state.catalog.is_ready(upstream.name):",
+        "if False:",
+        (CRASH, "leaving engine"),
+    ),
+    Guard(
+        "relay: one instance grants trials",
+        "relay/crash_watch.py",
+        "[self._peers.name, *reachable])[0]",
+        "[self._peers.name])[0]",
+        (CRASH, "on one instance's word"),
+    ),
+    Guard(
+        "an answer clears the parts of its prompt",
+        "core/crash_ledger.py",
+        "history.answered_at = now",
+        "pass",
+        (LEDGER, "sound again"),
+        (LEDGER, "ordinary crashes"),
+    ),
+    Guard(
+        "simultaneous crashes count as one",
+        "core/crash_culprits.py",
+        "if not starts or at - starts[-1] >= SIMULTANEOUS_S:",
+        "if True:",
+        (LEDGER, "power loss"),
+    ),
+    Guard(
+        "a crash explained by one part is no evidence against others",
+        "core/crash_culprits.py",
+        "unexplained = [c for c in unexplained if best.part not in c.parts]",
+        "unexplained = [\n"
+        "            c for c in unexplained if c.at > best.last_crash_at\n"
+        "        ] if best.part == '' else [\n"
+        "            EngineCrash(c.engine, c.at, {\n"
+        "                p: s for p, s in c.parts.items() if p != best.part\n"
+        "            }) for c in unexplained\n"
+        "        ]",
+        (LEDGER, "in company"),
+    ),
+    Guard(
+        "times of peers do not move with each exchange",
+        "core/crash_ledger.py",
+        "held.at = min(held.at, crash.at)",
+        "held.at = crash.at",
+        (LEDGER, "round and round"),
+    ),
 )
