Read the free memory of stage upstreams before the first calls

Found by features/relay_staging.feature, 'A new scheduler waits for memory that results of another one fill', once further tasks ran in the instance.

Callers saw: pieces that fail for lack of memory after another instance has begun to schedule a pool. Cause: the first calls and the first reports were started as tasks side by side; which came first depended on the order of tasks, and with a real network the calls always did. Change: the first call of a pool waits for the reports, for 0.1 s at most.

--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -52,6 +52,9 @@
 # that does not answer.
 RETURN_TIMEOUT_S = 0.8
 REPORT_TIMEOUT_S = 0.5
+# How long the first calls of a pool wait for the reports of its upstreams. A
+# report takes milliseconds, unless its upstream is silent.
+FIRST_REPORT_WAIT_S = 0.1
 # Interval between reports of an upstream whose memory results of unknown origin
 # fill. Shorter than `UNKNOWN_RESULTS_S`, so that each report follows on the
 # last.
@@ -185,14 +188,12 @@
             queue = self._queues[pool] = BatchQueue(spec.batch)
             self._wake_events[pool] = anyio.Event()
             queue.set_upstreams(self._state.usable_upstreams(pool))
-            self._tasks.start_soon(self._schedule_pool, pool, queue)
+            reporting: list[ListedUpstream] = []
             resolution = self._protocol.report_resolution_bytes
             if spec.batch.result_memory_bytes > 2 * resolution:
                 # Results of a previous scheduler of the pool may fill it.
-                for upstream in self._state.usable_upstreams(pool):
-                    self._tasks.start_soon(
-                        self._follow_free_memory, pool, queue, upstream
-                    )
+                reporting = self._state.usable_upstreams(pool)
+            self._tasks.start_soon(self._schedule_pool, pool, queue, reporting)
             logger.bind(event="queue_kept", pool=pool).info(
                 "this instance schedules pool {}", pool
             )
@@ -303,7 +304,28 @@
                 exc,
             )
 
-    async def _schedule_pool(self, pool: str, queue: BatchQueue) -> None:
+    async def _schedule_pool(
+        self, pool: str, queue: BatchQueue, reporting: Sequence[ListedUpstream]
+    ) -> None:
+        """Makes the calls of a pool until cancelled.
+
+        Args:
+            pool: The pool.
+            queue: Its queue.
+            reporting: Upstreams whose memory the results of another scheduler
+                may fill. The first call waits for their reports.
+        """
+        with anyio.move_on_after(FIRST_REPORT_WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                for upstream in reporting:
+                    tasks.start_soon(
+                        self._refresh_free_memory, pool, queue, upstream
+                    )
+        assert self._tasks is not None
+        for upstream in reporting:
+            self._tasks.start_soon(
+                self._follow_free_memory, pool, queue, upstream
+            )
         while True:
             self._wake_events[pool] = anyio.Event()
             now = self._state.clock()
@@ -522,7 +544,6 @@
         """
         clock = self._state.clock
         ends_at = clock() + queue.spec.result_ttl_s
-        await self._refresh_free_memory(pool, queue, upstream)
         while clock() < ends_at and queue.lacks_record(upstream.name, clock()):
             await anyio.sleep(REPORT_INTERVAL_S)
             if not len(queue) and not queue.calls_in_progress():
