Take a stream that ends before its first event for broken off

An answer may have neither a length nor chunks and end with its connection. Callers saw: a complete stream without events from an engine that ended after the head of its answer, with no resume elsewhere. Cause: only bytes of an unfinished event showed that a stream was broken off. Change: a stream without length or chunks whose connection is closed before any event is broken off too, which also makes its prompt a candidate of the crash.

Measured: features/relay_wire.feature plays bytes on scripted connections. On its rows 'close' for stream and resume fail (200, and an empty body); now 14 of 14 pass. The other 12, plain answers and streams that end with their connection or inside an event, passed before.

--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -106,6 +106,15 @@
         self.reply = reply
         self._response = resp
 
+    @property
+    def has_end_mark(self) -> bool:
+        """Whether the body has a length or chunks.
+
+        Without, it ends with its connection, which may also end early.
+        """
+        names = {name.lower() for name, _ in self.headers}
+        return not names.isdisjoint((b"content-length", b"transfer-encoding"))
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives, without decoding its encoding."""
         return self._response.aiter_raw()
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -600,7 +600,8 @@
         """Sends on complete events as they arrive, up to the end.
 
         Raises:
-            StageError: The stream ended inside an event.
+            StageError: The stream ended inside an event, or with its connection
+                before the first one.
         """
         clock, engines = self._state.clock, self._state.engines
         answer_recorded = False
@@ -638,6 +639,14 @@
                 upstream.name,
                 f'the stream ended inside the event after "{splitter.last_id}"',
             )
+        if attempt.first_event_at < 0.0 and not answer.has_end_mark:
+            # An engine that ends closes its connections in the same way.
+            raise StageError(
+                FailureKind.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                upstream.name,
+                "the connection was closed before the first event",
+            )
         if not answer_recorded:
             self._crash_watch.record_answer(_shared_parts(exchange))
         attempt.sending = True
