Bound the bytes of an event, and take only events for progress

Callers saw: a stream that waits for an engine which sends bytes without the end of an event, while the instance's memory fills; the search for that end began anew with each chunk, so that the event loop was busy with it. A slow trickle of such bytes counted as progress, so that a resumable stream never left its engine.

Cause: the buffer of an unfinished event had no bound, and any byte was progress.

Heads and plain bodies without end were bounded before.

--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -40,3 +40,41 @@
       | close                      | 1    | stream | 0    | no end |
       | close                      | 1    | resume | 4    | an end |
 
+  Scenario Outline: Bytes without end from an upstream
+    Guards against a caller that waits for an answer which never ends, a
+    connection that stays open, and memory that fills.
+    Given upstream a sends <what> without end
+    And upstream b answers on the <kind> route
+    When a caller sends a <kind> request on the wire
+    Then it gets <result> within <wait> ms
+    And the connections to a are closed after at most <bytes> bytes
+
+    Examples:
+      | what                        | kind   | result | wait | bytes   |
+      | fast bytes in a head        | unsafe | 502    | 1000 | 300000  |
+      | fast header lines           | unsafe | 502    | 1000 | 300000  |
+      | slow bytes in a head        | unsafe | 504    | 1000 | 300000  |
+      | slow bytes in a head        | safe   | other  | 700  | 300000  |
+      | slow interim answers        | unsafe | 504    | 1000 | 300000  |
+      | fast bytes in a body        | unsafe | 502    | 1000 | 9000000 |
+      | slow bytes in a body        | unsafe | 504    | 1000 | 300000  |
+      | fast bytes in a head        | resume | events | 500  | 300000  |
+      | slow bytes in a head        | stream | 504    | 5200 | 300000  |
+      | slow bytes in a head        | resume | events | 5200 | 300000  |
+      | fast bytes of no event      | stream | 502    | 1000 | 2000000 |
+      | fast bytes of no event      | resume | events | 1000 | 2000000 |
+      | slow bytes of no event      | resume | events | 5200 | 300000  |
+
+  Scenario Outline: Bytes without end from an engine that has begun a stream
+    Guards against bytes that are no event and count as progress of the engine.
+    Given upstream a sends the events 1 to 2 and <what> without end
+    And engine b sends the events 3 to 4 in chunks
+    When a caller sends a resume request on the wire
+    Then the caller gets the events 1 to 4 and an end
+    And the connections to a are closed after at most <bytes> bytes
+
+    Examples:
+      | what                   | bytes   |
+      | fast bytes of no event | 2000000 |
+      | slow bytes of no event | 300000  |
+
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -12,7 +12,7 @@
 from applespring.core.chain import Chain
 from applespring.core.engine_selector import EngineSelector
 from applespring.core.errors import FailureKind, RefusalError, StageError
-from applespring.core.events import EventSplitter
+from applespring.core.events import EventSplitter, EventTooLongError
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
@@ -601,16 +601,25 @@
 
         Raises:
             StageError: The stream ended inside an event, or with its connection
-                before the first one.
+                before the first one, or an event is too long.
         """
         clock, engines = self._state.clock, self._state.engines
         answer_recorded = False
         async for chunk in answer.chunks():
             now = clock()
-            attempt.record_progress(now)
-            complete_events = splitter.feed(chunk)
+            try:
+                complete_events = splitter.feed(chunk)
+            except EventTooLongError as exc:
+                raise StageError(
+                    FailureKind.TRUNCATED,
+                    Verdict.MAY_HAVE_RUN,
+                    upstream.name,
+                    str(exc),
+                ) from exc
             if not complete_events:
+                # Bytes of no event are no progress; they may have no end.
                 continue
+            attempt.record_progress(now)
             unread_prompt.record_first_event(
                 self._state.first_event(exchange.pool), now
             )
