Ask the next upstream without waiting for the body of a refusal

Callers saw: 504 at the end of their wait although the upstream had said at once, in the head of its answer, that it did not run the request. Cause: the body of such an answer was read with the bounds of a result before the next upstream was asked. Change: 0.1 s and 64 KiB, then the connection is closed, and the request goes on as not run there.

--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -58,6 +58,8 @@
       | slow interim answers        | unsafe | 504    | 1000 | 300000  |
       | fast bytes in a body        | unsafe | 502    | 1000 | 9000000 |
       | slow bytes in a body        | unsafe | 504    | 1000 | 300000  |
+      | a refusal with a slow body  | unsafe | other  | 700  | 300000  |
+      | a refusal with a slow body  | stream | events | 700  | 300000  |
       | fast bytes in a head        | resume | events | 500  | 300000  |
       | slow bytes in a head        | stream | 504    | 5200 | 300000  |
       | slow bytes in a head        | resume | events | 5200 | 300000  |
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -31,6 +31,10 @@
 # The least recently used one is closed first, so those of removed upstreams go
 # before those in use.
 CONNECTION_POOLS_MAX = 1200
+# Bounds of the body of an answer that says that a request did not run. The next
+# upstream is asked without it.
+REFUSAL_BODY_TIMEOUT_S = 0.1
+REFUSAL_BODY_BYTES_MAX = 64 * 1024
 # Time allowed for closing a connection whose answer was not read to the end.
 CLOSE_TIMEOUT_S = 1.0
 
@@ -134,6 +138,20 @@
             received.append(chunk)
         return b"".join(received)
 
+    async def read_refusal(self, upstream: str) -> bytes:
+        """Returns the body of an answer to a request that did not run.
+
+        Raises:
+            StageError: It is too long or does not end in time.
+        """
+        detail = f"status {self.status}, its body has no end"
+        try:
+            with anyio.move_on_after(REFUSAL_BODY_TIMEOUT_S):
+                return await self.read(REFUSAL_BODY_BYTES_MAX)
+        except (httpx.HTTPError, OSError, ValueError) as exc:
+            detail = f"status {self.status}, its body: {exc}"
+        raise StageError(FailureKind.REFUSED, Verdict.NOT_RUN, upstream, detail)
+
 
 class UpstreamClient:
     """Makes calls to upstreams; an error states whether a call may have run.
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -260,8 +260,11 @@
                     request_id=exchange.req.request_id,
                     connections_max=connection_share(pool, self._peers),
                 ) as answer:
-                    body = await answer.read(BODY_BYTES_MAX)
-                not_run = answer.reply.not_run
+                    not_run = answer.reply.not_run
+                    if not_run:
+                        body = await answer.read_refusal(upstream.name)
+                    else:
+                        body = await answer.read(BODY_BYTES_MAX)
                 attempt.outcome = f"status_{answer.status}"
                 if answer.status < 300 and not answer.reply.signed:
                     attempt.outcome = "unsigned"
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -565,16 +565,20 @@
             StageError: The engine did not run the request, or a part of the
                 stream was already sent; another attempt may be made.
         """
-        body = await answer.read(BODY_BYTES_MAX)
         if answer.reply.not_run:
             detail = f"status {answer.status}"
             inputs_lost = (
                 answer.status in INPUTS_LOST_STATUSES and run.chain.steps
             )
+            try:
+                await answer.read_refusal(upstream.name)
+            except StageError as exc:
+                detail = exc.detail
             error_type = _InputsLostError if inputs_lost else StageError
             raise error_type(
                 FailureKind.REFUSED, Verdict.NOT_RUN, upstream.name, detail
             )
+        body = await answer.read(BODY_BYTES_MAX)
         if exchange.started:
             raise StageError(
                 FailureKind.STATUS,
