Bound answers of the store in time and size

Callers would see: an instance that learns of no configuration and no upstream any more, until its memory is used up. Cause: only the pause between two reads of an answer was bounded, neither its time nor its size. Change: an answer ends within its read time-out and 3 s, and has 16 MiB at most.

--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -80,3 +80,27 @@
       | fast bytes of no event | 2000000 |
       | slow bytes of no event | 300000  |
 
+  Scenario Outline: Bytes without end from the store
+    Guards against an instance that waits for an answer of the store for ever and
+    learns of no more changes.
+    Given a store that sends <what> without end
+    When it is read
+    Then the read fails within <wait> ms and <bytes> bytes
+
+    Examples:
+      | what                 | wait | bytes    |
+      | fast bytes in a head | 4100 | 300000   |
+      | slow bytes in a head | 4100 | 300000   |
+      | fast bytes in a body | 4100 | 17000000 |
+      | slow bytes in a body | 4100 | 300000   |
+
+  Scenario Outline: A store answer that ends with its connection
+    Given a store whose answer has no length and ends with <end>
+    When it is read
+    Then the read <result>
+
+    Examples:
+      | end             | result   |
+      | close           | succeeds |
+      | half and close  | fails    |
+      | reset           | fails    |
--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -13,6 +13,10 @@
 # answer, and doubles after each read without one.
 READ_TIMEOUT_S = 1.0
 READ_TIMEOUT_MAX_S = 4.0
+# Further time in which an answer has to end, and its largest size: a page has
+# 500 items or about 1 MB, and one value of 1 MiB takes a third more as base64.
+BODY_TIMEOUT_S = 3.0
+BODY_BYTES_MAX = 16 * 1024 * 1024
 # A watch times out this long after the store should have answered it, since its
 # connection is then assumed to be dead.
 WATCH_MARGIN_S = 0.6
@@ -124,12 +128,18 @@
         }
         url = httpx.URL(f"http://{self.address}{path}", params=query)
         request = httpx.Request("GET", url, extensions={"timeout": timeout})
+        limit_s = read_timeout_s + BODY_TIMEOUT_S
         try:
-            resp = await self._transport.handle_async_request(request)
-            try:
-                body = await resp.aread()
-            finally:
-                await resp.aclose()
+            with anyio.fail_after(limit_s):
+                resp = await self._transport.handle_async_request(request)
+                try:
+                    body = await _read_body(resp, path)
+                finally:
+                    await _close(resp)
+        except TimeoutError as exc:
+            raise StoreError(
+                f"{path}: the answer did not end within {limit_s:.1f} s"
+            ) from exc
         except (httpx.HTTPError, OSError) as exc:
             raise StoreError(f"{path}: {type(exc).__name__}: {exc}") from exc
         if resp.status_code == 404:
@@ -147,3 +157,25 @@
         if not isinstance(page, dict):
             raise MessageError(f"{path}: the answer is not an object")
         return page
+
+
+async def _read_body(resp: httpx.Response, path: str) -> bytes:
+    """Returns the complete body of an answer.
+
+    Raises:
+        StoreError: It is longer than `BODY_BYTES_MAX`.
+    """
+    body = bytearray()
+    async for chunk in resp.aiter_raw():
+        body += chunk
+        if len(body) > BODY_BYTES_MAX:
+            raise StoreError(
+                f"{path}: the answer exceeds {BODY_BYTES_MAX} bytes"
+            )
+    return bytes(body)
+
+
+async def _close(resp: httpx.Response) -> None:
+    """Closes the connection if the body was not read to its end."""
+    with anyio.move_on_after(CONNECT_TIMEOUT_S, shield=True):
+        await resp.aclose()
