Number the submissions of each start of an instance differently

Callers saw: an answer made from the stage results of somebody else's request. Cause: submissions were numbered from 1 after each start, and a scheduler sends results until they are accepted, as long as heartbeats arrive from the address. After all but one instance were killed, the surviving scheduler delivered the results of an instance's former start, which took them for those of its new submission with the same number. Evidence: the scheduler's delivery_failed lines to the killed instance until it was back, and the start of the instance 0.2 s before the request. Class: an identifier that a restart uses again.

Change: the numbers begin with the incarnation, so that results of a former start name an unknown submission and are released by their scheduler.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -258,3 +258,12 @@
     And a stage upstream that is silent for 60 s in its first call
     When a caller sends a staged request with 1,2 pieces to each instance
     Then every caller is refused within 2 s
+
+  Scenario: Results for an instance's former start are not taken for new requests
+    Guards against a request that reads the results of another one: submissions
+    were numbered from 1 after each start, and their scheduler sends results
+    until they are accepted (found by kabine-obala, herd_kill beside crashing
+    engines, seed 31).
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When an instance is killed while its stage call lasts, and starts again with another request
+    Then neither stages nor the engine read results of the earlier request
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -372,6 +372,36 @@
     run_instances(context, actions)
 
 
+@when(
+    "an instance is killed while its stage call lasts, and starts again with "
+    "another request"
+)
+def when_restarted_with_call(context):
+    async def actions(tasks):
+        world = context.world
+        scheduler = find_scheduler(context)
+        name = next(n for n in context.names if n != scheduler)
+        world.upstreams["s0"].stage_delays = [1.5]
+        send(context, tasks, name, "r1", "1,1")
+        await anyio.sleep(0.3)
+        world.kill(name)
+        await world.start(name, tasks)
+        send(context, tasks, name, "r2", "1,1")
+
+    run_instances(context, actions)
+
+
+@then("neither stages nor the engine read results of the earlier request")
+def then_own_inputs(context):
+    (arrival,) = engine_arrivals(context, "r2")
+    handles = arrival.headers["Inputs"].split(",")
+    for _, items in context.world.calls:
+        for item in items:
+            if item["id"] == "r2":
+                handles += item.get("inputs", ())
+    assert all("/r2-" in handle for handle in handles), handles
+
+
 @then("no stage call was made in the first {seconds:g} s")
 def then_no_call_while_full(context, seconds):
     del seconds
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -32,6 +32,9 @@
 SCHEDULERS_MAX = 3
 # How many times the lost or failed pieces of a request are submitted again.
 RESUBMITS_MAX = 6
+# Submissions of a start have numbers that begin with its time, so that those
+# of another start differ unless it made this many in each millisecond.
+SUBMISSIONS_PER_MS = 1 << 16
 # Completed submissions that are recorded. A scheduler that got no answer sends
 # results again within seconds.
 COMPLETED_MAX = 4096
@@ -51,7 +54,11 @@
     def __init__(self, state: RelayState, peers: Peers) -> None:
         self._state = state
         self._peers = peers
-        self._submission_numbers = itertools.count(1)
+        # Schedulers send results until they are accepted, so those for a former
+        # start of this instance may still arrive.
+        self._submission_numbers = itertools.count(
+            peers.incarnation * SUBMISSIONS_PER_MS + 1
+        )
         self._submissions: dict[int, StageSubmission] = {}
         # Numbers of submissions whose results have all come, oldest first.
         self._completed: OrderedDict[int, None] = OrderedDict()
