Bound replies to load reports in time and memory

Callers would see: an instance that probes an upstream for ever and keeps what it sends. Cause: only the pause between two reads was bounded, and the size was checked after all had been read. Change: a reply ends within 2 s and has 256 KiB at most; of the answer to an order only the status is read.

--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -104,3 +104,16 @@
       | close           | succeeds |
       | half and close  | fails    |
       | reset           | fails    |
+
+  Scenario Outline: Bytes without end to a load report of the JSON interface
+    Guards against a probe that lasts for ever and memory that fills.
+    Given a worker that sends <what> without end
+    When its load is read
+    Then the read fails within 2000 ms and 400000 bytes
+
+    Examples:
+      | what                 |
+      | fast bytes in a head |
+      | slow bytes in a head |
+      | fast bytes in a body |
+      | slow bytes in a body |
--- a/features/steps/relay_wire_steps.py
+++ b/features/steps/relay_wire_steps.py
@@ -1,10 +1,13 @@
 """Steps about the bytes that upstreams and the store send."""
 
 import anyio
+import httpx
 import orjson
 from behave import given, then, when
 
 from applespring.core.errors import ApplespringError
+from applespring.core.fleet import Upstream
+from applespring.entry.external.engines import ControlClient
 from applespring.platform.store import Store
 from features.fixtures.relay_world import RelayWorld
 from features.fixtures.virtual import run_virtual
@@ -182,6 +185,21 @@
     context.store = WireUpstream(endless_script(what))
 
 
+@given("a worker that sends {what} without end")
+def given_endless_worker(context, what):
+    context.store = WireUpstream(endless_script(what))
+
+
+@when("its load is read")
+def when_load(context):
+    async def read():
+        async with httpx.AsyncClient(transport=context.store.transport) as http:
+            upstream = Upstream("u", "10.0.0.1:80", "koper", 1)
+            await ControlClient(http).probe(upstream)
+
+    run_read(context, read)
+
+
 @given("a store whose answer has no length and ends with {end}")
 def given_store(context, end):
     body = {"close": [PAGE, CLOSE], "reset": [PAGE, RESET]}
@@ -191,15 +209,22 @@
 
 @when("it is read")
 def when_read(context):
+    async def read():
+        store = Store(context.store.transport, "10.0.0.1:80")
+        await store.read_prefix("")
+
+    run_read(context, read)
+
+
+def run_read(context, read):
     context.failure = None
 
     async def run():
-        store = Store(context.store.transport, "10.0.0.1:80")
         started_at = anyio.current_time()
         try:
             with anyio.move_on_after(60.0):
-                await store.read_prefix("")
-        except ApplespringError as exc:
+                await read()
+        except (ApplespringError, httpx.HTTPError) as exc:
             context.failure = exc
         context.took_s = anyio.current_time() - started_at
 
--- a/src/applespring/entry/external/engines.py
+++ b/src/applespring/entry/external/engines.py
@@ -134,33 +134,49 @@
             "role": state.role,
         }
         fields = {name: value for name, value in body.items() if value != ""}
-        resp = await self._http.post(
+        async with self._http.stream(
+            "POST",
             f"http://{order.address}/v1/orders",
             content=orjson.dumps(fields),
             headers={"Content-Type": "application/json"},
             extensions={"trace": WriteProbe(guard)},
             timeout=ORDER_TIMEOUT_S,
-        )
-        return resp.status_code
+        ) as resp:
+            return resp.status_code
 
     async def _read(self, upstream: Upstream, path: str) -> dict[str, Any]:
-        resp = await self._http.get(
-            f"http://{upstream.address}{path}", timeout=CONTROL_TIMEOUT_S
-        )
-        if resp.status_code != 200:
-            raise MessageError(f"{path}: status {resp.status_code}")
-        if len(resp.content) > CONTROL_BYTES_MAX:
+        try:
+            with anyio.fail_after(CONTROL_TIMEOUT_S):
+                content = await self._read_content(upstream, path)
+        except TimeoutError as exc:
             raise MessageError(
-                f"{path}: the reply exceeds {CONTROL_BYTES_MAX} bytes"
-            )
+                f"{path}: the reply did not end within {CONTROL_TIMEOUT_S:g} s"
+            ) from exc
         try:
-            document = orjson.loads(resp.content)
+            document = orjson.loads(content)
         except orjson.JSONDecodeError as exc:
             raise MessageError(f"{path}: {exc}") from exc
         if not isinstance(document, dict):
             raise MessageError(f"{path}: the reply is not a JSON object")
         return document
 
+    async def _read_content(self, upstream: Upstream, path: str) -> bytes:
+        content = bytearray()
+        async with self._http.stream(
+            "GET",
+            f"http://{upstream.address}{path}",
+            timeout=CONTROL_TIMEOUT_S,
+        ) as resp:
+            if resp.status_code != 200:
+                raise MessageError(f"{path}: status {resp.status_code}")
+            async for chunk in resp.aiter_bytes():
+                content += chunk
+                if len(content) > CONTROL_BYTES_MAX:
+                    raise MessageError(
+                        f"{path}: the reply exceeds {CONTROL_BYTES_MAX} bytes"
+                    )
+        return bytes(content)
+
 
 class OrderRefusedError(Exception):
     """The guard of an order found that it must not be written any more."""
