Use an engine at once that was restarted under its name

Callers saw: an engine that is back after a crash gets no requests for up to 8 s. Cause: failures, cached parts and progress of an engine were kept by its name, and an engine may start again under the name that it had; the pause doubled with each crash under a request. Change: an entry with another start time discards them, for plain upstreams too; requests in progress stay counted.

Measured: 'An engine that crashed is used once it is back' fails on the former sources (not available 0.3 s after the fifth return) and passes now. A fixture changed entries that the instance held; it no longer does, and the scenario of leaving engines waits until the instance has learned of them.

--- a/features/relay_crash.feature
+++ b/features/relay_crash.feature
@@ -62,6 +62,13 @@
       | 3         |
       | 7         |
 
+  Scenario: An engine that crashed is used once it is back
+    Guards against an engine that stays unused after its restart, since it is
+    listed under the name that failed many times before.
+    Given 1 relay instances with 1 engines
+    When the engine crashes 5 times under requests, each time as soon as it is back
+    Then it is available 0.3 s after its last return
+
   Scenario: A trial is granted on one instance's word
     Guards against one trial for each instance of the fleet, each of which
     crashes an engine.
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -7,6 +7,7 @@
 
 from applespring.core.catalog import UpstreamState
 from features.fixtures.crash_world import (
+    DOWN_S,
     FIRST_EVENT_S,
     CrashWorld,
     make_rng,
@@ -139,6 +140,7 @@
 @when("requests with the part late are at engines that are leaving and end")
 def when_leaving(context):
     async def scenario(world):
+        world.first_event_s = 1.0
         for number in range(3):
             async with anyio.create_task_group() as callers:
                 callers.start_soon(
@@ -149,11 +151,11 @@
                     "/stream/x",
                     "i0",
                 )
-                await anyio.sleep(0.15)
+                await anyio.sleep(0.1)
                 (arrival,) = world.find_arrivals(f"r{number}")
-                world.listed[arrival.upstream].state = UpstreamState.LEAVING
-                world.relist(arrival.upstream)
-                await anyio.sleep(0.12)
+                world.relist(arrival.upstream, UpstreamState.LEAVING)
+                # The instance learns of it.
+                await anyio.sleep(0.5)
                 await world.upstreams[arrival.upstream].crash()
             await anyio.sleep(1.0)
 
@@ -197,6 +199,33 @@
     run_in_world(context, scenario)
 
 
+@when(
+    "the engine crashes {count:d} times under requests, each time as soon as "
+    "it is back"
+)
+def when_crashes(context, count):
+    async def scenario(world):
+        for number in range(count):
+            async with anyio.create_task_group() as callers:
+                prompt = [f"s{number}", f"own{number}"]
+                callers.start_soon(
+                    world.send, f"r{number}", None, prompt, "/stream/x", "i0"
+                )
+                await anyio.sleep(0.1)
+                await world.upstreams["e0"].crash()
+            await anyio.sleep(DOWN_S + 0.3)
+        engines = world.instances["i0"].state.engines
+        context.available = engines.is_available("e0", anyio.current_time())
+
+    run_in_world(context, scenario)
+
+
+@then("it is available 0.3 s after its last return")
+def then_available(context):
+    assert len(context.world.crash_times) == 5
+    assert context.available
+
+
 def fifth_crash_at(world):
     """Returns when the fifth engine crashed, or the last one."""
     assert world.crash_times, "no engine crashed"
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -102,6 +102,17 @@
         if engine is not None and not engine.requests:
             del self._engines[name]
 
+    def restart(self, name: str, now: float) -> None:
+        """Discards what was learned of an engine before it was restarted.
+
+        Its requests end one after the other.
+        """
+        engine = self._engines.get(name)
+        if engine is not None:
+            requests = engine.requests
+            engine = self._engines[name] = _EngineLoad(now)
+            engine.requests = requests
+
     def start_request(
         self, name: str, parts: Sequence[str], unread: int, now: float
     ) -> None:
--- a/src/applespring/core/plain_selector.py
+++ b/src/applespring/core/plain_selector.py
@@ -96,6 +96,14 @@
         else:
             load.pause.succeed()
 
+    def restart(self, name: str) -> None:
+        """Discards what was learned of an upstream before it was restarted."""
+        load = self._loads.get(name)
+        if load is not None:
+            running = load.running
+            load = self._loads[name] = _UpstreamLoad()
+            load.running = running
+
     def remove(self, name: str) -> None:
         """Discards the state of a removed upstream unless it has requests."""
         load = self._loads.get(name)
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -136,8 +136,7 @@
         update = await self._registry.read()
         self._record_contact(update)
         listed = [c.upstream for c in update.changes if c.upstream is not None]
-        for upstream in listed:
-            self._log_listed(upstream)
+        self.apply_upstreams(listed)
         self._state.catalog.replace(listed, self._state.clock())
         while True:
             update = await self._wait_for_changes(update.revision)
@@ -224,8 +223,15 @@
     def apply_upstreams(self, upstreams: Iterable[ListedUpstream]) -> None:
         """Applies entries that are newer than those in the catalog."""
         for upstream in upstreams:
+            held = self._state.catalog.get(upstream.name)
+            born_ms = held.born_ms if held is not None else upstream.born_ms
             if self._state.catalog.put(upstream):
                 self._log_listed(upstream)
+                if born_ms != upstream.born_ms:
+                    self._state.engines.restart(
+                        upstream.name, self._state.clock()
+                    )
+                    self._plain.selector.restart(upstream.name)
 
     def _apply_changes(self, changes: Iterable[EntryChange]) -> None:
         now = self._state.clock()
