Count answers that other instances have seen before a crash

Cause: whether a part had been answered before was known at the instance that reported the crash only, so that two crashes were enough. Change: each instance that learns of a crash adds what it has seen, and the next exchange carries it.

--- a/features/crash_ledger.feature
+++ b/features/crash_ledger.feature
@@ -38,7 +38,7 @@
     Guards against a common part that is refused, and against the one that
     crashes engines being taken for a companion.
     Given the crash ledgers of 7 instances
-    And the part first was answered before
+    And all instances have seen the part first answered
     When 3 engines crash 0.7 s apart on a prompt of <prompt>
     Then every instance holds <held> in quarantine and nothing else
 
@@ -81,6 +81,19 @@
       | 80   | 45      | 7    | 3.0   | any of them      |
       | 80   | 78      | 12   | 5.0   | any of them      |
 
+  Scenario: A part that another instance has seen answered needs more crashes
+    Guards against a sound part that is quarantined after two crashes, since the
+    instances that saw them had not seen the answers to it (kabine-obala, five
+    ordinary crashes, seed 31).
+    Given the crash ledgers of 7 instances
+    And the part popular was answered before at one instance
+    When 2 engines crash 0.7 s apart on the part popular, each seen by another instance
+    And the exchanges of 2 s pass
+    Then no instance holds a part in quarantine
+    When 1 engines crash 0.7 s apart on the part popular, each seen by another instance
+    And the exchanges of 2 s pass
+    Then every instance holds popular in quarantine and nothing else
+
   Scenario: A power loss of several engines is one crash
     Guards against parts that are quarantined since requests with them were at
     several engines of a failure domain that lost power.
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -20,12 +20,17 @@
     context.granted = 0
 
 
-@given("the part {part} was answered before")
+@given("all instances have seen the part {part} answered")
 def given_answered(context, part):
     for ledger in context.fleet.ledgers:
         ledger.record_answer([part], 0.0)
 
 
+@given("the part {part} was answered before at one instance")
+def given_answered_at_one(context, part):
+    context.fleet.ledgers[-1].record_answer([part], 0.0)
+
+
 def crash_series(fleet, count, gap_s, make_prompt):
     for number in range(count):
         fleet.advance(gap_s)
--- a/src/applespring/core/crash_ledger.py
+++ b/src/applespring/core/crash_ledger.py
@@ -127,10 +127,11 @@
                 its answer, in order.
             now: When that happened.
         """
+        # Merging adds which parts were answered before.
         parts: dict[str, CandidatePart] = {}
         for prompt in prompts:
             for position, part in enumerate(prompt):
-                parts[part] = CandidatePart(position, part in self._answered)
+                parts[part] = CandidatePart(position, False)
         self.merge([EngineCrash(engine, now, parts)], {}, now)
 
     def record_answer(self, parts: Iterable[str], now: float) -> bool:
@@ -194,16 +195,16 @@
             changed = True
         held.at = min(held.at, crash.at)
         for part, seen in crash.parts.items():
+            answered = seen.answered_before or part in self._answered
             known = held.parts.get(part)
             if known is not None:
+                changed |= answered and not known.answered_before
                 known.position = max(known.position, seen.position)
-                known.answered_before |= seen.answered_before
+                known.answered_before |= answered
             elif len(held.parts) < CANDIDATES_MAX:
-                held.parts[part] = CandidatePart(
-                    seen.position, seen.answered_before
-                )
-                known = self._histories.setdefault(part, PartHistory())
-                known.crash_at = max(known.crash_at, held.at)
+                held.parts[part] = CandidatePart(seen.position, answered)
+                history = self._histories.setdefault(part, PartHistory())
+                history.crash_at = max(history.crash_at, held.at)
                 changed = True
         while len(self._crashes) > CRASHES_MAX:
             self._crashes.popitem(last=False)
