soak: prompt parts that crash engines, answers without framing or end

New faults: callers send a part on which engines end when they begin an answer; answers without length or chunks; bytes without end in a head or a body. The new check 'deadly' counts requests with the part that reach engines later than 3 s after the fifth crash, from instances in touch; bound 3.

Faults now restore the sound value.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -40,6 +40,7 @@
       | denied   | a valid request gets 404                                             |
       | drain    | a request reaches an upstream 2.1 s after it started to drain        |
       | budget   | a window has 60 added attempts and 40 requests                       |
+      | deadly   | 4 requests reach engines 3.1 s after a part crashed the fifth one    |
       | ended    | a process ends unexpectedly                                          |
       | overstay | a process does not exit in time after SIGTERM                        |
       | recover  | no stream is served after the last fault                             |
@@ -144,6 +145,13 @@
     When the soak runs seed 3003 with 8 faults "workers silent,workers never answer,idle limit changes"
     Then no guarantee is violated
 
+  Scenario: Crashing parts and answers without framing or end
+    Guards against engines that crash one after the other under requests with
+    one part, and against answers that end with their connection, or never.
+    Incident inc-budget showed these faults.
+    When the soak runs seed 9001 with 6 faults "part crashes engines,workers misbehave"
+    Then no guarantee is violated
+
   Scenario Outline: A short run of a fixed seed violates no guarantee
     Guards against violations under a mix of all kinds of faults.
     When the soak runs seed <seed>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -427,6 +427,15 @@
         records.executions[request_id][1].started_at = SENT_AT + 0.1
 
 
+@violation("4 requests reach engines 3.1 s after a part crashed the fifth one")
+def violate_deadly(records):
+    records.deadly_crashes = [SENT_AT - 3.1] * 5
+    for number in range(4):
+        request = add_request(records, STREAM, f"deadly-{number}")
+        (execution,) = records.executions[request.request_id]
+        execution.headers = {"prompt-prefix": "1:100,dead:60,f0:40"}
+
+
 @violation("a process ends unexpectedly")
 def violate_ended(records):
     records.unexpected_exits.append(("relay-0", SENT_AT, 1))
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -19,7 +19,7 @@
     Records,
 )
 from soak.relays import TERM_GRACE_S
-from soak.upstream import make_event
+from soak.upstream import DEADLY_PART, make_event
 
 # Settings of the users' deployments, with the name of each setting.
 CONFIG_APPLY_S = 2.0  # configApplyMs
@@ -37,6 +37,10 @@
 # A request sent later than this after SIGTERM may still be in progress when the
 # process has to end, so that its loss is no violation (rule LOST).
 TERM_ACCEPT_S = 3.0
+# After this many crashes of engines on a prompt part, at most so many further
+# requests with it reach engines (rule BUDGET).
+DEADLY_CRASHES = 5
+DEADLY_REQUESTS_MAX = 3
 # Lowest share of requests served after all faults have ended (rule RECOVER).
 RECOVERED_SHARE_MIN = 0.25
 # Statuses that guarantee that the request was not executed and never will be.
@@ -429,6 +433,37 @@
                 break
 
 
+@check("deadly")
+def check_deadly(records: Records) -> Iterator[str]:
+    """Few requests with a part that crashes engines follow the fifth crash."""
+    crashes = sorted(records.deadly_crashes)
+    if len(crashes) < DEADLY_CRASHES:
+        return
+    known_at = crashes[DEADLY_CRASHES - 1] + CONTACT_S
+    late = [
+        (execution, request)
+        for execution, request in _each_run(records)
+        if f"{DEADLY_PART}:" in execution.headers.get("prompt-prefix", "")
+        and execution.started_at > known_at
+        and request is not None
+        and records.is_undisturbed(
+            execution.started_at - CONTACT_S,
+            execution.started_at,
+            [
+                f"{kind}:{request.instance}"
+                for kind in ("instance", "term", "peer", "store")
+            ],
+        )
+    ]
+    if len(late) > DEADLY_REQUESTS_MAX:
+        yield (
+            f"{len(late)} requests with a part under which {DEADLY_CRASHES} "
+            f"engines had crashed at {known_at - CONTACT_S:.3f} s reached "
+            f"engines, the last one {late[-1][0].request_id}; "
+            f"{len(crashes)} engines crashed"
+        )
+
+
 @check("ended")
 def check_ended(records: Records) -> Iterator[str]:
     """No process ends unless the soak ends it."""
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -22,6 +22,7 @@
     CallerRequest,
     Records,
 )
+from soak.upstream import DEADLY_PART
 
 CONNECT_LIMIT_S = 1.0
 EVENT_END = b"\n\n"
@@ -226,7 +227,7 @@
             headers += FORGED_HEADERS
         if request.kind in STREAMING:
             headers.append(("Token-Count", f"100,{request.events}"))
-            headers.append(("Prompt-Prefix", f"{self._rng.randint(1, 5)}:100"))
+            headers.append(("Prompt-Prefix", self._make_prompt()))
         if request.piece_key:
             counts = ",".join(map(str, document.SEGMENTS))
             headers += [
@@ -245,6 +246,14 @@
             data += state.send(h11.Data(data=request.body))
         return data + state.send(h11.EndOfMessage())
 
+    def _make_prompt(self) -> str:
+        """Returns a shared part, at times the deadly one, and an own part."""
+        parts = [f"{self._rng.randint(1, 5)}:100", "f0:40"]
+        deadly_share = self._records.deadly_share
+        if deadly_share and self._rng.random() < deadly_share:
+            parts.insert(1, f"{DEADLY_PART}:60")
+        return ",".join(parts)
+
     async def _read_answer(
         self,
         request: CallerRequest,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.record import Fault, Version
 from soak.relays import Relay
 from soak.silence import PHASES
+from soak.upstream import Misbehaviour
 from soak.worker_hosts import WorkerHost
 
 if TYPE_CHECKING:
@@ -26,6 +27,10 @@
 # accept requests without answering them.
 SILENCE_RANGE_S = (0.8, 1.5)
 UNANSWERED_RANGE_S = (2.0, 5.0)
+# Least and greatest share of requests with a part on which engines crash, and
+# shortest and longest time for which they are sent.
+DEADLY_SHARE_RANGE = (0.05, 0.3)
+DEADLY_RANGE_S = (3.0, 8.0)
 IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
 # Shortest and longest time between changes of the idle limit, which overlap
 # with connections that rest under an earlier limit.
@@ -287,6 +292,14 @@
             worker_host.start_worker(worker.name if same_id else "")
 
 
+@fault("part crashes engines")
+async def crash_on_part(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets callers send a prompt part on which engines crash."""
+    testbed.records.deadly_share = rng.uniform(*DEADLY_SHARE_RANGE)
+    await anyio.sleep(rng.uniform(*DEADLY_RANGE_S))
+    testbed.records.deadly_share = 0.0
+
+
 @fault("worker leaves")
 async def leave_worker(testbed: "Testbed", rng: random.Random) -> None:
     """Drains a worker; another one starts at its address later."""
@@ -306,13 +319,15 @@
     with recorded_fault(
         testbed, f"workers {name}", [f"place:{p.name}" for p in worker_hosts]
     ):
-        initial = getattr(worker_hosts[0].misbehaviour, name)
         value = rng.uniform(2, 8) if name == "slow" else rng.uniform(0.1, 1.0)
         for worker_host in worker_hosts:
             setattr(worker_host.misbehaviour, name, value)
         await anyio.sleep(_draw_duration(rng))
+        # Not the values from before: they may be those of a fault that overlaps
+        # and would then last to the end of the run.
+        sound = getattr(Misbehaviour(), name)
         for worker_host in worker_hosts:
-            setattr(worker_host.misbehaviour, name, initial)
+            setattr(worker_host.misbehaviour, name, sound)
 
 
 @fault("workers silent")
--- a/soak/record.py
+++ b/soak/record.py
@@ -305,6 +305,9 @@
         versions: Configurations, in the order in which they were stored.
         faults_ended_at: When all faults had ended and the time for recovery
             had passed; inf before.
+        deadly_share: Share of the requests to engines that have a prompt part
+            on which engines crash at present.
+        deadly_crashes: When engines crashed on it.
     """
 
     __slots__ = (
@@ -318,6 +321,8 @@
         "late_exits",
         "versions",
         "faults_ended_at",
+        "deadly_share",
+        "deadly_crashes",
     )
 
     def __init__(self) -> None:
@@ -331,6 +336,8 @@
         self.late_exits: list[tuple[str, float]] = []
         self.versions: list[Version] = []
         self.faults_ended_at = math.inf
+        self.deadly_share = 0.0
+        self.deadly_crashes: list[float] = []
 
     def add_execution(self, execution: Execution) -> None:
         """Adds an execution to those of its request."""
--- a/soak/server.py
+++ b/soak/server.py
@@ -9,6 +9,10 @@
 from soak.net import Address, Conn, ConnError, serve
 from soak.silence import BODY, CONTROL, HEAD, Silence
 
+# What is sent again and again as an answer without end, and the pause between.
+ENDLESS_CHUNK = b"x" * 4096
+ENDLESS_PAUSE_S = 0.01
+
 
 class Request:
     """A completely received request.
@@ -37,13 +41,16 @@
     Attributes:
         silence: Silence that delays the answer, or None.
         is_control: Whether it answers a release or a report.
+        unframed: Whether the answer has neither a length nor chunks and ends
+            with its connection.
     """
 
-    __slots__ = ("silence", "is_control", "_conn", "_state")
+    __slots__ = ("silence", "is_control", "unframed", "_conn", "_state")
 
     def __init__(self, conn: Conn, state: h11.Connection) -> None:
         self.silence: Silence | None = None
         self.is_control = False
+        self.unframed = False
         self._conn = conn
         self._state = state
 
@@ -56,19 +63,41 @@
     ) -> None:
         """Sends status and headers."""
         await self._wait(HEAD)
+        if self.unframed:
+            lines = [f"HTTP/1.1 {status} x"]
+            lines += [
+                f"{name}: {value}"
+                for name, value in headers
+                if name != "Content-Length"
+            ]
+            await self._conn.send("\r\n".join([*lines, "", ""]).encode())
+            return
         event = h11.Response(status_code=status, headers=list(headers))
         await self._conn.send(self._state.send(event))
 
     async def send_part(self, data: bytes) -> None:
         """Sends a part of the body."""
         await self._wait(BODY)
-        await self._conn.send(self._state.send(h11.Data(data=data)))
+        if not self.unframed:
+            data = self._state.send(h11.Data(data=data))
+        await self._conn.send(data)
 
     async def send_end(self) -> None:
         """Sends the end of the answer."""
         await self._wait(BODY)
+        if self.unframed:
+            self._conn.close()
+            return
         await self._conn.send(self._state.send(h11.EndOfMessage()))
 
+    async def send_endless(self, *, with_head: bool) -> None:
+        """Sends bytes that are no answer until the client closes."""
+        if with_head:
+            await self.send_head(200, [("Content-Type", "text/plain")])
+        while True:
+            await self._conn.send(ENDLESS_CHUNK)
+            await anyio.sleep(ENDLESS_PAUSE_S)
+
     async def send_complete(
         self,
         status: int,
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -24,6 +24,8 @@
 RESULT_MEMORY_MB = 1.0
 RESULT_BYTES = 100_000
 RESULT_TTL_S = 2.0
+# Name of the prompt part on which engines crash.
+DEADLY_PART = "dead"
 # Engines: time to the first event and between events. Plain workers: shortest
 # and longest time of an answer.
 FIRST_EVENT_DELAY_S = 0.04
@@ -42,6 +44,9 @@
         unsigned: Share of successes without a signature.
         truncating: Share of answers that are truncated.
         extra: Share of answers followed by bytes that belong to no request.
+        unframed: Share of answers without length or chunks.
+        endless: Share of requests that are executed and answered with bytes
+            without end, in a head or a body.
     """
 
     __slots__ = (
@@ -52,6 +57,8 @@
         "unsigned",
         "truncating",
         "extra",
+        "unframed",
+        "endless",
     )
 
     def __init__(self) -> None:
@@ -62,6 +69,8 @@
         self.unsigned = 0.0
         self.truncating = 0.0
         self.extra = 0.0
+        self.unframed = 0.0
+        self.endless = 0.0
 
 
 class WorkerContext:
@@ -119,6 +128,7 @@
         elif self._draw(self.misbehaviour.full):
             await reply.send_complete(503, b"", [*echo, NOT_RUN_HEADER])
         else:
+            reply.unframed = self._draw(self.misbehaviour.unframed)
             await self.execute(request_id, req, reply)
 
     async def execute(
@@ -130,6 +140,12 @@
     def stop(self) -> None:
         """Discards the results of the worker."""
 
+    async def _send_endless(self, reply: Reply) -> None:
+        """Sends bytes without end if the misbehaviour says so."""
+        if self._draw(self.misbehaviour.endless):
+            reply.unframed = True
+            await reply.send_endless(with_head=self._draw(0.5))
+
     def _draw(self, share: float) -> bool:
         return share > 0 and self._context.rng.random() < share
 
@@ -174,6 +190,7 @@
             self._context.rng.uniform(*PLAIN_RANGE_S) * misbehaviour.slow
         )
         headers = self._make_headers(execution)
+        await self._send_endless(reply)
         if self._draw(misbehaviour.losing):
             await anyio.sleep_forever()
         if self._draw(misbehaviour.failing):
@@ -194,7 +211,14 @@
 
 
 class EngineWorker(Worker):
-    """Answers with a stream of numbered events."""
+    """Answers with a stream of numbered events.
+
+    Attributes:
+        crash: Ends this worker; called when it begins an answer on the deadly
+            prompt part.
+    """
+
+    crash: Callable[[], None]
 
     async def execute(
         self, request_id: str, req: Request, reply: Reply
@@ -210,6 +234,10 @@
         execution = self._record_execution(request_id, req, inputs)
         count = int(req.headers["token-count"].partition(",")[2])
         await anyio.sleep(FIRST_EVENT_DELAY_S * misbehaviour.slow)
+        if f"{DEADLY_PART}:" in req.headers.get("prompt-prefix", ""):
+            self.crash()
+            await anyio.sleep_forever()
+        await self._send_endless(reply)
         if self._draw(misbehaviour.failing):
             execution.answer = b"failed"
             await reply.send_complete(
@@ -282,6 +310,7 @@
             )
             self._expire()
             answers = [self._make(item) for item in items]
+        await self._send_endless(reply)
         if self._draw(self.misbehaviour.losing):
             await anyio.sleep_forever()
         if self._draw(self.misbehaviour.truncating):
--- a/soak/worker_hosts.py
+++ b/soak/worker_hosts.py
@@ -8,6 +8,7 @@
 from soak import document
 from soak.net import Address
 from soak.proxy import LinkFaults, TcpProxy
+from soak.record import Fault
 from soak.server import HttpServer, Reply, Request
 from soak.silence import CONTROL_TARGETS, Silence
 from soak.store import Store
@@ -27,6 +28,9 @@
 }
 # Time that a draining worker still serves after the store has acknowledged it.
 DRAIN_NOTICE_S = 2.0
+# Shortest and longest time until an engine that crashed on a prompt part is
+# back.
+CRASH_RANGE_S = (0.5, 1.5)
 # Time after which the store removes the entry of a worker that ended.
 ENTRY_EXPIRY_S = 1.0
 
@@ -68,10 +72,12 @@
         self._store = store
         self._context = context
         self._worker_numbers = itertools.count(1)
+        self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Serves until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
             await tasks.start(self._server.run)
             await tasks.start(self.proxy.run)
             task_status.started()
@@ -84,6 +90,8 @@
         )
         if isinstance(worker, StageWorker):
             worker.address = self._address
+        if isinstance(worker, EngineWorker):
+            worker.crash = self._crash_on_part
         self.worker = worker
         self._register(worker.name, "ready")
 
@@ -95,6 +103,25 @@
             self._server.reset_all()
         return worker
 
+    def _crash_on_part(self) -> None:
+        """Ends the engine, which comes back later."""
+        worker = self.crash_worker()
+        if worker is not None and self._tasks is not None:
+            self._tasks.start_soon(self._come_back, worker)
+
+    async def _come_back(self, worker: Worker) -> None:
+        records, clock = self._context.records, self._context.clock
+        records.deadly_crashes.append(clock())
+        crash = Fault("crash on part", [f"place:{self.name}"], clock())
+        records.faults.append(crash)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.expire_entry, worker)
+            await anyio.sleep(self._context.rng.uniform(*CRASH_RANGE_S))
+            if self.worker is None:
+                same_id = self._context.rng.random() < 0.5
+                self.start_worker(worker.name if same_id else "")
+        crash.ended_at = clock()
+
     async def expire_entry(self, worker: Worker) -> None:
         """Removes the entry of an ended worker later, unless it runs again."""
         await anyio.sleep(ENTRY_EXPIRY_S)
