Bound the search for the parts that explain crashes

Callers would see: answers that are late in a fleet where every engine fails, since each report of a crash cost a search of 134 ms (256 crashes of 12 parts each, none answered), and 42 parts in quarantine that explain nothing. Cause: neither the number of culprits nor the crashes that are compared had a bound that follows from the work. Change: 8 culprits at most, 128 crashes.

--- a/features/crash_ledger.feature
+++ b/features/crash_ledger.feature
@@ -94,6 +94,14 @@
     And the exchanges of 2 s pass
     Then every instance holds popular in quarantine and nothing else
 
+  Scenario: Crashes that no answer follows hold few parts
+    Guards against an event loop that is busy with a long list of crashes, and
+    against parts that are quarantined since every engine fails: the parts of
+    all requests are then in several crashes, and none is answered.
+    Given the crash ledgers of 1 instances
+    When 300 engines crash 1 s apart, each under 12 of 500 parts, and nothing is answered
+    Then 8 parts are in quarantine and 128 crashes are remembered
+
   Scenario: A power loss of several engines is one crash
     Guards against parts that are quarantined since requests with them were at
     several engines of a failure domain that lost power.
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -71,6 +71,28 @@
     context.fleet.advance(2.0)
 
 
+@when(
+    "{count:d} engines crash {gap:g} s apart, each under {some:d} of {total:d} "
+    "parts, and nothing is answered"
+)
+def when_all_fail(context, count, gap, some, total):
+    fleet = context.fleet
+    for number in range(count):
+        fleet.now += gap
+        prompts = [[f"p{fleet.rng.randrange(total)}"] for _ in range(some)]
+        fleet.ledgers[0].record_break((f"e{number}", 1), prompts, fleet.now)
+
+
+@then("{parts:d} parts are in quarantine and {count:d} crashes are remembered")
+def then_bounded(context, parts, count):
+    ledger = context.fleet.ledgers[0]
+    assert len(ledger.quarantined) == parts, len(ledger.quarantined)
+    held = ledger.select_crashes(
+        context.fleet.now, count_max=1000, age_max_s=1000.0
+    )
+    assert len(held) == count, len(held)
+
+
 @when("the exchanges of {seconds:g} s pass")
 def when_pass(context, seconds):
     context.fleet.advance(seconds)
--- a/src/applespring/core/crash_culprits.py
+++ b/src/applespring/core/crash_culprits.py
@@ -18,6 +18,9 @@
 CULPRIT_CRASHES_MIN = 2
 CRASHES_PER_STEP = 4
 CULPRIT_CRASHES_MAX = 4
+# Most culprits. More of them would not be the cause of what is wrong, and each
+# costs a pass over all crashes.
+CULPRITS_MAX = 8
 # Other crashes count from this long before the first one with the part.
 OTHER_CRASHES_WINDOW_S = 30.0
 
@@ -93,8 +96,8 @@
             crashes are no evidence against the part.
     """
     unexplained = sorted(crashes, key=lambda crash: crash.at)
-    culprits = []
-    while True:
+    culprits: list[Culprit] = []
+    while len(culprits) < CULPRITS_MAX:
         best, best_key = None, None
         for part, hits in _hits_by_part(unexplained, answered_at).items():
             times = _separate_times([crash.at for crash in hits])
@@ -109,9 +112,10 @@
             if best_key is None or key > best_key:
                 best, best_key = Culprit(part, len(times), hits[-1].at), key
         if best is None:
-            return culprits
+            break
         culprits.append(best)
         unexplained = [c for c in unexplained if best.part not in c.parts]
+    return culprits
 
 
 def _hits_by_part(
--- a/src/applespring/core/crash_ledger.py
+++ b/src/applespring/core/crash_ledger.py
@@ -22,7 +22,7 @@
 CULPRIT_CRASH_AGE_MAX_S = 6 * 3600.0
 # Crashes and answered parts that are remembered, and candidates of one crash.
 # The oldest are evicted.
-CRASHES_MAX = 256
+CRASHES_MAX = 128
 ANSWERED_PARTS_MAX = 4096
 CANDIDATES_MAX = 64
 # A quarantined part is tried again this long after its last crash or trial,
