Take connections that time out for no crash of their engine

Callers would see: sound parts in quarantine after a partition, since connections with unacknowledged requests end 3 s after it, at different times at different engines. Cause: every end of a connection counted as the end of its engine. Change: one whose cause is a time-out does not; an engine that ends closes its connections.

--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -511,7 +511,7 @@
                     )
                     attempt.outcome = "done"
         except StageError as exc:
-            if exc.kind in BROKEN_OFF_KINDS:
+            if exc.kind in BROKEN_OFF_KINDS and not _is_cut_off(exc):
                 begun = 0.0 <= attempt.first_event_at <= clock() - BEGUN_S
                 prompt = _shared_parts(exchange)
                 self._crash_watch.record_break(upstream, prompt, begun=begun)
@@ -729,6 +729,17 @@
     )
 
 
+def _is_cut_off(exc: StageError) -> bool:
+    """Returns whether a connection ended since nothing was acknowledged.
+
+    Its engine may be behind a partition; one that ends closes its connections.
+    """
+    cause: BaseException | None = exc
+    while cause is not None and not isinstance(cause, TimeoutError):
+        cause = cause.__cause__
+    return cause is not None
+
+
 def _shared_parts(exchange: Exchange) -> list[str]:
     """Returns the parts of a prompt that other requests may share, in order.
 
