State a Retry-After for a quarantined part only if a return may help

Callers saw: a Retry-After that was cut to a third of their time, so that they came back before the trial was due and were refused again. Cause: the bound of every Retry-After was applied to one that lies beyond it. Change: none is stated then, nor after a trial failed.

--- a/features/relay_crash.feature
+++ b/features/relay_crash.feature
@@ -42,6 +42,27 @@
     When 40 requests a second come for 20 s, and one in ten has a part whose requests are reset
     Then no instance quarantines a part
 
+  Scenario: Connections end since nothing on them was acknowledged
+    Guards against a part that is quarantined since a partition lies between an
+    instance and the engines that have requests with it.
+    Given 1 relay instances with 9 engines
+    When 20 requests a second come for 10 s, and one in ten has a part whose connections time out
+    Then no instance quarantines a part
+
+  Scenario Outline: A refusal has a Retry-After only if a return may help
+    Guards against callers that come back before the trial that may show a part
+    to be sound, or after it has failed.
+    Given 3 relay instances with 9 engines
+    And the part dead is quarantined since engines crashed on it
+    When a caller that waits <wait> s sends the part <after> s after the last crash, <trial> a trial
+    Then its refusal has <header>
+
+    Examples:
+      | wait | after | trial   | header           |
+      | 12   | 4.0   | before  | a Retry-After    |
+      | 3    | 2.0   | before  | no Retry-After   |
+      | 12   | 7.0   | after   | no Retry-After   |
+
   Scenario: Requests that a leaving engine breaks off
     Guards against a part that is quarantined since engines end as planned.
     Given 1 relay instances with 9 engines
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -114,13 +114,17 @@
 
 @when(
     "{rate:d} requests a second come for {seconds:d} s, and one in ten has a "
-    "part whose requests are reset"
+    "part whose {fate}"
 )
-def when_reset(context, rate, seconds):
+def when_reset(context, rate, seconds, fate):
     rng = context.rng
 
     async def scenario(world):
         world.reset_parts = {"unlucky"}
+        if fate == "connections time out":
+            # No engine shows any progress.
+            world.first_event_s = 3.0
+            world.reset_cause = TimeoutError()
 
         def make_parts(number):
             shared = f"shared{rng.randrange(40)}"
@@ -188,7 +192,7 @@
 def when_many(context, count, after):
     async def scenario(world):
         await context.preparation(world)
-        await anyio.sleep(world.crash_times[-1] + after - anyio.current_time())
+        await sleep_until(world.crash_times[-1] + after)
         async with anyio.create_task_group() as callers:
             for number in range(count):
                 instance = f"i{number % context.instance_count}"
@@ -226,6 +230,37 @@
     assert context.available
 
 
+@when(
+    "a caller that waits {wait:d} s sends the part {after:g} s after the last "
+    "crash, {trial} a trial"
+)
+def when_waits(context, wait, after, trial):
+    async def scenario(world):
+        await context.preparation(world)
+        if trial == "after":
+            await sleep_until(world.crash_times[-1] + 5.5)
+            await send_deadly(world, "trial", "i1")
+            after_s = 1.0
+        else:
+            after_s = after
+        await sleep_until(world.crash_times[-1] + after_s)
+        prompt = ["shared", DEADLY, "own"]
+        await world.send("late", None, prompt, "/stream/x", "i0", 1000 * wait)
+
+    run_in_world(context, scenario)
+
+
+async def sleep_until(at):
+    await anyio.sleep(max(0.0, at - anyio.current_time()))
+
+
+@then("its refusal has {header}")
+def then_retry_after(context, header):
+    reply = context.world.replies["late"]
+    assert reply.status == 503, (reply.status, reply.body)
+    assert (b"retry-after" in reply.headers) == (header == "a Retry-After")
+
+
 def fifth_crash_at(world):
     """Returns when the fifth engine crashed, or the last one."""
     assert world.crash_times, "no engine crashed"
--- a/src/applespring/relay/crash_watch.py
+++ b/src/applespring/relay/crash_watch.py
@@ -14,7 +14,7 @@
 from applespring.core.placement import rank
 from applespring.core.verdict import Verdict
 from applespring.peer import message
-from applespring.relay.exchange import Exchange
+from applespring.relay.exchange import RETRY_AFTER_SHARE, Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.state import RelayState
@@ -180,11 +180,15 @@
             return RefusalError(
                 reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, detail
             )
-        retry_after_s = None
-        if not quarantine.trials:
-            # The part may be sound, which its first trial will show.
-            due_s = quarantine.trial_due_at - self._state.clock()
-            retry_after_s = max(0.0, due_s) + TRIAL_RUN_S
+        now = self._state.clock()
+        # The part may be sound, which its first trial will show. Callers come
+        # back within a share of the time that they have left.
+        retry_after_s: float | None = (
+            max(0.0, quarantine.trial_due_at - now) + TRIAL_RUN_S
+        )
+        stays_s = RETRY_AFTER_SHARE * (exchange.deadline_at - now)
+        if quarantine.trials or retry_after_s > stays_s:
+            retry_after_s = None
         return RefusalError(
             reason.PROMPT_QUARANTINED,
             Verdict.NOT_RUN,
