--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -8,6 +8,7 @@
 BATCH = "relay_batch"
 DECISIONS = "relay_decisions"
 CRASH = "relay_crash"
+WIRE = "relay_wire"
 LEDGER = "crash_ledger"
 
 RELAY_GUARDS = (
@@ -421,6 +422,76 @@
         "if False:",
         (CRASH, "leaving engine"),
     ),
+    Guard(
+        "relay: a connection that times out is no crash",
+        "relay/streams.py",
+        "if exc.kind in BROKEN_OFF_KINDS and not _is_cut_off(exc):",
+        "if exc.kind in BROKEN_OFF_KINDS:",
+        (CRASH, "Connections end since nothing"),
+    ),
+    Guard(
+        "relay: Retry-After of a quarantined part only if a return may help",
+        "relay/crash_watch.py",
+        "if quarantine.trials or retry_after_s > stays_s:",
+        "if False:",
+        (CRASH, "Retry-After only if a return"),
+    ),
+    Guard(
+        "relay: a stream without framing that ends before its first event",
+        "relay/streams.py",
+        "if attempt.first_event_at < 0.0 and not answer.has_end_mark:",
+        "if False:",
+        (WIRE, "A stream that ends with its connection"),
+    ),
+    Guard(
+        "relay: bytes of no event are no progress",
+        "relay/streams.py",
+        "# Bytes of no event are no progress; they may have no end.",
+        "attempt.record_progress(now)",
+        (WIRE, "Bytes without end from"),
+    ),
+    Guard(
+        "relay: bound of an event",
+        "core/events.py",
+        "if len(self._buffer) > EVENT_BYTES_MAX:",
+        "if len(self._buffer) > 8 * EVENT_BYTES_MAX * EVENT_BYTES_MAX:",
+        (WIRE, "has begun a stream"),
+    ),
+    Guard(
+        "relay: bound of the body of a refusal",
+        "relay/client.py",
+        "with anyio.move_on_after(REFUSAL_BODY_TIMEOUT_S):",
+        "with anyio.move_on_after(60.0):",
+        (WIRE, "Bytes without end from an upstream"),
+    ),
+    Guard(
+        "bound of the store's answers in time",
+        "platform/store.py",
+        "with anyio.fail_after(limit_s):",
+        "with anyio.fail_after(3600.0):",
+        (WIRE, "Bytes without end from the store"),
+    ),
+    Guard(
+        "relay: numbers of submissions differ between starts",
+        "relay/stage_submitter.py",
+        "peers.incarnation * SUBMISSIONS_PER_MS + 1",
+        "1",
+        (STAGING, "former start"),
+    ),
+    Guard(
+        "relay: a restarted engine has no pause",
+        "relay/watch.py",
+        "if born_ms != upstream.born_ms:",
+        "if False:",
+        (CRASH, "used once it is back"),
+    ),
+    Guard(
+        "relay: first calls wait for the reports of free memory",
+        "relay/stage_scheduler.py",
+        "for upstream in reporting:\n                    tasks.start_soon(",
+        "for upstream in ():\n                    tasks.start_soon(",
+        (STAGING, "A new scheduler waits"),
+    ),
     Guard(
         "relay: one instance grants trials",
         "relay/crash_watch.py",
