--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -259,23 +259,6 @@
     When 40 resume requests come 4 per second
     Then at least 38 are answered and the engines got at most 48 requests
 
-  Scenario: A request that its engine lost goes on at another one
-    Guards against a resumable stream that stays at an engine which answers all
-    others, until its caller has left (inc-lost).
-    Given a relay with the engines a, b
-    And a loses its first request, and answers take 0.4 s
-    When 40 resume requests come 8 per second
-    Then at least 40 are answered and the engines got at most 42 requests
-
-  Scenario: Requests that engines lost do not lengthen the time of others
-    Load pattern: 300 requests, 20 per second, of which engines lose one in five.
-    Guards against requests that are refused as too late, since the wait for the
-    lost ones counted as a time to a first event (inc-lost).
-    Given a relay with the engines a, b
-    And engines lose each fifth request, and answers take 0.1 s
-    When 300 stream requests come 20 per second
-    Then a first event is expected within 0.5 s
-
   Scenario: A slow caller is no reason to leave its engine
     Guards against an event that is lost, since the time for which a caller does
     not read counted as a silence of the engine and its stream was resumed.
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -33,9 +33,6 @@
 # An engine that has requests but made no progress on any of them for this time
 # is avoided.
 NO_PROGRESS_S = 1.5
-# A request is lost at an engine that has answered one sent this much later.
-# Engines answer in another order by priority and length of the prompt.
-OVERTAKEN_S = 1.0
 # Pause after a failure, doubled with each further failure in a row.
 FAILED_PAUSE_S = 0.5
 FAILED_PAUSE_MAX_S = 8.0
@@ -49,7 +46,6 @@
         "unread_tokens",
         "last_progress_at",
         "event_at",
-        "answered_sent_at",
         "pause",
         "parts",
     )
@@ -59,7 +55,6 @@
         self.unread_tokens = 0
         self.last_progress_at = now
         self.event_at = -math.inf
-        self.answered_sent_at = -math.inf
         self.pause = FailurePause(FAILED_PAUSE_S, FAILED_PAUSE_MAX_S)
         self.parts: OrderedDict[str, None] = OrderedDict()
 
@@ -158,25 +153,6 @@
         engine.last_progress_at = now
         engine.event_at = now
 
-    def record_first_event(self, name: str, sent_at: float, now: float) -> None:
-        """Records the first event of a request.
-
-        Args:
-            name: The engine.
-            sent_at: When the request was sent.
-            now: Current time.
-        """
-        engine = self._find_or_add(name, now)
-        engine.answered_sent_at = max(engine.answered_sent_at, sent_at)
-
-    def is_overtaken(self, name: str, sent_at: float) -> bool:
-        """Returns whether an engine has answered much later requests."""
-        engine = self._engines.get(name)
-        return (
-            engine is not None
-            and engine.answered_sent_at >= sent_at + OVERTAKEN_S
-        )
-
     def discard_unread_prompt(self, name: str, unread: int, now: float) -> None:
         """Removes a prompt that an engine did not read from its load.
 
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -298,10 +298,8 @@
         silent_s = attempt.silent_s(now)
         if not attempt.replaceable:
             return False
-        if (
-            not attempt.answered
-            and not engines.is_silent(engine, silent_s, now)
-            and not engines.is_overtaken(engine, now - silent_s)
+        if not attempt.answered and not engines.is_silent(
+            engine, silent_s, now
         ):
             # It answers other requests, so it is busy.
             return False
@@ -540,11 +538,7 @@
             is_silent = silent_s >= limit_s
             if cancelled and is_silent:
                 attempt.failed = True
-            if (
-                is_silent
-                and not attempt.answered
-                and not engines.is_overtaken(upstream.name, started_at)
-            ):
+            if is_silent and not attempt.answered:
                 # The first event would have taken longer than this.
                 unread_prompt.record_first_event(
                     self._state.first_event(exchange.pool), now
@@ -637,9 +631,6 @@
             engines.record_progress(upstream.name, now)
             if attempt.first_event_at < 0.0:
                 attempt.first_event_at = now
-                engines.record_first_event(
-                    upstream.name, unread_prompt.sent_at, now
-                )
             elif (
                 not answer_recorded and now - attempt.first_event_at >= BEGUN_S
             ):
@@ -681,17 +672,13 @@
 
 
 class _UnreadPrompt:
-    """Prompt tokens of one request that its engine has not read yet.
-
-    Attributes:
-        sent_at: When the request was sent.
-    """
+    """Prompt tokens of one request that its engine has not read yet."""
 
-    __slots__ = ("sent_at", "_unread_tokens", "_measured")
+    __slots__ = ("_unread_tokens", "_sent_at", "_measured")
 
     def __init__(self, unread_tokens: int, sent_at: float) -> None:
         self._unread_tokens = unread_tokens
-        self.sent_at = sent_at
+        self._sent_at = sent_at
         self._measured = False
 
     def record_first_event(
@@ -700,7 +687,7 @@
         """Measures the time to the first event; further calls do nothing."""
         if not self._measured:
             self._measured = True
-            estimate.record(self._unread_tokens, now - self.sent_at)
+            estimate.record(self._unread_tokens, now - self._sent_at)
 
     def record_read(
         self, engines: EngineSelector, name: str, now: float
