--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -166,7 +166,7 @@
         StoreError: It is longer than `BODY_BYTES_MAX`.
     """
     body = bytearray()
-    async for chunk in resp.aiter_raw():
+    async for chunk in resp.aiter_bytes():
         body += chunk
         if len(body) > BODY_BYTES_MAX:
             raise StoreError(
