--- a/src/applespring/relay/crash_watch.py
+++ b/src/applespring/relay/crash_watch.py
@@ -79,7 +79,7 @@
         self._break_recorded = anyio.Event()
         self._tracked: set[_TrackedRequest] = set()
         self._trial_denied_until: dict[str, float] = {}
-        self._known: frozenset[str] = frozenset()
+        self._applied: frozenset[str] = frozenset()
         peers.set_crash_receiver(self._on_gossip)
         peers.register_handler(message.PartTrial, self._on_trial)
 
@@ -283,9 +283,9 @@
         Requests in progress with a newly quarantined part are ended.
         """
         quarantined = self.ledger.quarantined
-        if quarantined.keys() == self._known:
+        if quarantined.keys() == self._applied:
             return
-        for part in sorted(quarantined.keys() - self._known):
+        for part in sorted(quarantined.keys() - self._applied):
             quarantine = quarantined[part]
             self._metrics.state_changes.inc("part_quarantined")
             logger.bind(
@@ -299,12 +299,12 @@
                 quarantine.crashes,
             )
             self._withdraw(quarantine)
-        for part in sorted(self._known - quarantined.keys()):
+        for part in sorted(self._applied - quarantined.keys()):
             self._metrics.state_changes.inc("part_released")
             logger.bind(event="part_released", part=part).info(
                 "prompt part {} is no longer quarantined", part
             )
-        self._known = frozenset(quarantined)
+        self._applied = frozenset(quarantined)
 
     def _withdraw(self, quarantine: Quarantine) -> None:
         """Ends the requests with a part whose answers have not begun."""
