Log the fingerprint of each request

Change: the line of each request has a fingerprint of method, host, path with query, client account and body, 96 bits of BLAKE2b. The account is part of it, so that no caller can send the request of another one; headers are not, since deadline and id differ between attempts.

No decision uses it yet.

--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -340,6 +340,7 @@
             route = exchange.route.name
             outcome = exchange.outcome
             fields["route"] = route
+            fields["fingerprint"] = exchange.fingerprint
             fields["document_version"] = exchange.document.version
             fields["events"] = exchange.events
             fields["aim_left_s"] = round(
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -14,6 +14,8 @@
 from applespring.relay.state import RelayState
 
 CANCELLED = "cancelled"
+# How an attempt fails when its upstream ends or closes the connection.
+BROKEN_OFF_KINDS = frozenset([FailureKind.RESET, FailureKind.TRUNCATED])
 
 
 class Attempt:
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -6,6 +6,7 @@
 import orjson
 
 from applespring.core.errors import RefusalError
+from applespring.core.fingerprint import fingerprint_request
 from applespring.core.route import (
     ClientAccount,
     Route,
@@ -78,6 +79,7 @@
         "first_event_at",
         "_send",
         "_connection_header",
+        "_fingerprint",
     )
 
     def __init__(
@@ -117,6 +119,17 @@
         self.first_event_at = -1.0
         self._send = send
         self._connection_header = connection_header
+        self._fingerprint = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Fingerprint by which the request is recognized if it comes again."""
+        if not self._fingerprint:
+            req = self.req
+            self._fingerprint = fingerprint_request(
+                req.method, req.host, req.target, self.account_name, req.body
+            )
+        return self._fingerprint
 
     @property
     def leaves_at(self) -> float:
