Reproduce requests that crash each upstream that runs them, as known red

A request that comes again reaches upstreams for as long as callers send it, whichever route it has.

Change: nine scenarios in virtual time for plain requests, streams and stage pieces, safe and unsafe.

--- /dev/null
+++ b/features/relay_repeat.feature
@@ -0,0 +1,24 @@
+Feature: Requests that crash each upstream that runs them
+  Guards against a request that comes again and again and crashes one upstream
+  after the other, and against sound requests that are refused because of it.
+
+  Scenario Outline: A request that crashes upstreams stops reaching them
+    Guards against a crash that is held against the upstream alone, so that the
+    same request crashes the next one when it comes again, at any instance
+    (BUDGET, inc-repeated-request).
+    Given <instances> relay instances with <engines> engines and <services> services
+    When <rate> sound requests a second come for 40 s on the route <route>, and from 4 s on each <gap> s one that crashes its <place>
+    Then at most 3 arrivals of that request follow later than 3 s after its third crash
+    And at least half of the sound requests from 6 s after its third crash are served
+
+    Examples:
+      | instances | engines | services | rate | gap | route         | place    |
+      | 7         | 9       | 3        | 6    | 5   | safe          | upstream |
+      | 7         | 9       | 3        | 6    | 2   | unsafe        | upstream |
+      | 7         | 9       | 3        | 40   | 1   | safe          | upstream |
+      | 20        | 9       | 6        | 40   | 2   | safe          | upstream |
+      | 7         | 9       | 3        | 20   | 3   | stream        | engine   |
+      | 7         | 9       | 3        | 20   | 5   | resume        | engine   |
+      | 7         | 9       | 3        | 5    | 4   | staged        | stage    |
+      | 7         | 9       | 3        | 5    | 4   | staged-resume | stage    |
+      | 7         | 9       | 3        | 5    | 5   | staged-resume | engine   |
--- a/features/steps/relay_crash_steps.py
+++ b/features/steps/relay_crash_steps.py
@@ -81,9 +81,9 @@
     context.preparation = scenario
 
 
-async def send_deadly(world, request, instance, path="/stream/x"):
+async def send_deadly(world, request, instance, route="stream"):
     prompt = [f"shared {request}", DEADLY, f"own {request}"]
-    await world.send(request, None, prompt, path, instance)
+    await world.send(request, None, prompt, f"/{route}/{request}", instance)
 
 
 @when("a caller sends a staged request with the part dead")
@@ -91,7 +91,7 @@
     async def scenario(world):
         await context.preparation(world)
         context.sent_at = anyio.current_time()
-        await send_deadly(world, "staged", "i2", "/staged/x")
+        await send_deadly(world, "staged", "i2", "staged")
 
     run_in_world(context, scenario)
     context.last = "staged"
@@ -152,7 +152,7 @@
                     f"r{number}",
                     None,
                     ["shared", "late", f"own{number}"],
-                    "/stream/x",
+                    f"/stream/{number}",
                     "i0",
                 )
                 await anyio.sleep(0.1)
@@ -213,7 +213,12 @@
             async with anyio.create_task_group() as callers:
                 prompt = [f"s{number}", f"own{number}"]
                 callers.start_soon(
-                    world.send, f"r{number}", None, prompt, "/stream/x", "i0"
+                    world.send,
+                    f"r{number}",
+                    None,
+                    prompt,
+                    f"/stream/{number}",
+                    "i0",
                 )
                 await anyio.sleep(0.1)
                 await world.upstreams["e0"].crash()
