--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -5,7 +5,11 @@
 from behave import given, then, when
 
 from applespring.core.crash_ledger import CrashLedger
-from features.fixtures.ledger_fleet import LedgerFleet, bystanders
+from features.fixtures.ledger_fleet import (
+    LedgerFleet,
+    broken_request,
+    bystanders,
+)
 
 # Time from a request to the end of its first event, and the share of requests
 # that go to the home engine of their subject.
@@ -80,7 +84,10 @@
     for number in range(count):
         fleet.now += gap
         prompts = [[f"p{fleet.rng.randrange(total)}"] for _ in range(some)]
-        fleet.ledgers[0].record_break((f"e{number}", 1), prompts, fleet.now)
+        ledger = fleet.ledgers[0]
+        now = fleet.now
+        broken = [broken_request(ledger, prompt, now) for prompt in prompts]
+        ledger.record_crash((f"e{number}", 1), broken, now)
 
 
 @then("{parts:d} parts are in quarantine and {count:d} crashes are remembered")
@@ -204,20 +211,21 @@
     next_crash_at = every
     while now < seconds:
         now += 1 / rate
-        for ends_at, prompt, _ in [w for w in waiting if w[0] <= now]:
+        for ends_at, prompt, *_ in [w for w in waiting if w[0] <= now]:
             ledger.record_answer(prompt, ends_at)
         waiting = [w for w in waiting if w[0] > now]
         prompt = bystanders(rng, 1)[0]
         total += 1
-        quarantine = ledger.find_quarantine(prompt)
-        if quarantine is not None:
+        quarantines = ledger.find_quarantines(prompt)
+        if quarantines:
             refused += 1
-            if not ledger.start_trial(quarantine.part, now):
+            if not ledger.start_trial(quarantines[0].name, now):
                 continue
         engine = rng.randrange(engines)
         if rng.random() < HOME_SHARE:
             engine = homes.setdefault(prompt[-1], engine)
-        waiting.append((now + rng.uniform(*WAIT_S), prompt, engine))
+        evidence = broken_request(ledger, prompt, now)
+        waiting.append((now + rng.uniform(*WAIT_S), prompt, engine, evidence))
         if now >= next_crash_at:
             next_crash_at += every
             ended = range(down) if same else rng.sample(range(engines), down)
@@ -225,8 +233,8 @@
                 starts += 1
                 broken = [w for w in waiting if w[2] == name]
                 waiting = [w for w in waiting if w[2] != name]
-                ledger.record_break(
-                    (str(name), starts), [w[1] for w in broken], now
+                ledger.record_crash(
+                    (str(name), starts), [w[3] for w in broken], now
                 )
     return refused, total
 
--- a/features/steps/relay_repeat_steps.py
+++ b/features/steps/relay_repeat_steps.py
@@ -98,10 +98,14 @@
 
 
 def deadly_arrivals(world):
-    """Returns when the request that crashes upstreams reached any."""
-    at_stages = [at for at, r in world.stage_arrivals if r.startswith(DEADLY)]
-    others = [a.at for a in world.arrivals if a.request.startswith(DEADLY)]
-    return sorted([*at_stages, *others])
+    """Returns when the request reached upstreams of the kind that it crashes.
+
+    A stage call with several of its pieces counts once.
+    """
+    if world.deadly_stage_targets:
+        calls = {c for c in world.stage_arrivals if c[2].startswith(DEADLY)}
+        return sorted(at for at, *_ in calls)
+    return [a.at for a in world.arrivals if a.request.startswith(DEADLY)]
 
 
 def third_crash_at(world):
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -12,7 +12,13 @@
 from applespring.peer import message
 from applespring.peer.codec import decode
 from features.fixtures.relay import make_upstream
-from features.fixtures.relay_world import CALL_S, SIGNED, RelayWorld, events
+from features.fixtures.relay_world import (
+    CALL_S,
+    SIGNED,
+    STEP_S,
+    RelayWorld,
+    events,
+)
 from features.fixtures.virtual import run_virtual
 
 RUN_LIMIT_S = 60
@@ -388,6 +394,9 @@
         await anyio.sleep(0.3)
         world.kill(name)
         await world.start(name, tasks)
+        # Before it has read the registry, an instance refuses requests.
+        while not world.instances[name].state.ready:
+            await anyio.sleep(STEP_S)
         send(context, tasks, name, "r2", "1,1")
 
     run_instances(context, actions)
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -152,6 +152,20 @@
             self._pieces = [p for p in self._pieces if id(p) not in taken_ids]
         return overdue
 
+    def take_quarantined(self, fingerprints: Container[str]) -> list[Piece]:
+        """Removes and returns the pieces of requests with these fingerprints.
+
+        Those of trials stay.
+        """
+        taken = [
+            p
+            for p in self._pieces
+            if p.fingerprint in fingerprints and not p.is_trial
+        ]
+        taken_ids = set(map(id, taken))
+        self._pieces = [p for p in self._pieces if id(p) not in taken_ids]
+        return taken
+
     def take_all(self) -> list[Piece]:
         """Removes and returns every queued piece."""
         pieces, self._pieces = self._pieces, []
@@ -266,6 +280,8 @@
                 break
             if piece.result_bytes > free_bytes:
                 continue
+            if not self._may_share(taken, piece):
+                continue
             siblings = stages[piece.request, piece.stage]
             needed = 0.0 if piece.opened else _sum_result_bytes(siblings)
             if needed > max(0.0, unreserved) and not self._is_unused(now):
@@ -299,6 +315,20 @@
         stage_upstream.start_call(call)
         return call
 
+    def _may_share(self, taken: Sequence[Piece], piece: Piece) -> bool:
+        """Returns whether a piece may be added to a call.
+
+        A piece under which an upstream ended may end the next one. Apart from
+        others it harms none of them, and shows whether it was the cause.
+        """
+        if taken:
+            is_isolated = piece.isolated or taken[0].isolated
+            return not is_isolated or piece.request == taken[0].request
+        return not piece.isolated or not any(
+            other.isolated and other.fingerprint == piece.fingerprint
+            for other in self._pieces_in_progress()
+        )
+
     def _reserved_until(self, piece: Piece) -> float:
         """Returns until when only its preferred failure domain may get a piece.
 
@@ -389,6 +419,7 @@
         refused: bool = False,
         unreachable: bool = False,
         repeat: bool = True,
+        isolate: bool = False,
     ) -> list[Piece]:
         """Ends a call that failed and queues its pieces again.
 
@@ -399,6 +430,7 @@
                 count as an attempt of its pieces.
             unreachable: Whether it accepted no connection.
             repeat: Whether its pieces may be sent again.
+            isolate: Whether each request is to be called apart from others.
 
         Returns:
             The pieces that are given up instead.
@@ -412,9 +444,15 @@
         for piece in call.pieces:
             if piece.withdrawn:
                 continue
+            piece.isolated |= isolate
             if refused:
                 piece.attempts -= 1
-            if not repeat or piece.attempts >= PIECE_ATTEMPTS_MAX:
+            is_failed_trial = piece.is_trial and isolate
+            if (
+                not repeat
+                or is_failed_trial
+                or piece.attempts >= PIECE_ATTEMPTS_MAX
+            ):
                 exhausted.append(piece)
             else:
                 self._pieces.append(piece)
--- a/src/applespring/core/crash_culprits.py
+++ b/src/applespring/core/crash_culprits.py
@@ -1,147 +1,201 @@
-"""Finds the prompt parts that explain why engines crashed.
+"""Finds what explains why upstreams crashed.
 
-An engine that ends breaks off all its requests, most of which had nothing to do
-with it. The requests whose answers had not begun are the candidates. A part
-that crashes engines is among the candidates of crash after crash and is never
-answered; a sound one is among them by chance, and answered soon after.
+An upstream that ends breaks off all its requests, most of which had nothing to
+do with it. The requests whose answers had not begun, the shared parts of their
+prompts, and the pieces of a stage call are the candidates. One that crashes
+upstreams is a candidate of crash after crash and is never answered; a sound one
+is a candidate by chance, and answered soon after.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
 
 # Crashes closer together than this count as one: a power loss ends several
-# engines at once, and an instance whose connections are reset sees the same.
+# upstreams at once, and an instance whose connections are reset sees the same.
+# A request that was sent after an earlier crash shows that they are two.
 SIMULTANEOUS_S = 0.2
-# Least crashes at which a part is a culprit. Where other crashes happen too, a
-# sound part is among the candidates twice by chance, so each further
-# `CRASHES_PER_STEP` crashes without the part require one more, as does an
-# answer to a request with the part before its first crash, up to the maximum.
+# Least crashes of which a candidate is the culprit. Where other crashes happen
+# too, a sound one is a candidate twice by chance, so each further
+# `CRASHES_PER_STEP` crashes without it require one more, as does an answer
+# before its first crash, and another request with the same crashes, up to the
+# maximum.
 CULPRIT_CRASHES_MIN = 2
 CRASHES_PER_STEP = 4
 CULPRIT_CRASHES_MAX = 4
 # Most culprits. More of them would not be the cause of what is wrong, and each
 # costs a pass over all crashes.
 CULPRITS_MAX = 8
-# Other crashes count from this long before the first one with the part.
+# Other crashes count from this long before the first one with the candidate.
 OTHER_CRASHES_WINDOW_S = 30.0
+# Position of a request, which follows all parts of its prompt, and of a piece.
+REQUEST_POSITION = 0xFFFF
+# Names of parts have no colon, so that no caller can name a part like a request
+# (`PromptPart`).
+_REQUEST_PREFIX = "request:"
+_PIECE_PREFIX = "piece:"
 
 
-class CandidatePart:
-    """A prompt part of requests that were broken off before their answers.
+def request_candidate(fingerprint: str) -> str:
+    """Returns the name of a request as a candidate, given its fingerprint."""
+    return _REQUEST_PREFIX + fingerprint
+
+
+def piece_candidate(fingerprint: str, stage: int, segment: int) -> str:
+    """Returns the name of a piece of a request as a candidate."""
+    return f"{_PIECE_PREFIX}{fingerprint}/{stage}/{segment}"
+
+
+def is_request(name: str) -> bool:
+    """Returns whether a candidate is a whole request."""
+    return name.startswith(_REQUEST_PREFIX)
+
+
+def fingerprint_of(name: str) -> str:
+    """Returns the fingerprint of a request or piece, or "" for a part."""
+    kind, colon, rest = name.partition(":")
+    return rest.partition("/")[0] if colon and kind else ""
+
+
+class Candidate:
+    """A part, request or piece that was broken off before its answer.
 
     Attributes:
-        position: Its position in the prompt; later parts are shared by fewer
-            requests.
+        position: Its position in the prompt, or `REQUEST_POSITION`; later ones
+            are shared by fewer requests.
         answered_before: Whether requests with it were answered before that.
+        crashes_before: Crashes that were held against it when the last such
+            request was sent.
     """
 
-    __slots__ = ("position", "answered_before")
+    __slots__ = ("position", "answered_before", "crashes_before")
 
-    def __init__(self, position: int, answered_before: bool) -> None:
+    def __init__(
+        self,
+        position: int,
+        answered_before: bool = False,
+        crashes_before: int = 0,
+    ) -> None:
         self.position = position
         self.answered_before = answered_before
+        self.crashes_before = crashes_before
 
 
-class EngineCrash:
-    """The end of one start of an engine.
+class UpstreamCrash:
+    """The end of one start of an upstream.
 
     Attributes:
-        engine: Name and start time of the engine, see `ListedUpstream`.
+        upstream: Name and start time of the upstream, see `ListedUpstream`.
         at: When it ended.
-        parts: Candidates by name; empty if all broken requests had begun.
+        candidates: Candidates by name; empty if all broken requests had begun.
     """
 
-    __slots__ = ("engine", "at", "parts")
+    __slots__ = ("upstream", "at", "candidates")
 
     def __init__(
         self,
-        engine: tuple[str, int],
+        upstream: tuple[str, int],
         at: float,
-        parts: dict[str, CandidatePart],
+        candidates: dict[str, Candidate],
     ) -> None:
-        self.engine = engine
+        self.upstream = upstream
         self.at = at
-        self.parts = parts
+        self.candidates = candidates
 
 
 class Culprit:
-    """A part that explains crashes.
+    """A candidate that explains crashes.
 
     Attributes:
-        part: Name of the part.
+        name: Name of the candidate.
         crashes: Number of crashes, not counting simultaneous ones.
         last_crash_at: When the last of them happened.
     """
 
-    __slots__ = ("part", "crashes", "last_crash_at")
+    __slots__ = ("name", "crashes", "last_crash_at")
 
-    def __init__(self, part: str, crashes: int, last_crash_at: float) -> None:
-        self.part = part
+    def __init__(self, name: str, crashes: int, last_crash_at: float) -> None:
+        self.name = name
         self.crashes = crashes
         self.last_crash_at = last_crash_at
 
 
 def find_culprits(
-    crashes: Iterable[EngineCrash], answered_at: Mapping[str, float]
+    crashes: Iterable[UpstreamCrash], answered_at: Mapping[str, float]
 ) -> list[Culprit]:
-    """Returns the parts that explain the crashes, strongest evidence first.
+    """Returns what explains the crashes, strongest evidence first.
 
-    A crash that one culprit explains is no evidence against other parts, which
-    were there by chance or come in its company. Of two parts with the same
-    crashes, the one that was never answered is the culprit, else the later one
-    in the prompt.
+    A crash that one culprit explains is no evidence against other candidates,
+    which were there by chance or come in its company. Of two candidates with
+    the same crashes, the one that was never answered is the culprit, else the
+    later one in the prompt.
 
     Args:
         crashes: The crashes.
-        answered_at: When a request with a part was last answered; earlier
-            crashes are no evidence against the part.
+        answered_at: When a candidate was last answered; earlier crashes are no
+            evidence against it.
     """
     unexplained = sorted(crashes, key=lambda crash: crash.at)
     culprits: list[Culprit] = []
     while len(culprits) < CULPRITS_MAX:
-        best, best_key = None, None
-        for part, hits in _hits_by_part(unexplained, answered_at).items():
-            times = _separate_times([crash.at for crash in hits])
-            if len(times) < CULPRIT_CRASHES_MIN:
-                continue
-            seen = [crash.parts[part] for crash in hits]
-            never_answered = not any(s.answered_before for s in seen)
-            if len(times) < _needed(part, times, unexplained, never_answered):
-                continue
-            position = max(s.position for s in seen)
-            key = (len(times), never_answered, position, part)
-            if best_key is None or key > best_key:
-                best, best_key = Culprit(part, len(times), hits[-1].at), key
+        best = _find_best(unexplained, answered_at)
         if best is None:
             break
         culprits.append(best)
-        unexplained = [c for c in unexplained if best.part not in c.parts]
+        unexplained = [c for c in unexplained if best.name not in c.candidates]
     return culprits
 
 
-def _hits_by_part(
-    crashes: Sequence[EngineCrash], answered_at: Mapping[str, float]
-) -> dict[str, list[EngineCrash]]:
-    """Returns the crashes that are evidence against each part."""
-    hits: dict[str, list[EngineCrash]] = {}
+def _find_best(
+    crashes: Sequence[UpstreamCrash], answered_at: Mapping[str, float]
+) -> Culprit | None:
+    """Returns the candidate with the strongest evidence, if it suffices."""
+    ranked: list[tuple[tuple[int, bool, int], str, int, float]] = []
+    for name, hits in _hits_by_candidate(crashes, answered_at).items():
+        times = _separate_hits(name, hits)
+        if len(times) < CULPRIT_CRASHES_MIN:
+            continue
+        seen = [crash.candidates[name] for crash in hits]
+        never_answered = not any(s.answered_before for s in seen)
+        needed = _needed(name, times, crashes, never_answered)
+        if len(times) >= needed:
+            position = max(s.position for s in seen)
+            strength = (len(times), never_answered, position)
+            ranked.append((strength, name, needed, hits[-1].at))
+    ranked.sort(reverse=True)
+    for strength, name, needed, last_at in ranked:
+        rivals = {fingerprint_of(r[1]) for r in ranked if r[0] == strength}
+        is_rivalled = strength[2] == REQUEST_POSITION and len(rivals) > 1
+        if is_rivalled and strength[0] < min(CULPRIT_CRASHES_MAX, needed + 1):
+            # Requests that were broken off together twice: the next answer or
+            # crash tells them apart.
+            continue
+        return Culprit(name, strength[0], last_at)
+    return None
+
+
+def _hits_by_candidate(
+    crashes: Sequence[UpstreamCrash], answered_at: Mapping[str, float]
+) -> dict[str, list[UpstreamCrash]]:
+    """Returns the crashes that are evidence against each candidate."""
+    hits: dict[str, list[UpstreamCrash]] = {}
     for crash in crashes:
-        for part in crash.parts:
-            if crash.at > answered_at.get(part, -1.0):
-                hits.setdefault(part, []).append(crash)
+        for name in crash.candidates:
+            if crash.at > answered_at.get(name, -1.0):
+                hits.setdefault(name, []).append(crash)
     return hits
 
 
 def _needed(
-    part: str,
+    name: str,
     times: Sequence[float],
-    crashes: Sequence[EngineCrash],
+    crashes: Sequence[UpstreamCrash],
     never_answered: bool,
 ) -> int:
-    """Returns how many crashes make the part a culprit."""
+    """Returns how many crashes make the candidate a culprit."""
     others = _separate_times(
         [
-            crash.at
+            (crash.at, 0)
             for crash in crashes
-            if part not in crash.parts
+            if name not in crash.candidates
             and times[0] - OTHER_CRASHES_WINDOW_S <= crash.at <= times[-1]
         ]
     )
@@ -151,14 +205,40 @@
     return min(CULPRIT_CRASHES_MAX, needed)
 
 
-def _separate_times(times: Sequence[float]) -> list[float]:
+def count_crashes(
+    name: str, crashes: Iterable[UpstreamCrash], answered_at: float
+) -> int:
+    """Returns how many crashes are held against a candidate.
+
+    Args:
+        name: The candidate.
+        crashes: The crashes.
+        answered_at: When it was last answered, or -1.
+    """
+    hits = [c for c in crashes if name in c.candidates and c.at > answered_at]
+    return len(_separate_hits(name, sorted(hits, key=lambda c: c.at)))
+
+
+def _separate_hits(name: str, hits: Sequence[UpstreamCrash]) -> list[float]:
+    """Returns the starts of the groups of simultaneous crashes of one name."""
+    return _separate_times(
+        [(crash.at, crash.candidates[name].crashes_before) for crash in hits]
+    )
+
+
+def _separate_times(crashes: Sequence[tuple[float, int]]) -> list[float]:
     """Returns the starts of the groups of simultaneous crashes.
 
     Args:
-        times: Times of crashes in ascending order.
+        crashes: Time of each crash, ascending, and how many earlier ones were
+            known when a request was sent that was there.
     """
     starts: list[float] = []
-    for at in times:
-        if not starts or at - starts[-1] >= SIMULTANEOUS_S:
+    for at, crashes_before in crashes:
+        if (
+            not starts
+            or crashes_before >= len(starts)
+            or at - starts[-1] >= SIMULTANEOUS_S
+        ):
             starts.append(at)
     return starts
--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -345,11 +345,6 @@
         engine = self._engines.get(name)
         return engine is None or now - engine.last_progress_at >= for_s
 
-    def progressed_after(self, name: str, at: float) -> bool:
-        """Returns whether an engine sent an event of a stream after a time."""
-        engine = self._engines.get(name)
-        return engine is not None and engine.event_at > at
-
     def find_least_loaded(
         self, upstreams: Sequence[ListedUpstream], now: float
     ) -> ListedUpstream | None:
--- a/src/applespring/core/piece.py
+++ b/src/applespring/core/piece.py
@@ -31,6 +31,10 @@
         arrived_at: When it was queued first.
         attempts: Calls that it was part of, without refused ones.
         withdrawn: Whether its result is not needed any more.
+        fingerprint: Fingerprint of its request.
+        isolated: Whether it shares calls only with pieces of its request, of
+            which one is made at a time, since an upstream ended under it.
+        is_trial: Whether its request is a trial of what is quarantined.
     """
 
     __slots__ = (
@@ -50,6 +54,9 @@
         "arrived_at",
         "attempts",
         "withdrawn",
+        "fingerprint",
+        "isolated",
+        "is_trial",
     )
 
     def __init__(
@@ -68,6 +75,9 @@
         result_bytes: float = 0.0,
         started: bool = False,
         arrived_at: float = 0.0,
+        fingerprint: str = "",
+        isolated: bool = False,
+        is_trial: bool = False,
     ) -> None:
         self.request = request
         self.stage = stage
@@ -85,6 +95,9 @@
         self.arrived_at = arrived_at
         self.attempts = 0
         self.withdrawn = False
+        self.fingerprint = fingerprint
+        self.isolated = isolated
+        self.is_trial = is_trial
 
 
 class Call:
--- a/src/applespring/core/reason.py
+++ b/src/applespring/core/reason.py
@@ -173,6 +173,12 @@
     "Engines have crashed on a part of the prompt.",
     retryable=True,
 )
+REQUEST_QUARANTINED = _define(
+    "request_quarantined",
+    503,
+    "Upstreams have crashed on this request.",
+    retryable=True,
+)
 STAGE_FAILED = _define(
     "stage_failed", 503, "A stage could not be executed.", retryable=True
 )
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -282,25 +282,27 @@
 
 
 class CrashCandidate(Message):
-    """A prompt part of requests that a crashed engine had not begun to answer.
+    """A prompt part or request that a crashed upstream had not answered.
 
-    `position` is its place in the prompt, and `answered_before` says whether a
-    request with it had been answered earlier.
+    `position` is its place in the prompt, `answered_before` says whether a
+    request with it had been answered earlier, and `crashes_before` how many
+    crashes were held against it when it was sent.
     """
 
-    __slots__ = ("name", "position", "answered_before")
+    __slots__ = ("name", "position", "answered_before", "crashes_before")
+    DEFAULTS = {"crashes_before": 0}
 
 
-class EngineCrash(Message):
-    """The end of the start of an engine at `born_ms`, `age_s` ago."""
+class UpstreamCrash(Message):
+    """The end of the start of an upstream at `born_ms`, `age_s` ago."""
 
-    __slots__ = ("engine", "born_ms", "age_s", "parts")
-    DEFAULTS = {"parts": ()}
-    NESTED = {"parts": CrashCandidate}
+    __slots__ = ("upstream", "born_ms", "age_s", "candidates")
+    DEFAULTS = {"candidates": ()}
+    NESTED = {"candidates": CrashCandidate}
 
 
-class PartHistory(Message):
-    """When a prompt part was last answered, and last sent as a trial.
+class CandidateHistory(Message):
+    """When a candidate was last answered, and last sent as a trial.
 
     The ages are in seconds, and negative if that has not happened. `trials`
     counts the trials since the last answer.
@@ -325,15 +327,15 @@
         "sender": PeerRow,
         "peers": PeerRow,
         "loads": UpstreamLoad,
-        "crashes": EngineCrash,
-        "histories": PartHistory,
+        "crashes": UpstreamCrash,
+        "histories": CandidateHistory,
     }
 
 
-class PartTrial(Message):
-    """Asks whether a request with a quarantined prompt part may be sent now."""
+class Trial(Message):
+    """Asks whether a request with a quarantined candidate may be sent now."""
 
-    __slots__ = ("part",)
+    __slots__ = ("name",)
 
 
 class FetchUpstreams(Message):
@@ -408,7 +410,8 @@
     expected time from the end of the stage to the answer. `begun` says that
     another stage of the request has already started, in which case the
     scheduler does not refuse the pieces because of its load. `ticket`
-    identifies the submission at `origin`.
+    identifies the submission at `origin`. `is_trial` says that the request is
+    a trial of what is quarantined.
     """
 
     __slots__ = (
@@ -427,7 +430,10 @@
         "begun",
         "inputs",
         "pieces",
+        "fingerprint",
+        "is_trial",
     )
+    DEFAULTS = {"fingerprint": "", "is_trial": False}
     NESTED = {"inputs": InputHandle, "pieces": PieceOrder}
 
 
@@ -492,5 +498,5 @@
     "upstreamList": UpstreamList,
     "fetchPeers": FetchPeers,
     "peerList": PeerList,
-    "partTrial": PartTrial,
+    "trial": Trial,
 }
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -173,32 +173,33 @@
   peers @1 :List(PeerRow);
   loads @2 :List(UpstreamLoad);
   waits @3 :List(PoolWait);
-  crashes @4 :List(EngineCrash);
-  histories @5 :List(PartHistory);
+  crashes @4 :List(UpstreamCrash);
+  histories @5 :List(CandidateHistory);
 }
 
 struct CrashCandidate {
   name @0 :Text;
   position @1 :UInt16;
   answeredBefore @2 :Bool;
+  crashesBefore @3 :UInt8;
 }
 
-struct EngineCrash {
-  engine @0 :Text;
+struct UpstreamCrash {
+  upstream @0 :Text;
   bornMs @1 :UInt64;
   ageS @2 :Float32;
-  parts @3 :List(CrashCandidate);
+  candidates @3 :List(CrashCandidate);
 }
 
-struct PartHistory {
+struct CandidateHistory {
   name @0 :Text;
   answeredAgeS @1 :Float32;
   trialAgeS @2 :Float32;
   trials @3 :UInt16;
 }
 
-struct PartTrial {
-  part @0 :Text;
+struct Trial {
+  name @0 :Text;
 }
 
 struct PoolWait {
@@ -228,6 +229,8 @@
   begun @12 :Bool;
   inputs @13 :List(InputHandle);
   pieces @14 :List(PieceOrder);
+  fingerprint @15 :Text;
+  isTrial @16 :Bool;
 }
 
 struct InputHandle {
@@ -294,6 +297,6 @@
     upstreamList @18 :UpstreamList;
     fetchPeers @19 :FetchPeers;
     peerList @20 :PeerList;
-    partTrial @21 :PartTrial;
+    trial @21 :Trial;
   }
 }
--- /dev/null
+++ b/src/applespring/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests and prompt parts that crash upstreams."""
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -1,6 +1,6 @@
 """Log line, metric and errors of one attempt at an upstream."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import httpx
@@ -9,6 +9,7 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, StageError
 from applespring.core.verdict import Verdict
+from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.state import RelayState
@@ -70,6 +71,61 @@
         self.progress_at = now
 
 
+@contextmanager
+def watch_attempt(
+    crash_watch: CrashWatch,
+    watched: WatchedRequest,
+    upstream: ListedUpstream,
+    has_begun: Callable[[], bool],
+) -> Iterator[None]:
+    """Records if the upstream breaks off the attempt made in the block.
+
+    Args:
+        crash_watch: Concludes from broken attempts which upstreams ended.
+        watched: The request.
+        upstream: The upstream.
+        has_begun: Returns whether the answer has begun.
+
+    Raises:
+        StageError: The block raised it.
+    """
+    evidence = crash_watch.start_attempt(watched)
+    try:
+        yield
+    except StageError as exc:
+        if is_broken_off(exc):
+            begun = has_begun()
+            watched.breaks += 1
+            crash_watch.record_break(upstream, [] if begun else [evidence])
+            logger.bind(
+                event="upstream_broke_off",
+                request=watched.exchange.request_id,
+                upstream=upstream.name,
+                begun=begun,
+                candidates=watched.names,
+            ).warning(
+                "upstream {} broke off request {}: {}",
+                upstream.name,
+                watched.exchange.request_id,
+                exc,
+            )
+        raise
+
+
+def is_broken_off(exc: StageError) -> bool:
+    """Returns whether the upstream ended or closed the connection.
+
+    A connection that ends since nothing was acknowledged may be behind a
+    partition; an upstream that ends closes its connections.
+    """
+    if exc.kind not in BROKEN_OFF_KINDS or exc.verdict is Verdict.NOT_RUN:
+        return False
+    cause: BaseException | None = exc
+    while cause is not None and not isinstance(cause, TimeoutError):
+        cause = cause.__cause__
+    return cause is None
+
+
 @contextmanager
 def record_attempt(
     attempt: Attempt,
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -1,17 +1,19 @@
 """The components of a relay instance, without servers and signal handling."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import httpx
 from anyio.abc import TaskStatus
 
 from applespring.core.catalog import ListedUpstream
+from applespring.peer import message
 from applespring.peer.transport import Transport
+from applespring.quarantine.crash_watch import CrashWatch
 from applespring.relay.application import RelayApplication
 from applespring.relay.client import UpstreamClient
-from applespring.relay.crash_watch import CrashWatch
+from applespring.relay.exchange import RETRY_AFTER_SHARE
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peer_sync import PeerSync
 from applespring.relay.peers import Peers
@@ -35,7 +37,7 @@
         peers: Messages from and to the other instances.
         scheduler: Queues of the stage pools that the instance schedules.
         watcher: Reads the registry.
-        crash_watch: Prompt parts that crash engines.
+        crash_watch: Requests and prompt parts that crash upstreams.
         application: ASGI application for callers.
     """
 
@@ -48,6 +50,7 @@
         clock: Callable[[], float],
         incarnation: int,
         make_pool: Callable[[ListedUpstream, int], httpx.AsyncBaseTransport],
+        refuses_connections: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.state = RelayState(settings, clock)
         self.metrics = RelayMetrics()
@@ -66,13 +69,36 @@
             random.Random(f"{settings.name} {incarnation}"),
         )
         self.peers.seeds = settings.seeds
+        self.crash_watch = CrashWatch(
+            self.state.catalog,
+            self.peers,
+            refuses_connections,
+            self.metrics.state_changes.inc,
+            clock,
+            retry_after_share=RETRY_AFTER_SHARE,
+        )
+        self.peers.set_crash_receiver(
+            lambda gossip: self.crash_watch.receive(
+                gossip.crashes, gossip.histories
+            )
+        )
+        self.peers.register_handler(message.Trial, self.crash_watch.grant_trial)
         self.scheduler = StageScheduler(
-            self.state, self.peers, self._client, protocol, self.metrics
+            self.state,
+            self.peers,
+            self._client,
+            protocol,
+            self.crash_watch,
+            self.metrics,
         )
         self._submitter = StageSubmitter(self.state, self.peers)
-        self.crash_watch = CrashWatch(self.state, self.peers, self.metrics)
         plain = PlainForwarder(
-            self.state, self._client, protocol, self.peers, self.metrics
+            self.state,
+            self._client,
+            protocol,
+            self.peers,
+            self.crash_watch,
+            self.metrics,
         )
         streams = StreamForwarder(
             self.state,
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -20,6 +20,7 @@
     TCP_USER_TIMEOUT_MS,
     HttpTransport,
     make_http_pool_factory,
+    refuses_connections,
 )
 from applespring.relay.components import RelayComponents
 from applespring.relay.log import LogWriter
@@ -80,6 +81,7 @@
             read_clock,
             time.time_ns() // 1_000_000,
             make_http_pool_factory(tls),
+            refuses_connections,
         )
         self._loop_monitor = LoopMonitor(read_clock)
         self.state = self._components.state
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -121,6 +121,11 @@
         self._connection_header = connection_header
         self._fingerprint = ""
 
+    @property
+    def request_id(self) -> str:
+        """Id that the caller gave this attempt."""
+        return self.req.request_id
+
     @property
     def fingerprint(self) -> str:
         """Fingerprint by which the request is recognized if it comes again."""
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -13,6 +13,7 @@
 from applespring.peer import message
 from applespring.peer.codec import DATAGRAM_BYTES_MAX, decode, encode
 from applespring.peer.transport import PeerUnreachableError, Transport
+from applespring.quarantine.crash_messages import split_crashes
 
 HEARTBEAT_INTERVAL_S = 0.25
 # Above FULL_MESH_PEERS_MAX other instances, heartbeats are less frequent and go
@@ -118,34 +119,40 @@
         """Sets what is called with the gossip of peers that has crashes."""
         self._crash_receiver = receive
 
+    def reachable_names(self) -> list[str]:
+        """Returns the names of the other instances that can be reached."""
+        return [p.name for p in self.table.reachable(self._clock())]
+
+    async def request_trial(
+        self, decider: str, trial: message.Trial
+    ) -> message.Message:
+        """Asks an instance, which may be this one, for a trial.
+
+        Raises:
+            PeerError: It did not answer.
+            MessageError: The reply cannot be decoded.
+        """
+        return await self.request(self.address_of(decider), trial)
+
     async def send_crashes(
         self,
-        crashes: Sequence[message.EngineCrash],
-        histories: Sequence[message.PartHistory],
+        crashes: Sequence[message.UpstreamCrash],
+        histories: Sequence[message.CandidateHistory],
         *,
         to_all: bool,
     ) -> None:
-        """Sends engine crashes in a datagram, as many as fit.
+        """Sends crashes of upstreams.
 
         Args:
-            crashes: The crashes, most important first.
+            crashes: The crashes.
             histories: What is known of their candidates.
             to_all: Whether to send it to all instances, or to those that would
                 get the next heartbeat.
         """
-        while True:
-            named = {part.name for crash in crashes for part in crash.parts}
-            gossip = message.Gossip(
-                sender=self.local_row(),
-                crashes=crashes,
-                histories=[h for h in histories if h.name in named],
-            )
-            data = encode(gossip)
-            if len(data) <= DATAGRAM_BYTES_MAX or len(crashes) <= 1:
-                break
-            crashes = crashes[: len(crashes) // 2]
-        for address in self._choose_addresses(to_all):
-            await self._transport.send(address, data)
+        addresses = self._choose_addresses(to_all)
+        for data in split_crashes(self.local_row(), crashes, histories):
+            for address in addresses:
+                await self._transport.send(address, data)
 
     def register_handler(
         self, kind: type[message.Message], handler: Handler
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -13,7 +13,8 @@
 from applespring.core.plain_selector import PlainSelector
 from applespring.core.route import PoolSpec
 from applespring.core.verdict import Verdict, combine
-from applespring.relay.attempt import Attempt, record_attempt
+from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
+from applespring.relay.attempt import Attempt, record_attempt, watch_attempt
 from applespring.relay.client import UpstreamClient
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
@@ -65,18 +66,33 @@
         client: UpstreamClient,
         protocol: Protocol,
         peers: Peers,
+        crash_watch: CrashWatch,
         metrics: RelayMetrics,
     ) -> None:
         self._state = state
         self._client = client
         self._protocol = protocol
         self._peers = peers
+        self._crash_watch = crash_watch
         self._metrics = metrics
         self.selector = PlainSelector()
 
     async def forward(self, exchange: Exchange) -> None:
         """Sends the answer of an upstream to the caller.
 
+        Raises:
+            RefusalError: The request gets a refusal instead.
+        """
+        async with self._crash_watch.admit(
+            exchange, (), exchange.fingerprint
+        ) as watched:
+            await self._forward(exchange, watched)
+
+    async def _forward(
+        self, exchange: Exchange, watched: WatchedRequest
+    ) -> None:
+        """Sends a request to upstreams until one of them answers.
+
         Raises:
             RefusalError: The request gets a refusal instead.
         """
@@ -102,12 +118,19 @@
                 break
             tried.append(upstream.name)
             may_retry = (
-                route.idempotent and attempts_run + 1 < route.attempts_max
+                route.idempotent
+                and not watched.is_trial
+                and attempts_run + 1 < route.attempts_max
             )
             # Failed unless it answers: a timeout counts against the upstream.
             attempt = Attempt(now, failed=True)
             call = partial(
-                self._attempt, exchange, upstream, attempt, remaining_s
+                self._attempt,
+                exchange,
+                watched,
+                upstream,
+                attempt,
+                remaining_s,
             )
             granted = False
             try:
@@ -131,6 +154,7 @@
                 verdicts.append(exc.verdict)
                 detail = str(exc)
                 if exc.verdict is Verdict.NOT_RUN:
+                    exchange.sent = attempts_run > 0
                     # Nothing was sent, so the retry budget is not used.
                     if len(tried) >= NOT_RUN_ATTEMPTS_MAX:
                         break
@@ -142,6 +166,7 @@
                     # the last upstream alone would be false.
                     last_answer = answer
                 if answer.not_run:
+                    exchange.sent = attempts_run > 0
                     if len(tried) >= NOT_RUN_ATTEMPTS_MAX:
                         break
                 elif answer.status < 500:
@@ -221,6 +246,7 @@
     async def _attempt(
         self,
         exchange: Exchange,
+        watched: WatchedRequest,
         upstream: ListedUpstream,
         attempt: Attempt,
         timeout_s: float,
@@ -234,6 +260,7 @@
         started_at = clock()
         pool = exchange.document.pools.get(exchange.pool)
         self.selector.start_request(upstream.name)
+        exchange.sent = True
         headers = self._protocol.encode_request(
             exchange.req,
             upstream=upstream.name,
@@ -246,6 +273,9 @@
         )
         try:
             with (
+                watch_attempt(
+                    self._crash_watch, watched, upstream, lambda: False
+                ),
                 record_attempt(
                     attempt, exchange, upstream, self._state, self._metrics
                 ),
@@ -277,6 +307,8 @@
                 # A full upstream has not failed, but the selector should prefer
                 # others for a time.
                 attempt.failed = not_run
+                if not not_run:
+                    self._crash_watch.record_answer(watched.names)
             return _CompleteAnswer(
                 answer.status, list(answer.headers), body, not_run
             )
--- a/src/applespring/relay/protocol.py
+++ b/src/applespring/relay/protocol.py
@@ -133,16 +133,18 @@
             NO_MEMORY: the upstream lacks memory for the result.
             ERROR: any other failure.
             DENIED: the call failed and the retry budget is used up.
+            QUARANTINED: upstreams crashed on pieces of its request.
     """
 
     __slots__ = ("handle", "failure")
 
-    # These words are sent to peers; all but DENIED also come from upstreams.
+    # These words are sent to peers; the first four also come from upstreams.
     LATE = "late"
     INPUT_LOST = "gone"
     NO_MEMORY = "room"
     ERROR = "error"
     DENIED = "denied"
+    QUARANTINED = "quarantined"
 
     def __init__(self, handle: str, failure: str = "") -> None:
         self.handle = handle
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -36,6 +36,8 @@
         submission_numbers: Numbers of the submissions that are not complete.
         resubmits: How many times pieces were submitted again.
         repeated: Whether all stages were executed a second time.
+        fingerprint: Fingerprint of the request.
+        is_trial: Whether the request is a trial of what is quarantined.
     """
 
     __slots__ = (
@@ -53,6 +55,8 @@
         "submission_numbers",
         "resubmits",
         "repeated",
+        "fingerprint",
+        "is_trial",
     )
 
     def __init__(
@@ -65,6 +69,8 @@
         target_at: float,
         leaves_at: float,
         run_s: float,
+        fingerprint: str = "",
+        is_trial: bool = False,
     ) -> None:
         self.req = req
         self.chain = chain
@@ -80,6 +86,8 @@
         self.submission_numbers: set[int] = set()
         self.resubmits = 0
         self.repeated = False
+        self.fingerprint = fingerprint
+        self.is_trial = is_trial
 
     def input_bytes_by_domain(self, stages: Iterable[int]) -> dict[str, float]:
         """Returns the bytes of results of these stages by failure domain."""
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -18,6 +18,8 @@
 
 from applespring.core.batch import BatchQueue
 from applespring.core.catalog import ListedUpstream
+from applespring.core.crash_culprits import REQUEST_POSITION, piece_candidate
+from applespring.core.crash_ledger import BrokenRequest
 from applespring.core.errors import (
     ApplespringError,
     FailureKind,
@@ -28,6 +30,8 @@
 from applespring.core.queue_waits import RETRY_AFTER_MIN_S
 from applespring.core.verdict import Verdict
 from applespring.peer import message
+from applespring.quarantine.crash_watch import CrashWatch
+from applespring.relay.attempt import is_broken_off
 from applespring.relay.client import UpstreamClient
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
@@ -72,6 +76,7 @@
 MOVED = "moved"
 OVERLOADED = "overloaded"
 UNKNOWN_POOL = "unknown_pool"
+QUARANTINED = "quarantined"
 
 
 class _Origin:
@@ -102,12 +107,14 @@
         peers: Peers,
         client: UpstreamClient,
         protocol: Protocol,
+        crash_watch: CrashWatch,
         metrics: RelayMetrics,
     ) -> None:
         self._state = state
         self._peers = peers
         self._client = client
         self._protocol = protocol
+        self._crash_watch = crash_watch
         self._metrics = metrics
         self._queues: dict[str, BatchQueue] = {}
         self._wake_events: dict[str, anyio.Event] = {}
@@ -208,6 +215,11 @@
         if self._state.leaving:
             return message.StageAck(accepted=False, reason=MOVED)
         queue.set_upstreams(self._state.usable_upstreams(msg.pool))
+        ledger = self._crash_watch.ledger
+        if not msg.is_trial and (
+            msg.fingerprint in ledger.quarantined_fingerprints
+        ):
+            return message.StageAck(accepted=False, reason=QUARANTINED)
         if not msg.begun and not queue.admits(msg.deadline_s, now):
             wait_s = min(queue.wait_s(now), msg.deadline_s)
             return message.StageAck(
@@ -224,27 +236,32 @@
             piece_deadline_s = min(
                 piece_deadline_s, INPUT_WAIT_SHARE * queue.spec.result_ttl_s
             )
-        queue.offer(
-            [
-                Piece(
-                    request=msg.request,
-                    stage=msg.stage,
-                    segment=order.segment,
-                    key=order.key,
-                    inputs=inputs,
-                    origin=origin,
-                    failure_domain=msg.failure_domain,
-                    priority=msg.priority,
-                    target_at=now + msg.aim_s,
-                    deadline_at=now + piece_deadline_s,
-                    result_bytes=msg.result_bytes,
-                    started=msg.begun,
-                    arrived_at=now,
-                )
-                for order in msg.pieces
-            ],
-            now,
-        )
+        pieces = [
+            Piece(
+                request=msg.request,
+                stage=msg.stage,
+                segment=order.segment,
+                key=order.key,
+                inputs=inputs,
+                origin=origin,
+                failure_domain=msg.failure_domain,
+                priority=msg.priority,
+                target_at=now + msg.aim_s,
+                deadline_at=now + piece_deadline_s,
+                result_bytes=msg.result_bytes,
+                started=msg.begun,
+                arrived_at=now,
+                fingerprint=msg.fingerprint,
+                is_trial=msg.is_trial,
+            )
+            for order in msg.pieces
+        ]
+        for piece in pieces:
+            # The scheduler that made the earlier call may have been another.
+            piece.isolated = (
+                piece.is_trial or ledger.count_crashes(_candidate_of(piece)) > 0
+            )
+        queue.offer(pieces, now)
         self._state.attempt_window(msg.pool).record_request(now)
         self._wake_events[msg.pool].set()
         return message.StageAck()
@@ -337,6 +354,13 @@
                 self._tasks.start_soon(
                     self._send_failures, overdue, PieceReply.LATE
                 )
+            withdrawn = queue.take_quarantined(
+                self._crash_watch.ledger.quarantined_fingerprints
+            )
+            if withdrawn:
+                self._tasks.start_soon(
+                    self._send_failures, withdrawn, PieceReply.QUARANTINED
+                )
             for call in queue.next_calls(now):
                 self._tasks.start_soon(self._make_call, pool, queue, call)
             delay_s = min(
@@ -361,8 +385,10 @@
         path, headers, body = self._protocol.encode_call(
             call.pieces, call.upstream.name, now
         )
+        evidence = self._describe_pieces(call.pieces)
         replies: list[PieceReply] | None = None
         refused, unreachable, failure = False, False, "timeout"
+        broken_off = False
         limit = _CallLimit()
         self._tasks.start_soon(
             self._end_silent_call, pool, limit, timeout_s, call.expected_s
@@ -384,7 +410,11 @@
             refused = exc.verdict is Verdict.NOT_RUN
             unreachable = exc.kind is FailureKind.CONNECT
             failure = exc.kind.value
-        except (httpx.HTTPError, OSError, ValueError, MessageError) as exc:
+            broken_off = is_broken_off(exc)
+        except (httpx.HTTPError, OSError) as exc:
+            failure = type(exc).__name__
+            broken_off = not isinstance(exc, httpx.TimeoutException)
+        except (ValueError, MessageError) as exc:
             failure = type(exc).__name__
         finally:
             limit.wait_scope.cancel()
@@ -399,8 +429,15 @@
                 timeout_s,
                 failure,
             )
+            ended = broken_off and await self._record_break(call, evidence)
             await self._handle_failed_call(
-                pool, queue, call, refused, unreachable, limit.may_retry
+                pool,
+                queue,
+                call,
+                refused,
+                unreachable,
+                limit.may_retry,
+                ended=ended,
             )
         else:
             self._metrics.stage_calls.inc(pool, "done")
@@ -414,6 +451,30 @@
             await self._handle_replies(pool, queue, call, replies)
         self._wake_events[pool].set()
 
+    def _describe_pieces(self, pieces: Sequence[Piece]) -> list[BrokenRequest]:
+        """Returns the evidence if a call that starts now is broken off."""
+        return [
+            self._crash_watch.describe([(_candidate_of(p), REQUEST_POSITION)])
+            for p in pieces
+            if p.fingerprint
+        ]
+
+    async def _record_break(
+        self, call: Call, evidence: Sequence[BrokenRequest]
+    ) -> bool:
+        """Records a call that was broken off.
+
+        Its pieces wait until it is known whether the upstream has ended.
+
+        Returns:
+            Whether it has.
+        """
+        check = self._crash_watch.record_break(call.upstream, evidence)
+        if check is None:
+            return False
+        await check.done.wait()
+        return check.ended
+
     async def _end_silent_call(
         self,
         pool: str,
@@ -468,6 +529,8 @@
         refused: bool,
         unreachable: bool,
         may_retry: bool | None,
+        *,
+        ended: bool,
     ) -> None:
         now = self._state.clock()
         # A call that was refused, or never reached its upstream, does not use
@@ -482,6 +545,7 @@
             refused=refused,
             unreachable=unreachable,
             repeat=may_retry,
+            isolate=ended,
         )
         if not may_retry:
             logger.bind(event="retry_denied", pool=pool).warning(
@@ -489,9 +553,13 @@
                 pool,
                 len(failed),
             )
-        if failed:
+        of_trials = [p for p in failed if ended and p.is_trial]
+        if of_trials:
+            await self._send_failures(of_trials, PieceReply.QUARANTINED)
+        others = [p for p in failed if p not in of_trials]
+        if others:
             failure = PieceReply.ERROR if may_retry else PieceReply.DENIED
-            await self._send_failures(failed, failure)
+            await self._send_failures(others, failure)
 
     async def _handle_replies(
         self,
@@ -502,6 +570,13 @@
     ) -> None:
         now = self._state.clock()
         unneeded = queue.succeed(call, [r.handle for r in replies], now)
+        self._crash_watch.record_answer(
+            [
+                _candidate_of(piece)
+                for piece, reply in zip(call.pieces, replies, strict=True)
+                if reply.handle and piece.fingerprint
+            ]
+        )
         unneeded_set = set(unneeded)
         if any(r.failure == PieceReply.NO_MEMORY for r in replies):
             self._tasks.start_soon(
@@ -674,6 +749,11 @@
         self.until = -math.inf
 
 
+def _candidate_of(piece: Piece) -> str:
+    """Returns what a crash under a piece is held against."""
+    return piece_candidate(piece.fingerprint, piece.stage, piece.segment)
+
+
 def _group_by_submission(
     results: Iterable[tuple[Piece, message.PieceResult]],
 ) -> list[_Delivery]:
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -23,7 +23,7 @@
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import PieceReply
 from applespring.relay.stage_run import StageRun, StageSubmission
-from applespring.relay.stage_scheduler import OVERLOADED
+from applespring.relay.stage_scheduler import OVERLOADED, QUARANTINED
 from applespring.relay.state import RelayState
 
 # Interval at which the schedulers of submitted pieces are checked.
@@ -180,6 +180,8 @@
                     "used up",
                     retry_after_s=FAILED_RETRY_AFTER_S,
                 )
+            if failure == PieceReply.QUARANTINED:
+                raise _make_quarantine_refusal(stage)
             missing.setdefault(stage, set()).add(segment)
             if failure == PieceReply.INPUT_LOST:
                 for predecessor in run.chain.steps[stage].after:
@@ -408,6 +410,9 @@
                     f"{index}",
                     retry_after_s=reply.retry_after_s,
                 )
+            if reply.reason == QUARANTINED:
+                self._submissions.pop(msg.ticket, None)
+                raise _make_quarantine_refusal(index)
             detail = f"instance {name}: {reply.reason}"
         self._submissions.pop(msg.ticket, None)
         raise RefusalError(
@@ -447,6 +452,8 @@
                 message.PieceOrder(segment=s, key=run.req.piece_key)
                 for s in segments
             ),
+            fingerprint=run.fingerprint,
+            is_trial=run.is_trial,
         )
 
     def _open_submission(
@@ -494,3 +501,12 @@
                 )
         run.results_arrived.set()
         return message.Ack()
+
+
+def _make_quarantine_refusal(stage: int) -> RefusalError:
+    """Returns the refusal of a request whose pieces crash upstreams."""
+    return RefusalError(
+        reason.REQUEST_QUARANTINED,
+        Verdict.NOT_RUN,
+        f"upstreams of stage {stage} crashed on pieces of this request",
+    )
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -16,9 +16,14 @@
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
-from applespring.relay.attempt import CANCELLED, Attempt, record_attempt
+from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
+from applespring.relay.attempt import (
+    CANCELLED,
+    Attempt,
+    record_attempt,
+    watch_attempt,
+)
 from applespring.relay.client import Answer, UpstreamClient
-from applespring.relay.crash_watch import CrashWatch
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
@@ -46,8 +51,6 @@
 # Delay before a stream is resumed, so that the previous engine notices that its
 # connection was closed before the next one starts.
 SWITCH_DELAY_S = 0.05
-# How an attempt fails when its engine ends or closes the connection.
-BROKEN_OFF_KINDS = frozenset([FailureKind.RESET, FailureKind.TRUNCATED])
 # An engine that has gone on with an answer for this long will not crash on its
 # prompt.
 BEGUN_S = 0.25
@@ -90,12 +93,14 @@
             RefusalError: The request gets a refusal, or its started stream
                 can't be completed.
         """
-        prompt = _shared_parts(exchange)
-        is_trial = await self._crash_watch.admit(exchange, prompt)
-        with self._crash_watch.track(exchange, prompt, is_trial=is_trial):
-            await self._execute(exchange, is_trial=is_trial)
+        async with self._crash_watch.admit(
+            exchange, _shared_parts(exchange), exchange.fingerprint
+        ) as watched:
+            await self._execute(exchange, watched)
 
-    async def _execute(self, exchange: Exchange, *, is_trial: bool) -> None:
+    async def _execute(
+        self, exchange: Exchange, watched: WatchedRequest
+    ) -> None:
         """Has the stages executed, then sends the stream of an engine.
 
         Raises:
@@ -110,6 +115,8 @@
             target_at=exchange.target_at,
             leaves_at=exchange.refuse_at,
             run_s=self._state.first_event(exchange.pool).run_s,
+            fingerprint=exchange.fingerprint,
+            is_trial=watched.is_trial,
         )
         self._state.attempt_window(exchange.pool).record_request(
             self._state.clock()
@@ -123,16 +130,16 @@
                 )
                 run.preferred_domain = home.failure_domain if home else ""
                 await self._submitter.execute(run)
-            await self._forward_stream(exchange, run, is_trial=is_trial)
+            await self._forward_stream(exchange, run, watched)
         finally:
             self._submitter.release_remaining(run)
 
     async def _forward_stream(
-        self, exchange: Exchange, run: StageRun, *, is_trial: bool
+        self, exchange: Exchange, run: StageRun, watched: WatchedRequest
     ) -> None:
         """Sends the request to engines until its stream is complete.
 
-        A trial of a quarantined prompt part goes to the engine with the fewest
+        A trial of what is quarantined goes to the engine with the fewest
         requests, and to no second one if that breaks off.
 
         Raises:
@@ -153,7 +160,7 @@
             remaining_s = exchange.deadline_at - now
             ready = self._state.usable_upstreams(exchange.pool)
             untried = [u for u in ready if u.name not in tried] or ready
-            if is_trial:
+            if watched.is_trial:
                 idlest = self._state.engines.find_least_loaded(untried, now)
                 untried = [idlest] if idlest is not None else []
             upstream = self._state.engines.choose(
@@ -179,13 +186,14 @@
             )
             may_resume = (
                 route.resumable
-                and not is_trial
+                and not watched.is_trial
                 and attempts + 1 < route.attempts_max
             )
             attempt = Attempt(now)
             call = partial(
                 self._attempt,
                 exchange,
+                watched,
                 run,
                 upstream,
                 source_engine,
@@ -407,6 +415,7 @@
     async def _attempt(
         self,
         exchange: Exchange,
+        watched: WatchedRequest,
         run: StageRun,
         upstream: ListedUpstream,
         source_engine: ListedUpstream | None,
@@ -419,6 +428,7 @@
 
         Args:
             exchange: The request.
+            watched: Its candidates for a crash of the engine.
             run: Its stages.
             upstream: The engine.
             source_engine: Engine from which it fetches the cached prompt
@@ -460,6 +470,12 @@
             result_release = self._submitter.release_after_fetch(run)
         try:
             with (
+                watch_attempt(
+                    self._crash_watch,
+                    watched,
+                    upstream,
+                    lambda: 0.0 <= attempt.first_event_at <= clock() - BEGUN_S,
+                ),
                 record_attempt(
                     attempt,
                     exchange,
@@ -503,6 +519,7 @@
                     self._submitter.release_remaining(run)
                     await self._forward_events(
                         exchange,
+                        watched,
                         upstream,
                         answer,
                         attempt,
@@ -510,24 +527,6 @@
                         unread_prompt,
                     )
                     attempt.outcome = "done"
-        except StageError as exc:
-            if exc.kind in BROKEN_OFF_KINDS and not _is_cut_off(exc):
-                begun = 0.0 <= attempt.first_event_at <= clock() - BEGUN_S
-                prompt = _shared_parts(exchange)
-                self._crash_watch.record_break(upstream, prompt, begun=begun)
-                logger.bind(
-                    event="engine_broke_off",
-                    request=req.request_id,
-                    upstream=upstream.name,
-                    begun=begun,
-                    parts=prompt,
-                ).warning(
-                    "engine {} broke off request {}: {}",
-                    upstream.name,
-                    req.request_id,
-                    exc,
-                )
-            raise
         finally:
             now = clock()
             cancelled = attempt.outcome == CANCELLED
@@ -595,6 +594,7 @@
     async def _forward_events(
         self,
         exchange: Exchange,
+        watched: WatchedRequest,
         upstream: ListedUpstream,
         answer: Answer,
         attempt: Attempt,
@@ -635,7 +635,7 @@
                 not answer_recorded and now - attempt.first_event_at >= BEGUN_S
             ):
                 answer_recorded = True
-                self._crash_watch.record_answer(_shared_parts(exchange))
+                self._crash_watch.record_answer(watched.names)
             attempt.sending = True
             if not exchange.started:
                 headers = self._protocol.reply_headers(answer.headers)
@@ -661,7 +661,7 @@
                 "the connection was closed before the first event",
             )
         if not answer_recorded:
-            self._crash_watch.record_answer(_shared_parts(exchange))
+            self._crash_watch.record_answer(watched.names)
         attempt.sending = True
         exchange.events = splitter.count
         exchange.outcome = "done"
@@ -729,17 +729,6 @@
     )
 
 
-def _is_cut_off(exc: StageError) -> bool:
-    """Returns whether a connection ended since nothing was acknowledged.
-
-    Its engine may be behind a partition; one that ends closes its connections.
-    """
-    cause: BaseException | None = exc
-    while cause is not None and not isinstance(cause, TimeoutError):
-        cause = cause.__cause__
-    return cause is not None
-
-
 def _shared_parts(exchange: Exchange) -> list[str]:
     """Returns the parts of a prompt that other requests may share, in order.
 
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -10,6 +10,7 @@
 CRASH = "relay_crash"
 WIRE = "relay_wire"
 LEDGER = "crash_ledger"
+REPEAT = "relay_repeat"
 
 RELAY_GUARDS = (
     Guard(
@@ -395,43 +396,59 @@
         (FORWARD, "A slow answer is awaited"),
     ),
     Guard(
-        "relay: quarantine of a part that crashes engines",
-        "relay/streams.py",
-        "self._crash_watch.record_break(upstream, prompt, begun=begun)",
+        "relay: quarantine of what crashes upstreams",
+        "relay/attempt.py",
+        "crash_watch.record_break(upstream, [] if begun else [evidence])",
         "pass",
         (CRASH, "stop reaching them"),
+        (REPEAT, "stops reaching them -- @1.1"),
+        (REPEAT, "stops reaching them -- @1.5"),
+    ),
+    Guard(
+        "relay: quarantine of pieces that crash stage upstreams",
+        "relay/stage_scheduler.py",
+        "ended = broken_off and await self._record_break(call, evidence)",
+        "ended = False",
+        (REPEAT, "stops reaching them -- @1.7"),
+    ),
+    Guard(
+        "relay: an answer of a stage clears no crash of an engine",
+        "core/crash_culprits.py",
+        'return f"{_PIECE_PREFIX}{fingerprint}/{stage}/{segment}"',
+        "return request_candidate(fingerprint)",
+        (REPEAT, "stops reaching them -- @1.9"),
     ),
     Guard(
         "relay: withdrawal of requests whose part is quarantined",
-        "relay/crash_watch.py",
-        "tracked.scope.cancel()",
+        "quarantine/crash_watch.py",
+        "watched.scope.cancel()",
         "pass",
         (CRASH, "is withdrawn when"),
     ),
     Guard(
-        "relay: an engine that goes on has not crashed",
-        "relay/crash_watch.py",
-        "if self._state.engines.progressed_after(",
-        "if False and self._state.engines.progressed_after(",
+        "relay: an upstream that accepts connections has not crashed",
+        "quarantine/crash_watch.py",
+        "check.ended = await self._refuses_connections(upstream.address)",
+        "check.ended = True",
         (CRASH, "Connections of an engine that lives"),
     ),
     Guard(
         "relay: an engine that leaves has not crashed",
-        "relay/crash_watch.py",
-        "if not self._state.catalog.is_ready(upstream.name):",
-        "if False:",
+        "quarantine/crash_watch.py",
+        "not self._upstreams.is_ready(upstream.name) or self._tasks is None",
+        "self._tasks is None",
         (CRASH, "leaving engine"),
     ),
     Guard(
         "relay: a connection that times out is no crash",
-        "relay/streams.py",
-        "if exc.kind in BROKEN_OFF_KINDS and not _is_cut_off(exc):",
-        "if exc.kind in BROKEN_OFF_KINDS:",
+        "relay/attempt.py",
+        "return cause is None",
+        "return True",
         (CRASH, "Connections end since nothing"),
     ),
     Guard(
         "relay: Retry-After of a quarantined part only if a return may help",
-        "relay/crash_watch.py",
+        "quarantine/crash_watch.py",
         "if quarantine.trials or retry_after_s > stays_s:",
         "if False:",
         (CRASH, "Retry-After only if a return"),
@@ -494,7 +511,7 @@
     ),
     Guard(
         "relay: one instance grants trials",
-        "relay/crash_watch.py",
+        "quarantine/crash_watch.py",
         "[self._peers.name, *reachable])[0]",
         "[self._peers.name])[0]",
         (CRASH, "on one instance's word"),
@@ -510,19 +527,19 @@
     Guard(
         "simultaneous crashes count as one",
         "core/crash_culprits.py",
-        "if not starts or at - starts[-1] >= SIMULTANEOUS_S:",
-        "if True:",
+        "or at - starts[-1] >= SIMULTANEOUS_S",
+        "or True",
         (LEDGER, "power loss"),
     ),
     Guard(
         "a crash explained by one part is no evidence against others",
         "core/crash_culprits.py",
-        "unexplained = [c for c in unexplained if best.part not in c.parts]",
+        "unexplained = [c for c in unexplained if best.name not in c."
+        "candidates]",
         "unexplained = [\n"
-        "            c for c in unexplained if c.at > best.last_crash_at\n"
-        "        ] if best.part == '' else [\n"
-        "            EngineCrash(c.engine, c.at, {\n"
-        "                p: s for p, s in c.parts.items() if p != best.part\n"
+        "            UpstreamCrash(c.upstream, c.at, {\n"
+        "                n: s for n, s in c.candidates.items()\n"
+        "                if n != best.name\n"
         "            }) for c in unexplained\n"
         "        ]",
         (LEDGER, "in company"),
