Quarantine requests that crash upstreams on the JSON interface

What callers saw: a request of the JSON interface ended one upstream of its stage after the other, with each retry and each time that it came again.

Change: the entry instances use the same ledger and watch (quarantine/) as the relay. A candidate is a request at one stage, so that an answer of an earlier stage clears nothing. Crashes are exchanged in a datagram of their own; the list of instances does not tell the starts of an upstream apart, so the time of the break does.

--- a/src/applespring/entry/compose.py
+++ b/src/applespring/entry/compose.py
@@ -1,7 +1,7 @@
 """Composition root: creates and connects the components of an instance."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -22,12 +22,17 @@
 from applespring.entry.execution.gates import Clock, Gates
 from applespring.entry.execution.runner import PipelineRunner
 from applespring.entry.execution.stage import StageRunner
+from applespring.entry.execution.watched_run import (
+    RETRY_AFTER_SHARE,
+    UsableUpstreams,
+)
 from applespring.entry.external.config import ConfigService
 from applespring.entry.external.engines import ControlClient, EngineService
 from applespring.entry.external.members import MemberService
 from applespring.entry.external.platform import PlatformClient
 from applespring.entry.front.app import Application
 from applespring.entry.front.components import Components
+from applespring.entry.mesh.crash_peers import CrashPeers
 from applespring.entry.mesh.keys import KeyService
 from applespring.entry.mesh.peering import (
     ConfigPeerLink,
@@ -39,7 +44,9 @@
 from applespring.entry.monitoring.metrics import Metrics
 from applespring.entry.monitoring.scrape import StateReader
 from applespring.entry.settings import Settings
+from applespring.peer.message import CrashReport, Trial
 from applespring.peer.transport import Transport
+from applespring.quarantine.crash_watch import CrashWatch
 
 DOCUMENT_NAME = "fleet.toml"
 REQUEST_ID_BITS = 64
@@ -68,6 +75,7 @@
         "control",
         "platform",
         "transport",
+        "refuses_connections",
         "clock",
         "wall_clock",
         "rng",
@@ -81,6 +89,7 @@
         control: httpx.AsyncClient,
         platform: httpx.AsyncClient,
         transport: Transport,
+        refuses_connections: Callable[[str], Awaitable[bool]],
         clock: Clock,
         wall_clock: Clock,
         rng: random.Random,
@@ -90,6 +99,7 @@
         self.control = control
         self.platform = platform
         self.transport = transport
+        self.refuses_connections = refuses_connections
         self.clock = clock
         self.wall_clock = wall_clock
         self.rng = rng
@@ -107,6 +117,7 @@
         keys: Runs keyed requests at most once.
         gates: Admission and queues of all pools.
         drain: Runs the graceful shutdown.
+        crash_watch: Requests that crash upstreams.
         app: The ASGI application that serves callers.
         retry_budget: Limits the attempts of a stage beyond the first.
         stage_class: Runs single stages; baselines of the benchmark replace it.
@@ -147,6 +158,7 @@
             clock,
             rng,
         )
+        self.crash_watch = self._make_crash_watch()
         self._make_services()
         self._make_runner()
         self._subscribe_services()
@@ -169,6 +181,7 @@
                 self._sharing.run,
                 self._engines.run,
                 self._peering.run,
+                self.crash_watch.run,
             ):
                 tasks.start_soon(service)
 
@@ -284,6 +297,26 @@
             clock,
         )
 
+    def _make_crash_watch(self) -> CrashWatch:
+        external = self._external
+        crash_peers = CrashPeers(self.peers, external.rng)
+        crash_watch = CrashWatch(
+            UsableUpstreams(self.membership, external.clock),
+            crash_peers,
+            external.refuses_connections,
+            self.metrics.events.inc,
+            external.clock,
+            retry_after_share=RETRY_AFTER_SHARE,
+        )
+        crash_peers.grant_trial = crash_watch.grant_trial
+
+        async def receive(report: CrashReport) -> None:
+            crash_watch.receive(report.crashes, report.histories)
+
+        self.peers.register(Trial, crash_watch.grant_trial)
+        self.peers.register(CrashReport, receive)
+        return crash_watch
+
     def _make_runner(self) -> None:
         external = self._external
         client = UpstreamClient(
@@ -297,12 +330,14 @@
             external.clock,
             self._check_dispatch,
             self._wait_for_evidence,
+            self.crash_watch,
             self.metrics,
         )
         self.runner = self.runner_class(
             self.fleet,
             self.gates,
             stages,
+            self.crash_watch,
             self.metrics,
             self._sharing.weight,
             self._wait_for_evidence,
--- a/src/applespring/entry/execution/runner.py
+++ b/src/applespring/entry/execution/runner.py
@@ -28,7 +28,12 @@
 from applespring.entry.execution.gates import Clock, Gates
 from applespring.entry.execution.progress import Progress
 from applespring.entry.execution.stage import StageRunner, StageWork
+from applespring.entry.execution.watched_run import (
+    RunExchange,
+    fingerprint_of_run,
+)
 from applespring.entry.monitoring.metrics import Metrics
+from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
 
 SECONDS_PER_HOUR = 3600
 HOURS_PER_DAY = 24
@@ -46,6 +51,7 @@
         "_fleet",
         "_gates",
         "_stages",
+        "_crash_watch",
         "_metrics",
         "_weight",
         "_wait_for_evidence",
@@ -60,6 +66,7 @@
         fleet: Callable[[], Fleet | None],
         gates: Gates,
         stages: StageRunner,
+        crash_watch: CrashWatch,
         metrics: Metrics,
         weight: Callable[[str, float], float],
         wait_for_evidence: Callable[[], Awaitable[None]],
@@ -74,6 +81,7 @@
             fleet: Returns the configuration in force, or None.
             gates: The gates of all pools.
             stages: Runs single stages.
+            crash_watch: Refuses requests that crash upstreams.
             metrics: Counts the costs of the stages.
             weight: Returns the weight of a client account in this instance,
                 given its name and its weight in the document.
@@ -87,6 +95,7 @@
         self._fleet = fleet
         self._gates = gates
         self._stages = stages
+        self._crash_watch = crash_watch
         self._metrics = metrics
         self._weight = weight
         self._wait_for_evidence = wait_for_evidence
@@ -140,6 +149,23 @@
         guard: Guard,
         emit: Emit | None,
         progress: Progress,
+    ) -> Answer:
+        fingerprint = fingerprint_of_run(req)
+        exchange = RunExchange(req, progress)
+        async with self._crash_watch.admit(
+            exchange, (), fingerprint
+        ) as watched:
+            return await self._run_stages(
+                req, guard, _mark_started(emit, exchange), progress, watched
+            )
+
+    async def _run_stages(
+        self,
+        req: Request,
+        guard: Guard,
+        emit: Emit | None,
+        progress: Progress,
+        watched: WatchedRequest,
     ) -> Answer:
         fleet, pipeline = self._find_pipeline(req)
         decision = decide(fleet, self.gather_facts(req, pipeline))
@@ -172,6 +198,8 @@
                 guard=guard,
                 progress=progress,
                 emit=emit if is_last else None,
+                position=position,
+                watched=watched,
             )
             value = await self._run_stage(work)
         return Answer(req.request_id, req.pipeline, value, progress.costs)
@@ -252,6 +280,18 @@
         return times
 
 
+def _mark_started(emit: Emit | None, exchange: RunExchange) -> Emit | None:
+    """Returns an `emit` that records that the answer has started."""
+    if emit is None:
+        return None
+
+    async def emit_and_mark(texts: Sequence[str]) -> None:
+        exchange.started = True
+        await emit(texts)
+
+    return emit_and_mark
+
+
 def choose_pools(
     fleet: Fleet, pipeline: Pipeline, decision: Decision
 ) -> list[Pool]:
--- a/src/applespring/entry/execution/stage.py
+++ b/src/applespring/entry/execution/stage.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from applespring.core.crash_ledger import BrokenRequest
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.fleet import Pool, Stage, StageKind
 from applespring.core.gate import Grant, Ticket
@@ -25,8 +26,20 @@
 from applespring.entry.execution.gates import Clock, Gates
 from applespring.entry.execution.progress import Progress
 from applespring.entry.execution.stall import StallDetector, StreamTiming
+from applespring.entry.execution.watched_run import (
+    StartedUpstream,
+    stage_candidates,
+)
 from applespring.entry.monitoring.metrics import Metrics
+from applespring.quarantine.crash_watch import (
+    CrashWatch,
+    WatchedRequest,
+    is_broken_off,
+)
 
+# An engine that has gone on with an answer for this long will not crash on its
+# prompt.
+BEGUN_S = 0.25
 REROUTES_MAX = 3
 """Bound on reroutes, the attempts that follow one that wrote no byte."""
 
@@ -71,6 +84,9 @@
         attempt: Number of the current attempt, from 1.
         retry_granted: Whether the next attempt is already allowed and counted
             in the retry budget.
+        position: Position of the stage in its pipeline.
+        watched: The request, for the crash watch.
+        first_token_at: When the current attempt sent its first token, or -1.
         stalled_upstream: The upstream from which the stream was taken because
             it stalled, until a later attempt fails other than by a refusal; ""
             otherwise.
@@ -91,6 +107,9 @@
         "tokens",
         "attempt",
         "retry_granted",
+        "position",
+        "watched",
+        "first_token_at",
         "stalled_upstream",
         "refusals",
     )
@@ -108,6 +127,8 @@
         guard: Guard,
         progress: Progress,
         emit: Emit | None,
+        position: int,
+        watched: WatchedRequest,
     ) -> None:
         self.req = req
         self.decision = decision
@@ -122,6 +143,9 @@
         self.tokens = TokenStream()
         self.attempt = 0
         self.retry_granted = False
+        self.position = position
+        self.watched = watched
+        self.first_token_at = -1.0
         self.stalled_upstream = ""
         self.refusals = 0
 
@@ -141,6 +165,7 @@
         "_clock",
         "_check_dispatch",
         "_wait_for_evidence",
+        "_crash_watch",
         "_metrics",
         "_timings",
     )
@@ -153,6 +178,7 @@
         clock: Clock,
         check_dispatch: CheckDispatch,
         wait_for_evidence: WaitForEvidence,
+        crash_watch: CrashWatch,
         metrics: Metrics,
     ) -> None:
         """Initializes the runner.
@@ -166,6 +192,7 @@
                 now.
             wait_for_evidence: Waits, after a pause of the process, for a new
                 read of the instance list.
+            crash_watch: Records which upstreams ended under which requests.
             metrics: Counts calls and attempts.
         """
         self._gates = gates
@@ -174,6 +201,7 @@
         self._clock = clock
         self._check_dispatch = check_dispatch
         self._wait_for_evidence = wait_for_evidence
+        self._crash_watch = crash_watch
         self._metrics = metrics
         # By pool name.
         self._timings: dict[str, StreamTiming] = {}
@@ -247,12 +275,20 @@
         call = self._create_call(work, grant)
         kind: FailureKind | None = FailureKind.CANCELLED
         verdict = Verdict.MAY_HAVE_RUN
+        candidates = stage_candidates(work.watched.fingerprint, work.position)
+        evidence = self._crash_watch.describe(
+            candidates, breaks=work.watched.breaks
+        )
+        work.first_token_at = -1.0
         try:
             output = await self._run_call(work, call)
             kind, verdict = None, Verdict.RAN
+            self._crash_watch.record_answer([name for name, _ in candidates])
             return output
         except StageError as exc:
             kind, verdict = exc.kind, exc.verdict
+            if is_broken_off(exc):
+                self._record_break(work, call, evidence)
             raise
         finally:
             written = call.write_probe.written
@@ -270,6 +306,17 @@
             elapsed_s = self._clock() - started_at
             self._gates.finish(work.pool.name, grant, kind, elapsed_s)
 
+    def _record_break(
+        self, work: StageWork, call: Call, evidence: BrokenRequest
+    ) -> None:
+        """Records that an upstream broke off a call."""
+        now = self._clock()
+        begun = 0.0 <= work.first_token_at <= now - BEGUN_S
+        work.watched.breaks += 1
+        self._crash_watch.record_break(
+            StartedUpstream(call.upstream, now), [] if begun else [evidence]
+        )
+
     def _create_call(self, work: StageWork, grant: Grant) -> Call:
         pool, upstream = work.pool, grant.upstream
         now = self._clock()
@@ -325,7 +372,7 @@
         A stalled stream fails, so that it is retried at another upstream.
         """
         detector = StallDetector(self._find_timing(work.pool), self._clock)
-        emit = _make_emit(work, detector)
+        emit = _make_emit(work, detector, self._clock)
         error: Exception | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
@@ -383,6 +430,8 @@
 
         A retry takes a token of the retry budget; a reroute does not.
         """
+        if work.watched.is_trial:
+            return False
         if work.retry_granted:
             work.retry_granted = False
             return True
@@ -422,8 +471,10 @@
         return True
 
 
-def _make_emit(work: StageWork, detector: StallDetector) -> Emit:
+def _make_emit(work: StageWork, detector: StallDetector, clock: Clock) -> Emit:
     async def emit(texts: list[str]) -> None:
+        if work.first_token_at < 0.0:
+            work.first_token_at = clock()
         detector.record_tokens(len(texts))
         if work.emit is not None:
             await work.emit(texts)
--- a/src/applespring/entry/main.py
+++ b/src/applespring/entry/main.py
@@ -23,6 +23,7 @@
 from applespring.entry.logs import set_up_logs
 from applespring.entry.settings import Settings
 from applespring.peer.link import SocketTransport
+from applespring.quarantine.port_check import refuses_connections
 
 Port = Annotated[int, Range(0, 65535)]
 
@@ -133,6 +134,7 @@
             control=control,
             platform=platform,
             transport=SocketTransport(settings.peer_host, settings.peer_port),
+            refuses_connections=refuses_connections,
             clock=read_clock,
             wall_clock=time.time,
             rng=random.Random(os.urandom(RNG_SEED_BYTES)),
--- a/src/applespring/entry/mesh/peers.py
+++ b/src/applespring/entry/mesh/peers.py
@@ -151,6 +151,10 @@
         """Whether a peer is in the instance list."""
         return peer_name in self._peers
 
+    def listed_names(self) -> list[str]:
+        """Returns the names of the other listed instances."""
+        return sorted(self._peers)
+
     def register(self, message_type: type[Message], handler: Handler) -> None:
         """Sets the handler of a message type; it returns the reply, or None."""
         self._handlers[message_type] = handler
@@ -197,9 +201,14 @@
 
     async def send(self, peer_name: str, message: Message) -> None:
         """Sends a datagram, which may be lost, if the peer is listed."""
+        if peer_name in self._peers:
+            data = codec.encode(message, codec.DATAGRAM_BYTES_MAX)
+            await self.send_data(peer_name, data)
+
+    async def send_data(self, peer_name: str, data: bytes) -> None:
+        """Sends an encoded datagram, if the peer is listed."""
         peer = self._peers.get(peer_name)
         if peer is not None:
-            data = codec.encode(message, codec.DATAGRAM_BYTES_MAX)
             await self._transport.send(peer.address, data)
 
     async def announce(self, topic: tuple[str, int]) -> None:
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -332,6 +332,14 @@
     }
 
 
+class CrashReport(Message):
+    """Crashes of upstreams that an entry instance knows of, as a datagram."""
+
+    __slots__ = ("crashes", "histories")
+    DEFAULTS = {"crashes": (), "histories": ()}
+    NESTED = {"crashes": UpstreamCrash, "histories": CandidateHistory}
+
+
 class Trial(Message):
     """Asks whether a request with a quarantined candidate may be sent now."""
 
@@ -499,4 +507,5 @@
     "fetchPeers": FetchPeers,
     "peerList": PeerList,
     "trial": Trial,
+    "crashReport": CrashReport,
 }
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -198,6 +198,11 @@
   trials @3 :UInt16;
 }
 
+struct CrashReport {
+  crashes @0 :List(UpstreamCrash);
+  histories @1 :List(CandidateHistory);
+}
+
 struct Trial {
   name @0 :Text;
 }
@@ -298,5 +303,6 @@
     fetchPeers @19 :FetchPeers;
     peerList @20 :PeerList;
     trial @21 :Trial;
+    crashReport @22 :CrashReport;
   }
 }
--- a/src/applespring/quarantine/crash_messages.py
+++ b/src/applespring/quarantine/crash_messages.py
@@ -1,6 +1,12 @@
 """Messages about crashes between instances; times travel as ages."""
 
-from collections.abc import Container, Iterable, Iterator, Sequence
+from collections.abc import (
+    Callable,
+    Container,
+    Iterable,
+    Iterator,
+    Sequence,
+)
 
 from loguru import logger
 
@@ -85,25 +91,23 @@
 
 
 def split_crashes(
-    sender: message.PeerRow,
+    make_message: Callable[..., message.Message],
     crashes: Sequence[message.UpstreamCrash],
     histories: Sequence[message.CandidateHistory],
 ) -> Iterator[bytes]:
     """Yields the datagrams in which crashes are sent.
 
     Args:
-        sender: State of this instance.
+        make_message: Returns the message with these `crashes` and `histories`.
         crashes: The crashes.
         histories: What is known of their candidates.
     """
     named = {c.name for crash in crashes for c in crash.candidates}
-    gossip = message.Gossip(
-        sender=sender,
-        crashes=crashes,
-        histories=[h for h in histories if h.name in named],
+    report = make_message(
+        crashes=crashes, histories=[h for h in histories if h.name in named]
     )
     try:
-        yield encode(gossip, DATAGRAM_BYTES_MAX)
+        yield encode(report, DATAGRAM_BYTES_MAX)
         return
     except MessageError as exc:
         halves = _halve(crashes)
@@ -113,7 +117,7 @@
             )
             return
     for half in halves:
-        yield from split_crashes(sender, half, histories)
+        yield from split_crashes(make_message, half, histories)
 
 
 def _halve(
--- a/src/applespring/quarantine/crash_watch.py
+++ b/src/applespring/quarantine/crash_watch.py
@@ -23,7 +23,12 @@
     Quarantine,
     list_candidates,
 )
-from applespring.core.errors import ApplespringError, RefusalError
+from applespring.core.errors import (
+    ApplespringError,
+    FailureKind,
+    RefusalError,
+    StageError,
+)
 from applespring.core.placement import rank
 from applespring.core.verdict import Verdict
 from applespring.peer import message
@@ -51,6 +56,10 @@
 RESTARTS_AWAITED_MAX = 64
 
 
+# How an attempt fails when its upstream ends or closes the connection.
+BROKEN_OFF_KINDS = frozenset([FailureKind.RESET, FailureKind.TRUNCATED])
+
+
 class Upstream(Protocol):
     """An upstream as listed; see `applespring.core.catalog.ListedUpstream`."""
 
@@ -540,3 +549,17 @@
             for name in names
         ]
         await self._peers.send_crashes(messages, histories, to_all=to_all)
+
+
+def is_broken_off(exc: StageError) -> bool:
+    """Returns whether the upstream ended or closed the connection.
+
+    A connection that ends since nothing was acknowledged may be behind a
+    partition; an upstream that ends closes its connections.
+    """
+    if exc.kind not in BROKEN_OFF_KINDS or exc.verdict is Verdict.NOT_RUN:
+        return False
+    cause: BaseException | None = exc
+    while cause is not None and not isinstance(cause, TimeoutError):
+        cause = cause.__cause__
+    return cause is None
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -9,14 +9,16 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, StageError
 from applespring.core.verdict import Verdict
-from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
+from applespring.quarantine.crash_watch import (
+    CrashWatch,
+    WatchedRequest,
+    is_broken_off,
+)
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.state import RelayState
 
 CANCELLED = "cancelled"
-# How an attempt fails when its upstream ends or closes the connection.
-BROKEN_OFF_KINDS = frozenset([FailureKind.RESET, FailureKind.TRUNCATED])
 
 
 class Attempt:
@@ -112,20 +114,6 @@
         raise
 
 
-def is_broken_off(exc: StageError) -> bool:
-    """Returns whether the upstream ended or closed the connection.
-
-    A connection that ends since nothing was acknowledged may be behind a
-    partition; an upstream that ends closes its connections.
-    """
-    if exc.kind not in BROKEN_OFF_KINDS or exc.verdict is Verdict.NOT_RUN:
-        return False
-    cause: BaseException | None = exc
-    while cause is not None and not isinstance(cause, TimeoutError):
-        cause = cause.__cause__
-    return cause is None
-
-
 @contextmanager
 def record_attempt(
     attempt: Attempt,
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -17,7 +17,6 @@
 from applespring.core.errors import FailureKind, StageError
 from applespring.core.reachability import DomainReachability
 from applespring.core.verdict import Verdict
-from applespring.peer.link import split_address
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
 
 # A connection is set up in about a millisecond, while a machine without power
@@ -45,30 +44,6 @@
 ]
 
 
-async def refuses_connections(address: str) -> bool:
-    """Returns whether no process listens at an address (IP:port).
-
-    False as well if no answer arrives, since the path may be cut.
-    """
-    host, port = split_address(address)
-    try:
-        with anyio.move_on_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, port)
-            await stream.aclose()
-    except OSError as exc:
-        return _is_refused(exc)
-    return False
-
-
-def _is_refused(exc: BaseException | None) -> bool:
-    """Returns whether an error was caused by a refused connection."""
-    if isinstance(exc, BaseExceptionGroup):
-        return all(_is_refused(inner) for inner in exc.exceptions)
-    return exc is not None and (
-        isinstance(exc, ConnectionRefusedError) or _is_refused(exc.__cause__)
-    )
-
-
 class HttpTransport(httpx.AsyncHTTPTransport):
     """HTTP/1.1 transport that survives a reset during connection setup.
 
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -15,12 +15,12 @@
 from applespring.clock import read_clock
 from applespring.core.errors import SettingsError
 from applespring.peer.link import SocketTransport, split_address
+from applespring.quarantine.port_check import refuses_connections
 from applespring.relay.application import make_text_app
 from applespring.relay.client import (
     TCP_USER_TIMEOUT_MS,
     HttpTransport,
     make_http_pool_factory,
-    refuses_connections,
 )
 from applespring.relay.components import RelayComponents
 from applespring.relay.log import LogWriter
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -150,7 +151,8 @@
                 get the next heartbeat.
         """
         addresses = self._choose_addresses(to_all)
-        for data in split_crashes(self.local_row(), crashes, histories):
+        make_gossip = partial(message.Gossip, sender=self.local_row())
+        for data in split_crashes(make_gossip, crashes, histories):
             for address in addresses:
                 await self._transport.send(address, data)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -428,6 +428,7 @@
                 timeout=None,
             ),
             transport=host.transport,
+            refuses_connections=self.network.refuses_connections,
             clock=host.read_clock,
             wall_clock=anyio.current_time,
             rng=random.Random(f"{self._seed}/{host.name}/{host.incarnations}"),
--- a/standins/network.py
+++ b/standins/network.py
@@ -142,6 +142,11 @@
         for exchange in list(host.exchanges):
             exchange.abort()
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Returns whether no host runs at an address."""
+        host = self.hosts.get(address)
+        return host is None or not host.alive
+
     def pause(self, address: str) -> None:
         """Stops a host's reading and writing; its connections stay open."""
         host = self.hosts[address]
