Take crashes one after the other for one if others happened near them

What callers saw: nothing yet; found by a new scenario.

Cause: a request that was sent after an earlier crash separates two crashes within 0.2 s, which holds for one that crashes upstreams but not for a wave of crashes that has another cause.

Change: not if other crashes happened from 0.2 s before the earlier one on.

--- a/src/applespring/core/crash_culprits.py
+++ b/src/applespring/core/crash_culprits.py
@@ -7,11 +7,12 @@
 is a candidate by chance, and answered soon after.
 """
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Mapping, Sequence
 
 # Crashes closer together than this count as one: a power loss ends several
-# upstreams at once, and an instance whose connections are reset sees the same.
-# A request that was sent after an earlier crash shows that they are two.
+# upstreams at once or one after the other. A request that was sent after an
+# earlier crash shows that they are two, unless others happened near them.
 SIMULTANEOUS_S = 0.2
 # Least crashes of which a candidate is the culprit. Where other crashes happen
 # too, a sound one is a candidate twice by chance, so each further
@@ -150,7 +151,7 @@
     """Returns the candidate with the strongest evidence, if it suffices."""
     ranked: list[tuple[tuple[int, bool, int], str, int, float]] = []
     for name, hits in _hits_by_candidate(crashes, answered_at).items():
-        times = _separate_hits(name, hits)
+        times = _separate_hits(name, hits, crashes)
         if len(times) < CULPRIT_CRASHES_MIN:
             continue
         seen = [crash.candidates[name] for crash in hits]
@@ -191,13 +192,14 @@
     never_answered: bool,
 ) -> int:
     """Returns how many crashes make the candidate a culprit."""
+    first_at = times[0] - OTHER_CRASHES_WINDOW_S
     others = _separate_times(
         [
-            (crash.at, 0)
-            for crash in crashes
-            if name not in crash.candidates
-            and times[0] - OTHER_CRASHES_WINDOW_S <= crash.at <= times[-1]
-        ]
+            (at, 0)
+            for at in _times_without(name, crashes)
+            if first_at <= at <= times[-1]
+        ],
+        (),
     )
     needed = CULPRIT_CRASHES_MIN + len(others) // CRASHES_PER_STEP
     if not never_answered:
@@ -215,30 +217,48 @@
         crashes: The crashes.
         answered_at: When it was last answered, or -1.
     """
-    hits = [c for c in crashes if name in c.candidates and c.at > answered_at]
-    return len(_separate_hits(name, sorted(hits, key=lambda c: c.at)))
+    ordered = sorted(crashes, key=lambda crash: crash.at)
+    hits = [c for c in ordered if name in c.candidates and c.at > answered_at]
+    return len(_separate_hits(name, hits, ordered))
 
 
-def _separate_hits(name: str, hits: Sequence[UpstreamCrash]) -> list[float]:
-    """Returns the starts of the groups of simultaneous crashes of one name."""
+def _times_without(name: str, crashes: Iterable[UpstreamCrash]) -> list[float]:
+    """Returns when the crashes happened of which a name is no candidate."""
+    return [crash.at for crash in crashes if name not in crash.candidates]
+
+
+def _separate_hits(
+    name: str, hits: Sequence[UpstreamCrash], crashes: Sequence[UpstreamCrash]
+) -> list[float]:
+    """Returns the starts of the groups of simultaneous crashes of one name.
+
+    Args:
+        name: The candidate.
+        hits: The crashes that are held against it, by time.
+        crashes: All crashes, by time.
+    """
     return _separate_times(
-        [(crash.at, crash.candidates[name].crashes_before) for crash in hits]
+        [(crash.at, crash.candidates[name].crashes_before) for crash in hits],
+        _times_without(name, crashes),
     )
 
 
-def _separate_times(crashes: Sequence[tuple[float, int]]) -> list[float]:
+def _separate_times(
+    crashes: Sequence[tuple[float, int]], others: Sequence[float]
+) -> list[float]:
     """Returns the starts of the groups of simultaneous crashes.
 
     Args:
         crashes: Time of each crash, ascending, and how many earlier ones were
             known when a request was sent that was there.
+        others: Times of other crashes, ascending.
     """
     starts: list[float] = []
     for at, crashes_before in crashes:
-        if (
-            not starts
-            or crashes_before >= len(starts)
-            or at - starts[-1] >= SIMULTANEOUS_S
-        ):
+        if not starts or at - starts[-1] >= SIMULTANEOUS_S:
             starts.append(at)
+        elif crashes_before >= len(starts):
+            first_other = bisect_left(others, starts[-1] - SIMULTANEOUS_S)
+            if first_other == bisect_right(others, at):
+                starts.append(at)
     return starts
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -11,6 +11,7 @@
 WIRE = "relay_wire"
 LEDGER = "crash_ledger"
 REPEAT = "relay_repeat"
+REQUEST = "crash_request"
 
 RELAY_GUARDS = (
     Guard(
@@ -441,7 +442,7 @@
     ),
     Guard(
         "relay: a connection that times out is no crash",
-        "relay/attempt.py",
+        "quarantine/crash_watch.py",
         "return cause is None",
         "return True",
         (CRASH, "Connections end since nothing"),
@@ -527,8 +528,8 @@
     Guard(
         "simultaneous crashes count as one",
         "core/crash_culprits.py",
-        "or at - starts[-1] >= SIMULTANEOUS_S",
-        "or True",
+        "if not starts or at - starts[-1] >= SIMULTANEOUS_S:",
+        "if True:",
         (LEDGER, "power loss"),
     ),
     Guard(
@@ -551,4 +552,33 @@
         "held.at = crash.at",
         (LEDGER, "round and round"),
     ),
+    Guard(
+        "crashes of a power loss that end one after the other count as one",
+        "core/crash_culprits.py",
+        "if first_other == bisect_right(others, at):",
+        "if True:",
+        (REQUEST, "Ordinary crashes hold no sound request"),
+    ),
+    Guard(
+        "requests with the same crashes need one more",
+        "core/crash_culprits.py",
+        "if is_rivalled and strength[0] <",
+        "if False and strength[0] <",
+        (REQUEST, "sent on together"),
+    ),
+    Guard(
+        "crashes that explain a quarantine are evicted last",
+        "core/crash_ledger.py",
+        "if self._quarantined.keys().isdisjoint(crash.candidates)\n"
+        "            ),",
+        "if True\n            ),",
+        (REQUEST, "A flood of requests"),
+    ),
+    Guard(
+        "trials end",
+        "core/crash_ledger.py",
+        "if self.trials < TRIALS_MAX and self.crashes < TRIED_CRASHES_MAX:",
+        "if True:",
+        (REQUEST, "Trials of a request"),
+    ),
 )
