Record crashes that only the registry shows

What callers saw: nothing on the platform, whose addresses are those of the upstreams. Where a proxy, or another start of the upstream, accepts connections at once, a crash went unnoticed, and the request that caused it was sent on.

Cause: a crash was taken from a refused connection alone.

Change: an upstream that broke off requests while it was not leaving has ended if the registry then lists another start of it, or its entry lapses.

New scenarios for sound requests pass: resets again and again, and ordinary crashes beside a request that comes again, for safe, unsafe and resumable routes.

--- a/features/steps/relay_repeat_steps.py
+++ b/features/steps/relay_repeat_steps.py
@@ -97,6 +97,75 @@
     run_in_world(context, scenario)
 
 
+@given("their addresses accept connections while they are down")
+def given_proxies(context):
+    context.world.hides_crashes = True
+
+
+async def send_sound(world, rng, callers, number, route, target):
+    callers.start_soon(
+        send_with_retry,
+        world,
+        rng,
+        f"sound{number}",
+        target,
+        route,
+        [PARTS[0], f"subject{rng.randrange(10)}", f"own{number}"],
+    )
+
+
+@when(
+    "{rate:d} sound requests a second come for {seconds:d} s on the route "
+    "{route}, and one in three comes again and is reset"
+)
+def when_reset(context, rate, seconds, route):
+    async def scenario(world):
+        world.reset_targets = {f"/{route}/again"}
+        async with anyio.create_task_group() as callers:
+            for number in range(rate * seconds):
+                name = "again" if number % 3 == 0 else number
+                target = f"/{route}/{name}"
+                await send_sound(
+                    world, context.rng, callers, number, route, target
+                )
+                await anyio.sleep(1 / rate)
+
+    run_in_world(context, scenario)
+
+
+@when(
+    "{rate:d} requests a second come for {seconds:d} s on the route {route}, "
+    "most of them the same one, and upstreams crash every {gap:d} s"
+)
+def when_ordinary(context, rate, seconds, route, gap):
+    rng = context.rng
+
+    async def scenario(world):
+        pool = "engines" if route == "resume" else "plain"
+        names = [n for n, u in world.listed.items() if u.pool == pool]
+        async with anyio.create_task_group() as callers:
+            for number in range(rate * seconds):
+                is_hot = rng.random() < 0.7
+                target = f"/{route}/{'hot' if is_hot else number}"
+                await send_sound(world, rng, callers, number, route, target)
+                await anyio.sleep(1 / rate)
+                if number % (gap * rate) == gap * rate - 1:
+                    await world.upstreams[rng.choice(names)].crash()
+
+    run_in_world(context, scenario)
+
+
+@then("no request is refused because of a crash")
+def then_none_refused(context):
+    refused = [
+        reply.body
+        for reply in context.world.replies.values()
+        if b"quarantined" in reply.body or b"crashed on" in reply.body
+    ]
+    assert not refused, refused[:3]
+    assert not context.world.count_quarantined()
+
+
 def deadly_arrivals(world):
     """Returns when the request reached upstreams of the kind that it crashes.
 
--- a/src/applespring/core/catalog.py
+++ b/src/applespring/core/catalog.py
@@ -182,6 +182,11 @@
             key=lambda upstream: upstream.name,
         )
 
+    def is_listed(self, identity: tuple[str, int]) -> bool:
+        """Returns whether this start of an upstream is listed."""
+        found = self._listed.get(identity[0])
+        return found is not None and found.identity == identity
+
     def is_ready(self, name: str) -> bool:
         """Returns whether an upstream is listed and accepts new work."""
         found = self._listed.get(name)
--- a/src/applespring/entry/execution/watched_run.py
+++ b/src/applespring/entry/execution/watched_run.py
@@ -78,9 +78,10 @@
         check = self._membership.check_dispatch(name, self._clock())
         return check in (DispatchCheck.OK, DispatchCheck.STALE)
 
-    def get(self, name: str) -> None:
-        """Returns None, since the list does not show restarts."""
-        del name
+    def is_listed(self, identity: tuple[str, int]) -> bool:
+        """Returns True, since the list does not tell starts apart."""
+        del identity
+        return True
 
 
 def fingerprint_of_run(req: Request) -> str:
--- a/src/applespring/quarantine/crash_watch.py
+++ b/src/applespring/quarantine/crash_watch.py
@@ -50,10 +50,10 @@
 TRIAL_RETRY_S = 1.0
 # Time from a trial to its answer, for the Retry-After of the others.
 TRIAL_RUN_S = 1.0
-# An upstream that accepts connections after it broke off requests may be
-# another start of it. The registry shows that within this time.
-RESTART_LISTED_S = 10.0
-RESTARTS_AWAITED_MAX = 64
+# Where connections are accepted after an upstream broke off requests, it may be
+# another start of it, or a proxy. The registry shows an end within this time.
+END_LISTED_S = 10.0
+ENDS_AWAITED_MAX = 64
 
 
 # How an attempt fails when its upstream ends or closes the connection.
@@ -74,8 +74,8 @@
     def is_ready(self, name: str) -> bool:
         """Returns whether an upstream accepts new work."""
 
-    def get(self, name: str) -> Upstream | None:
-        """Returns the entry of an upstream, or None if it is not listed."""
+    def is_listed(self, identity: tuple[str, int]) -> bool:
+        """Returns whether this start of an upstream is listed."""
 
 
 class CrashPeers(Protocol):
@@ -243,7 +243,7 @@
             while True:
                 await anyio.sleep(ROUND_S)
                 now = self._clock()
-                await self._find_restarts(now)
+                await self._find_listed_ends(now)
                 self.ledger.expire(now)
                 self._apply_changes()
                 await self._send(
@@ -354,20 +354,23 @@
         self._checks.pop(upstream.identity, None)
         if check.ended:
             await self._record_crash(check)
-        elif len(self._listening) < RESTARTS_AWAITED_MAX:
+        elif len(self._listening) < ENDS_AWAITED_MAX:
             held = self._listening.setdefault(upstream.identity, check)
             if held is not check:
                 held.at, held.requests = check.at, check.requests
         check.done.set()
 
-    async def _find_restarts(self, now: float) -> None:
-        """Records the crashes of upstreams that are listed as restarted."""
+    async def _find_listed_ends(self, now: float) -> None:
+        """Records the crashes that only the registry shows.
+
+        An upstream that broke off requests, while it was not leaving, has
+        ended if its entry is that of another start or has lapsed.
+        """
         for identity, check in list(self._listening.items()):
-            listed = self._upstreams.get(identity[0])
-            if listed is not None and listed.identity != identity:
+            if not self._upstreams.is_listed(identity):
                 del self._listening[identity]
                 await self._record_crash(check)
-            elif now - check.at > RESTART_LISTED_S:
+            elif now - check.at > END_LISTED_S:
                 del self._listening[identity]
 
     async def _record_crash(self, check: BreakCheck) -> None:
@@ -390,7 +393,7 @@
             newest = self.ledger.select_crashes(
                 self._clock(),
                 count_max=CRASHES_SENT_MAX,
-                age_max_s=RESTART_LISTED_S,
+                age_max_s=END_LISTED_S,
             )
             await self._send(
                 [c for c in newest if c.upstream == upstream.identity],
