soak: requests that crash each worker that runs them; closed ports

Cause: no fault of the soak had a request that harms its upstream, and the port of a crashed worker went on accepting connections, which the process of a real one does not.

Change: callers send the same safe, unsafe or streamed request for 6 to 14 s; the audit allows three later than 3 s after its third crash. A worker that has crashed refuses connections.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,7 @@
       | drain    | a request reaches an upstream 2.1 s after it started to drain        |
       | budget   | a window has 60 added attempts and 40 requests                       |
       | deadly   | 4 requests reach engines 3.1 s after a part crashed the fifth one    |
+      | deadly   | 4 requests reach upstreams 3.1 s after one crashed the third         |
       | ended    | a process ends unexpectedly                                          |
       | overstay | a process does not exit in time after SIGTERM                        |
       | recover  | no stream is served after the last fault                             |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -28,7 +28,7 @@
     Version,
 )
 from soak.testbed import Plan
-from soak.upstream import make_event
+from soak.upstream import DEADLY_PART, make_event
 
 SENT_AT = 100.0
 ANSWER_TIME_S = 0.1
@@ -429,13 +429,23 @@
 
 @violation("4 requests reach engines 3.1 s after a part crashed the fifth one")
 def violate_deadly(records):
-    records.deadly_crashes = [SENT_AT - 3.1] * 5
+    records.deadly_crashes = {DEADLY_PART: [SENT_AT - 3.1] * 5}
     for number in range(4):
         request = add_request(records, STREAM, f"deadly-{number}")
         (execution,) = records.executions[request.request_id]
         execution.headers = {"prompt-prefix": "1:100,dead:60,f0:40"}
 
 
+@violation("4 requests reach upstreams 3.1 s after one crashed the third")
+def violate_repeated(records):
+    path = "/safe/repeated?n=0"
+    records.deadly_crashes = {path: [SENT_AT - 3.1] * 3}
+    for number in range(4):
+        request = add_request(records, SAFE, f"repeated-{number}")
+        (execution,) = records.executions[request.request_id]
+        request.path = execution.path = path
+
+
 @violation("a process ends unexpectedly")
 def violate_ended(records):
     records.unexpected_exits.append(("relay-0", SENT_AT, 1))
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -37,9 +37,10 @@
 # A request sent later than this after SIGTERM may still be in progress when the
 # process has to end, so that its loss is no violation (rule LOST).
 TERM_ACCEPT_S = 3.0
-# After this many crashes of engines on a prompt part, at most so many further
-# requests with it reach engines (rule BUDGET).
-DEADLY_CRASHES = 5
+# After this many crashes of engines on a prompt part, or of workers on a
+# request, at most so many further ones reach them (rule BUDGET).
+PART_CRASHES = 5
+REQUEST_CRASHES = 3
 DEADLY_REQUESTS_MAX = 3
 # Lowest share of requests served after all faults have ended (rule RECOVER).
 RECOVERED_SHARE_MIN = 0.25
@@ -435,15 +436,32 @@
 
 @check("deadly")
 def check_deadly(records: Records) -> Iterator[str]:
-    """Few requests with a part that crashes engines follow the fifth crash."""
-    crashes = sorted(records.deadly_crashes)
-    if len(crashes) < DEADLY_CRASHES:
-        return
-    known_at = crashes[DEADLY_CRASHES - 1] + CONTACT_S
+    """Few requests follow the crashes of a request, or of a prompt part."""
+    for cause, crashes in records.deadly_crashes.items():
+        count = PART_CRASHES if cause == DEADLY_PART else REQUEST_CRASHES
+        if len(crashes) >= count:
+            yield from _find_deadly(records, cause, sorted(crashes), count)
+
+
+def _find_deadly(
+    records: Records, cause: str, crashes: Sequence[float], count: int
+) -> Iterator[str]:
+    """Yields a violation if too many requests follow the crashes.
+
+    Args:
+        records: Records of the run.
+        cause: The deadly prompt part, or the path of the request.
+        crashes: When workers crashed on it, in order.
+        count: Number of crashes after which it has to be known.
+    """
+    known_at = crashes[count - 1] + CONTACT_S
     late = [
         (execution, request)
         for execution, request in _each_run(records)
-        if f"{DEADLY_PART}:" in execution.headers.get("prompt-prefix", "")
+        if (
+            execution.path == cause
+            or f"{cause}:" in execution.headers.get("prompt-prefix", "")
+        )
         and execution.started_at > known_at
         and request is not None
         and records.is_undisturbed(
@@ -457,10 +475,10 @@
     ]
     if len(late) > DEADLY_REQUESTS_MAX:
         yield (
-            f"{len(late)} requests with a part under which {DEADLY_CRASHES} "
-            f"engines had crashed at {known_at - CONTACT_S:.3f} s reached "
-            f"engines, the last one {late[-1][0].request_id}; "
-            f"{len(crashes)} engines crashed"
+            f"{len(late)} requests with {cause}, under which {count} workers "
+            f"had crashed at {known_at - CONTACT_S:.3f} s, reached workers, "
+            f"the last one {late[-1][0].request_id}; "
+            f"{len(crashes)} workers crashed"
         )
 
 
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -45,6 +45,8 @@
 VERSIONED_SHARE = 0.3
 # Time past its deadline that a caller waits, so that late answers are recorded.
 LATE_WAIT_S = 2.0
+# Share of requests that are the one that crashes its workers, while it is sent.
+REPEATED_SHARE = 0.05
 # Weights of the kinds of request.
 KIND_WEIGHTS = {SAFE: 3, UNSAFE: 3, STREAM: 2, RESUMABLE: 2, STAGED: 2}
 # Headers that a caller must not set; the relay has to remove them.
@@ -165,6 +167,19 @@
 
     def _make_request(self, instance: str) -> CallerRequest:
         rng = self._rng
+        repeated = self._records.repeated
+        if repeated is not None and rng.random() < REPEATED_SHARE:
+            self._sent_count += 1
+            return CallerRequest(
+                f"{self._name}-{self._sent_count}",
+                repeated.kind,
+                instance=instance,
+                path=repeated.path,
+                key=document.KEY,
+                body=repeated.body,
+                events=repeated.events,
+                deadline_s=document.TIMEOUTS_S[repeated.kind],
+            )
         kind = rng.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
         self._sent_count += 1
         request_id = f"{self._name}-{self._sent_count}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,16 @@
 
 from soak import document
 from soak.proxy import LinkFaults
-from soak.record import Fault, Version
+from soak.record import (
+    RESUMABLE,
+    SAFE,
+    STREAM,
+    STREAMING,
+    UNSAFE,
+    CallerRequest,
+    Fault,
+    Version,
+)
 from soak.relays import Relay
 from soak.silence import PHASES
 from soak.upstream import Misbehaviour
@@ -31,6 +40,8 @@
 # shortest and longest time for which they are sent.
 DEADLY_SHARE_RANGE = (0.05, 0.3)
 DEADLY_RANGE_S = (3.0, 8.0)
+# Shortest and longest time for which a request that crashes workers is sent.
+REPEATED_RANGE_S = (6.0, 14.0)
 IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
 # Shortest and longest time between changes of the idle limit, which overlap
 # with connections that rest under an earlier limit.
@@ -300,6 +311,27 @@
     testbed.records.deadly_share = 0.0
 
 
+@fault("request crashes workers")
+async def crash_on_request(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets callers send a request that crashes each worker that runs it."""
+    records = testbed.records
+    kind = rng.choice([SAFE, UNSAFE, STREAM, RESUMABLE])
+    path = f"/{kind}/repeated-{len(records.deadly_targets)}?n=0"
+    records.deadly_targets.add(path)
+    records.repeated = CallerRequest(
+        "",
+        kind,
+        instance="",
+        path=path,
+        key="",
+        body=b"" if kind == SAFE else b"repeated",
+        events=5 if kind in STREAMING else 0,
+        deadline_s=0.0,
+    )
+    await anyio.sleep(rng.uniform(*REPEATED_RANGE_S))
+    records.repeated = None
+
+
 @fault("worker leaves")
 async def leave_worker(testbed: "Testbed", rng: random.Random) -> None:
     """Drains a worker; another one starts at its address later."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -64,12 +64,31 @@
         self._listen = listen
         self._target = target
         self._connections: set[_ProxiedConnection] = set()
+        self._closed_scope = anyio.CancelScope()
+        self._reopened = anyio.Event()
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serves until cancelled."""
-        await serve(self._listen, self._serve, task_status=task_status)
+        started = False
+        while True:
+            with self._closed_scope:
+                status = anyio.TASK_STATUS_IGNORED if started else task_status
+                started = True
+                await serve(self._listen, self._serve, task_status=status)
+            await self._reopened.wait()
+            self._closed_scope = anyio.CancelScope()
+
+    def close_port(self) -> None:
+        """Ends all connections and refuses new ones, as an ended process."""
+        self._reopened = anyio.Event()
+        self._closed_scope.cancel()
+        self.reset_all()
+
+    def open_port(self) -> None:
+        """Accepts connections again."""
+        self._reopened.set()
 
     def reset_all(self) -> None:
         """Resets every open connection."""
--- a/soak/record.py
+++ b/soak/record.py
@@ -307,7 +307,10 @@
             had passed; inf before.
         deadly_share: Share of the requests to engines that have a prompt part
             on which engines crash at present.
-        deadly_crashes: When engines crashed on it.
+        deadly_targets: Path and query of the requests that crash each worker
+            that begins to run them.
+        repeated: One of these that callers send at present, or None.
+        deadly_crashes: When workers crashed, by prompt part or path.
     """
 
     __slots__ = (
@@ -322,6 +325,8 @@
         "versions",
         "faults_ended_at",
         "deadly_share",
+        "deadly_targets",
+        "repeated",
         "deadly_crashes",
     )
 
@@ -337,7 +342,9 @@
         self.versions: list[Version] = []
         self.faults_ended_at = math.inf
         self.deadly_share = 0.0
-        self.deadly_crashes: list[float] = []
+        self.deadly_targets: set[str] = set()
+        self.repeated: CallerRequest | None = None
+        self.deadly_crashes: dict[str, list[float]] = {}
 
     def add_execution(self, execution: Execution) -> None:
         """Adds an execution to those of its request."""
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -104,8 +104,12 @@
         name: Worker id, the value that `Target-Instance` has to have.
         pool: Service that it belongs to.
         misbehaviour: Its deviations, shared with its host.
+        crash: Ends this worker; called with the cause when it begins to run
+            the deadly request, or an answer on the deadly prompt part.
     """
 
+    crash: Callable[[str], None]
+
     def __init__(
         self,
         name: str,
@@ -140,6 +144,12 @@
     def stop(self) -> None:
         """Discards the results of the worker."""
 
+    async def _crash_on_request(self, req: Request) -> None:
+        """Ends the worker if the request is one that crashes its workers."""
+        if req.target in self._context.records.deadly_targets:
+            self.crash(req.target)
+            await anyio.sleep_forever()
+
     async def _send_endless(self, reply: Reply) -> None:
         """Sends bytes without end if the misbehaviour says so."""
         if self._draw(self.misbehaviour.endless):
@@ -186,6 +196,7 @@
         execution = self._record_execution(request_id, req)
         digest = hashlib.sha256(req.target.encode() + req.body).hexdigest()
         execution.answer = f"{request_id} {self.name} {digest}".encode()
+        await self._crash_on_request(req)
         await anyio.sleep(
             self._context.rng.uniform(*PLAIN_RANGE_S) * misbehaviour.slow
         )
@@ -211,14 +222,7 @@
 
 
 class EngineWorker(Worker):
-    """Answers with a stream of numbered events.
-
-    Attributes:
-        crash: Ends this worker; called when it begins an answer on the deadly
-            prompt part.
-    """
-
-    crash: Callable[[], None]
+    """Answers with a stream of numbered events."""
 
     async def execute(
         self, request_id: str, req: Request, reply: Reply
@@ -235,8 +239,9 @@
         count = int(req.headers["token-count"].partition(",")[2])
         await anyio.sleep(FIRST_EVENT_DELAY_S * misbehaviour.slow)
         if f"{DEADLY_PART}:" in req.headers.get("prompt-prefix", ""):
-            self.crash()
+            self.crash(DEADLY_PART)
             await anyio.sleep_forever()
+        await self._crash_on_request(req)
         await self._send_endless(reply)
         if self._draw(misbehaviour.failing):
             execution.answer = b"failed"
--- a/soak/worker_hosts.py
+++ b/soak/worker_hosts.py
@@ -90,9 +90,9 @@
         )
         if isinstance(worker, StageWorker):
             worker.address = self._address
-        if isinstance(worker, EngineWorker):
-            worker.crash = self._crash_on_part
+        worker.crash = self._crash_on_request
         self.worker = worker
+        self.proxy.open_port()
         self._register(worker.name, "ready")
 
     def crash_worker(self) -> Worker | None:
@@ -100,19 +100,25 @@
         worker, self.worker = self.worker, None
         if worker is not None:
             worker.stop()
+            self.proxy.close_port()
             self._server.reset_all()
         return worker
 
-    def _crash_on_part(self) -> None:
-        """Ends the engine, which comes back later."""
+    def _crash_on_request(self, cause: str) -> None:
+        """Ends the worker, which comes back later.
+
+        Args:
+            cause: The deadly prompt part, or the path of the request.
+        """
         worker = self.crash_worker()
         if worker is not None and self._tasks is not None:
+            crashes = self._context.records.deadly_crashes
+            crashes.setdefault(cause, []).append(self._context.clock())
             self._tasks.start_soon(self._come_back, worker)
 
     async def _come_back(self, worker: Worker) -> None:
         records, clock = self._context.records, self._context.clock
-        records.deadly_crashes.append(clock())
-        crash = Fault("crash on part", [f"place:{self.name}"], clock())
+        crash = Fault("crash on request", [f"place:{self.name}"], clock())
         records.faults.append(crash)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.expire_entry, worker)
