Guard evidence of engines against answers of stages

Cause: run_guards found that row 9 of relay_repeat passes if an answer of a stage clears the request: the shared part is quarantined instead, and sound requests with it are refused.

Change: a scenario of its own for these sound requests, and its guard.

Result: it passes, and fails without the guarded line.

--- a/features/relay_repeat.feature
+++ b/features/relay_repeat.feature
@@ -32,6 +32,13 @@
       | 20        | 12       | safe   | 1   |
       | 7         | 3        | resume | 2   |
 
+  Scenario: Sound requests that share prompt parts with one that crashes engines
+    Guards against crashes of engines that are held against shared parts, since
+    an answer of a stage has cleared the request itself.
+    Given 7 relay instances with 9 engines and 3 services
+    When 5 sound requests a second come for 40 s on the route staged-resume, and from 4 s on each 5 s one that crashes its engine
+    Then no sound request is refused because of its prompt
+
   Scenario Outline: A request that crashes upstreams stops reaching them
     Guards against a crash that is held against the upstream alone, so that the
     same request crashes the next one when it comes again, at any instance
--- a/features/steps/relay_repeat_steps.py
+++ b/features/steps/relay_repeat_steps.py
@@ -166,6 +166,16 @@
     assert not context.world.count_quarantined()
 
 
+@then("no sound request is refused because of its prompt")
+def then_prompts_served(context):
+    refused = [
+        reply.body
+        for request, reply in context.world.replies.items()
+        if request.startswith("sound") and b"prompt part" in reply.body
+    ]
+    assert not refused, (len(refused), refused[:1])
+
+
 def deadly_arrivals(world):
     """Returns when the request reached upstreams of the kind that it crashes.
 
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -417,7 +417,7 @@
         "core/crash_culprits.py",
         'return f"{_PIECE_PREFIX}{fingerprint}/{stage}/{segment}"',
         "return request_candidate(fingerprint)",
-        (REPEAT, "stops reaching them -- @1.9"),
+        (REPEAT, "Sound requests that share prompt parts"),
     ),
     Guard(
         "relay: withdrawal of requests whose part is quarantined",
