Read and log what answers say of their upstream

Change: every answer passes UpstreamClient.call, where its self-report is decoded (platform/wire.py has the names), recorded in core/notices.py and logged as upstream_notice or notice_rejected, with request, path and start. Nothing is decided by it yet. Attempts and stage calls log the start of their upstream.

--- /dev/null
+++ b/src/applespring/core/notices.py
@@ -0,0 +1,115 @@
+"""What upstreams have said of themselves, and which of them may get requests.
+
+The one place where both interfaces record and decide it. A notice binds the
+instance that got the answer, whatever the registry lists.
+"""
+
+import enum
+import zlib
+from collections.abc import Iterable
+
+from applespring.core.leaving import LeavingTable
+from applespring.core.pauses import PauseTable
+from applespring.core.self_report import SelfReport
+
+# The Retry-After of callers that are refused until a pause ends is longer than
+# the pause by up to this share of it, and at least up to this time, so that
+# they do not all come back at the same moment.
+RETURN_SPREAD_SHARE = 0.25
+RETURN_SPREAD_MIN_S = 0.1
+# Source of notices from answers in the leaving table.
+FROM_ANSWER = "header"
+
+
+class Notice(enum.Enum):
+    """Why an upstream gets no requests.
+
+    LEAVING: it has said that it leaves.
+    PAUSED: it has asked for a pause that has not ended.
+    """
+
+    LEAVING = "leaving"
+    PAUSED = "paused"
+
+
+class UpstreamNotices:
+    """Notices by name and incarnation of the upstream.
+
+    Attributes:
+        leaving: Upstreams that leave, whoever says so.
+        pauses: Pauses that upstreams have asked this instance for.
+    """
+
+    __slots__ = ("leaving", "pauses")
+
+    def __init__(self) -> None:
+        self.leaving = LeavingTable()
+        self.pauses = PauseTable()
+
+    def record(
+        self,
+        identity: tuple[str, int],
+        report: SelfReport,
+        now: float,
+        in_use: Iterable[str] = (),
+    ) -> list[Notice]:
+        """Records what an answer says of its upstream.
+
+        Args:
+            identity: Name and incarnation of the upstream that was called.
+            report: What the answer says.
+            now: Current time.
+            in_use: Names of the listed upstreams, whose notices are kept if
+                there are too many.
+
+        Returns:
+            The notices that did not apply before.
+        """
+        added = []
+        name, incarnation = identity
+        if report.leaving and self.leaving.add(
+            name, incarnation, FROM_ANSWER, now
+        ):
+            self.leaving.trim(set(in_use))
+            added.append(Notice.LEAVING)
+        if report.pause_s and self.pauses.add(identity, report.pause_s, now):
+            added.append(Notice.PAUSED)
+        return added
+
+    def find(self, identity: tuple[str, int], now: float) -> Notice | None:
+        """Returns why an upstream gets no requests now, or None."""
+        if self.leaving.is_leaving(*identity):
+            return Notice.LEAVING
+        if self.pauses.until(identity) > now:
+            return Notice.PAUSED
+        return None
+
+    def opens_in_s(
+        self, identities: Iterable[tuple[str, int]], now: float
+    ) -> float | None:
+        """Returns when the first of these upstreams takes requests again.
+
+        Returns:
+            Seconds from now, 0 if one takes them now, or None if none of them
+            is known to.
+        """
+        waits = [
+            max(0.0, self.pauses.until(identity) - now)
+            for identity in identities
+            if not self.leaving.is_leaving(*identity)
+        ]
+        return min(waits, default=None)
+
+
+def spread_return_s(wait_s: float, request: str) -> float:
+    """Returns the Retry-After of a request that may be served after a wait.
+
+    It is never shorter than the wait, and differs between requests.
+
+    Args:
+        wait_s: Time until the first upstream takes requests, in seconds.
+        request: Id of the request.
+    """
+    share = (zlib.crc32(request.encode()) & 0xFFFF) / 0x10000
+    spread_s = max(RETURN_SPREAD_MIN_S, RETURN_SPREAD_SHARE * wait_s)
+    return wait_s + share * spread_s
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -1,11 +1,12 @@
 """Encoding and decoding of the headers and bodies of the platform's calls."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import orjson
 
 from applespring.core.errors import MessageError
 from applespring.core.piece import Piece
+from applespring.core.self_report import SelfReport, make_self_report
 from applespring.relay.protocol import (
     CallerRequest,
     Headers,
@@ -146,11 +147,15 @@
     def decode_reply(self, status: int, headers: Headers) -> UpstreamReply:
         """See `Protocol.decode_reply`."""
         by_name = {name.lower(): value for name, value in headers}
+        # 421: another upstream than `Target-Instance` has the address.
+        is_other = status == 421
         return UpstreamReply(
             request_id=by_name.get(b"request-id", b"").decode("latin-1"),
-            # 421: another upstream than `Target-Instance` has the address.
-            not_run=b"not-executed" in by_name or status == 421,
+            not_run=b"not-executed" in by_name or is_other,
             signed=b"response-signature" in by_name,
+            self_report=SelfReport()
+            if is_other
+            else _decode_self_report(status, by_name),
         )
 
     def reply_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -241,6 +246,19 @@
         return handle.partition("/")[0]
 
 
+def _decode_self_report(
+    status: int, by_name: Mapping[bytes, bytes]
+) -> SelfReport:
+    retry_after = by_name.get(b"retry-after")
+    return make_self_report(
+        status,
+        leaving=by_name.get(b"server-leaving", b"").strip() == b"1",
+        retry_after=None
+        if retry_after is None
+        else retry_after.decode("latin-1").strip(),
+    )
+
+
 def _decode_prompt_parts(text: str) -> list[PromptPart]:
     parts = []
     for entry in text.split(","):
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -167,6 +167,7 @@
             event="attempt",
             request=exchange.req.request_id,
             upstream=upstream.name,
+            born_ms=upstream.born_ms,
             outcome=attempt.outcome,
             took_s=round(now - started_at, 4),
             silent_s=round(attempt.silent_s(now), 4),
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -17,6 +17,7 @@
 from applespring.core.errors import FailureKind, StageError
 from applespring.core.reachability import DomainReachability
 from applespring.core.verdict import Verdict
+from applespring.relay.notice_recorder import NoticeRecorder
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
 
 # A connection is set up in about a millisecond, while a machine without power
@@ -163,6 +164,7 @@
         self,
         protocol: Protocol,
         reachability: DomainReachability,
+        notices: NoticeRecorder,
         clock: Callable[[], float],
         make_pool: Callable[[ListedUpstream, int], httpx.AsyncBaseTransport],
     ) -> None:
@@ -171,6 +173,7 @@
         Args:
             protocol: Decoder of the headers of answers.
             reachability: Records which failure domains answer.
+            notices: Records what answers say of their upstreams.
             clock: Clock in seconds.
             make_pool: Creates the connection pool of an upstream, given the
                 largest number of connections.
@@ -178,6 +181,7 @@
         self._protocol = protocol
         self._make_pool = make_pool
         self._reachability = reachability
+        self._notices = notices
         self._clock = clock
         self._connection_pools: OrderedDict[
             tuple[str, int], httpx.AsyncBaseTransport
@@ -222,6 +226,8 @@
 
         def make_error(kind: FailureKind, detail: object) -> StageError:
             verdict = Verdict.MAY_HAVE_RUN if written else Verdict.NOT_RUN
+            if kind in (FailureKind.CONNECT, FailureKind.RESET):
+                self._notices.record_break(upstream)
             return StageError(kind, verdict, upstream.name, str(detail))
 
         request = httpx.Request(
@@ -257,6 +263,13 @@
         try:
             raw_headers = resp.headers.raw
             reply = self._protocol.decode_reply(resp.status_code, raw_headers)
+            self._notices.record(
+                upstream,
+                reply.self_report,
+                request=request_id,
+                target=target.decode("latin-1"),
+                status=resp.status_code,
+            )
             if request_id and reply.request_id != request_id:
                 # An upstream may send a late second answer to an earlier
                 # request on this connection. If that request had no id, neither
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -15,6 +15,7 @@
 from applespring.relay.client import UpstreamClient
 from applespring.relay.exchange import RETRY_AFTER_SHARE
 from applespring.relay.metrics import RelayMetrics
+from applespring.relay.notice_recorder import NoticeRecorder
 from applespring.relay.peer_sync import PeerSync
 from applespring.relay.peers import Peers
 from applespring.relay.plain import PlainForwarder
@@ -55,7 +56,11 @@
         self.state = RelayState(settings, clock)
         self.metrics = RelayMetrics()
         self._client = UpstreamClient(
-            protocol, self.state.reachability, clock, make_pool
+            protocol,
+            self.state.reachability,
+            NoticeRecorder(self.state, self.metrics),
+            clock,
+            make_pool,
         )
         self.peers = Peers(
             settings.name,
--- /dev/null
+++ b/src/applespring/relay/notice_recorder.py
@@ -0,0 +1,74 @@
+"""Records and logs what the answers of upstreams say of them."""
+
+from loguru import logger
+
+from applespring.core.catalog import ListedUpstream
+from applespring.core.notices import Notice
+from applespring.core.self_report import SelfReport
+from applespring.relay.metrics import RelayMetrics
+from applespring.relay.state import RelayState
+
+
+class NoticeRecorder:
+    """Passes each answer's self-report to the notices of the instance."""
+
+    __slots__ = ("_state", "_metrics")
+
+    def __init__(self, state: RelayState, metrics: RelayMetrics) -> None:
+        self._state = state
+        self._metrics = metrics
+
+    def record(
+        self,
+        upstream: ListedUpstream,
+        report: SelfReport,
+        *,
+        request: str,
+        target: str,
+        status: int,
+    ) -> None:
+        """Records what an answer says of its upstream.
+
+        Args:
+            upstream: The upstream as it was listed when it was called.
+            report: What the answer says.
+            request: Id of the request, or "".
+            target: Path of the request.
+            status: HTTP status of the answer.
+        """
+        if not report:
+            return
+        log = logger.bind(
+            upstream=upstream.name,
+            born_ms=upstream.born_ms,
+            request=request,
+            target=target,
+            status=status,
+        )
+        for detail in report.rejected:
+            self._metrics.state_changes.inc("notice_rejected")
+            log.bind(event="notice_rejected").warning(
+                "upstream {}: {}", upstream.name, detail
+            )
+        for notice in self._state.notices.record(
+            upstream.identity,
+            report,
+            self._state.clock(),
+            self._state.catalog.all(),
+        ):
+            self._metrics.state_changes.inc(f"upstream_{notice.value}")
+            log = log.bind(event="upstream_notice", notice=notice.value)
+            if notice is Notice.PAUSED:
+                log.bind(pause_s=report.pause_s).info(
+                    "upstream {} asks for no requests for {:g} s",
+                    upstream.name,
+                    report.pause_s,
+                )
+            else:
+                log.info("upstream {} says that it leaves", upstream.name)
+
+    def record_break(self, upstream: ListedUpstream) -> None:
+        """Records that a connection to an upstream broke."""
+        self._state.notices.pauses.record_break(
+            upstream.identity, self._state.clock()
+        )
--- a/src/applespring/relay/protocol.py
+++ b/src/applespring/relay/protocol.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from applespring.core.piece import Piece
+from applespring.core.self_report import SelfReport
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -107,19 +108,23 @@
         request_id: Id of the request that it answers, or "".
         not_run: Whether it states that the request was not run.
         signed: Whether it has a signature, which is not verified.
+        self_report: What it says of its upstream; nothing if another upstream
+            has taken the address.
     """
 
-    __slots__ = ("request_id", "not_run", "signed")
+    __slots__ = ("request_id", "not_run", "signed", "self_report")
 
     def __init__(
         self,
         request_id: str,
         not_run: bool,
         signed: bool,
+        self_report: SelfReport,
     ) -> None:
         self.request_id = request_id
         self.not_run = not_run
         self.signed = signed
+        self.self_report = self_report
 
 
 class PieceReply:
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -379,6 +379,7 @@
             event="stage_call",
             pool=pool,
             upstream=call.upstream.name,
+            born_ms=call.upstream.born_ms,
             pieces=[f"{p.request}/{p.stage}/{p.segment}" for p in call.pieces],
         )
         path, headers, body = self._protocol.encode_call(
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -6,6 +6,7 @@
 from applespring.core.engine_selector import EngineSelector
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.idle_limit import IdleLimit
+from applespring.core.notices import UpstreamNotices
 from applespring.core.peer_table import PeerTable
 from applespring.core.queue_waits import QueueWaits
 from applespring.core.reachability import DomainReachability
@@ -23,6 +24,7 @@
         document_data: The encoded document, for peers.
         idle_limit: How long callers' connections may rest.
         catalog: Upstreams, from the registry or from peers.
+        notices: What upstreams have said of themselves in answers.
         registry_read_at: When the registry last answered, or -1.
         entries_revision: Revision up to which the catalog has the upstreams'
             entries; 0 before the first.
@@ -42,6 +44,7 @@
         "document_data",
         "idle_limit",
         "catalog",
+        "notices",
         "registry_read_at",
         "entries_revision",
         "engines",
@@ -66,6 +69,7 @@
         self.idle_limit = IdleLimit(CallerLimits().idle_s)
         self._answer_limit_s = 0.0
         self.catalog = Catalog()
+        self.notices = UpstreamNotices()
         self.registry_read_at = -1.0
         self.entries_revision = 0
         self.engines = EngineSelector()
