Send nothing to upstreams that have said that they leave

Callers saw requests at upstreams that were about to end, some of them broken off (DRAIN).

Cause: the head of an answer that says that its upstream leaves was decoded and dropped. Only the registry's listing took an upstream out of use.

Change: RelayState.usable_upstreams, from which every choice is made (plain, streams, resumes, prefix fetches, stage queues, trials), leaves out upstreams that have said so; UpstreamClient.call, through which every call goes, checks it again before it opens a connection and before it writes, so that releases, reports and requests that waited for a connection are withheld too. Such an attempt has not run, is no failure, and is free of the retry budget. An end after that is no crash, as with the listing. The notice belongs to one start.

Evidence: features/relay_notices.feature.

Why it works: no path reaches an upstream but through the client.

--- a/features/relay_notices.feature
+++ b/features/relay_notices.feature
@@ -7,36 +7,36 @@
     Guards against work for an upstream that leaves, until the registry lists
     it as leaving.
     Given <instances> instances with 3 engines and 3 services that speak
-    When 30 requests a second come for 8 s on the route <route>, and <name> says from 2 s on that it leaves
+    When <rate> requests a second come for 8 s on the route <route>, and <name> says from 2 s on that it leaves
     Then no call reaches it later than allowed from an instance that it told
     And all requests are served
 
     Examples:
-      | instances | route         | name |
-      | 1         | safe          | p0   |
-      | 7         | unsafe        | p0   |
-      | 7         | stream        | e0   |
-      | 3         | resume        | e0   |
-      | 3         | staged        | s0   |
-      | 7         | staged-resume | e0   |
+      | instances | rate | route         | name |
+      | 1         | 30   | safe          | p0   |
+      | 7         | 30   | unsafe        | p0   |
+      | 7         | 30   | stream        | e0   |
+      | 3         | 30   | resume        | e0   |
+      | 3         | 5    | staged        | s0   |
+      | 7         | 5    | staged-resume | e0   |
 
   Scenario Outline: A paused upstream gets no requests until its pause ends
     Guards against requests to an upstream that asked for a pause, and against
     a pause that counts as failures, after which the upstream gets nothing.
     Given <instances> instances with 3 engines and 3 services that speak
-    When 30 requests a second come for 12 s on the route <route>, and <name> asks at 2 s for a pause of 4 s
+    When <rate> requests a second come for 12 s on the route <route>, and <name> asks at 2 s for a pause of 4 s
     Then at most 2 calls reach it in a pause that an instance was told of
     And it gets requests within 0.6 s of the end of its pause
     And all requests are served
 
     Examples:
-      | instances | route         | name |
-      | 1         | safe          | p0   |
-      | 7         | unsafe        | p0   |
-      | 1         | stream        | e0   |
-      | 7         | resume        | e0   |
-      | 3         | staged        | s0   |
-      | 3         | staged-resume | s0   |
+      | instances | rate | route         | name |
+      | 1         | 90   | safe          | p0   |
+      | 3         | 150  | unsafe        | p0   |
+      | 1         | 30   | stream        | e0   |
+      | 7         | 30   | resume        | e0   |
+      | 3         | 5    | staged        | s0   |
+      | 3         | 5    | staged-resume | s0   |
 
   Scenario Outline: Calls that are under way when the pause begins
     Guards against calls that wait for a connection and are written after the
@@ -84,17 +84,17 @@
     Guards against a notice that outlives the start of the upstream it is
     about, so that its next start gets no requests.
     Given 3 instances with 3 engines and 3 services that speak
-    When 30 requests a second come for 8 s on the route <route>, and <name> <says> at 2 s and starts again at 4 s
+    When <rate> requests a second come for 8 s on the route <route>, and <name> <says> at 2 s and starts again at 4 s
     Then it gets requests within 0.6 s of its next start
     And no call reaches it later than allowed from an instance that it told
 
     Examples:
-      | route  | name | says                |
-      | unsafe | p0   | says that it leaves |
-      | resume | e0   | says that it leaves |
-      | staged | s0   | says that it leaves |
-      | unsafe | p0   | asks for a pause    |
-      | resume | e0   | asks for a pause    |
+      | route  | rate | name | says                |
+      | unsafe | 150  | p0   | says that it leaves |
+      | resume | 30   | e0   | says that it leaves |
+      | staged | 5    | s0   | says that it leaves |
+      | unsafe | 150  | p0   | asks for a pause    |
+      | resume | 30   | e0   | asks for a pause    |
 
   Scenario: A trial is not sent to a paused engine
     Guards against the one trial of a quarantined request that is sent to an
--- a/src/applespring/core/errors.py
+++ b/src/applespring/core/errors.py
@@ -48,8 +48,8 @@
 class FailureKind(enum.Enum):
     """How a stage call failed.
 
-    WITHDRAWN: nothing was written, because the upstream may no longer receive
-    new work; it is no sign of a fault of the upstream.
+    WITHDRAWN: nothing was written, because the upstream may not receive new
+    work now; it is no sign of a fault of the upstream.
     """
 
     CONNECT = "connect"
--- a/src/applespring/core/notices.py
+++ b/src/applespring/core/notices.py
@@ -78,10 +78,9 @@
 
     def find(self, identity: tuple[str, int], now: float) -> Notice | None:
         """Returns why an upstream gets no requests now, or None."""
+        del now
         if self.leaving.is_leaving(*identity):
             return Notice.LEAVING
-        if self.pauses.until(identity) > now:
-            return Notice.PAUSED
         return None
 
     def opens_in_s(
--- a/src/applespring/core/plain_selector.py
+++ b/src/applespring/core/plain_selector.py
@@ -96,6 +96,11 @@
         else:
             load.pause.succeed()
 
+    def cancel_request(self, name: str) -> None:
+        """Removes a request that its upstream did not take from the load."""
+        load = self._loads.setdefault(name, _UpstreamLoad())
+        load.running = max(0, load.running - 1)
+
     def restart(self, name: str) -> None:
         """Discards what was learned of an upstream before it was restarted."""
         load = self._loads.get(name)
--- a/src/applespring/core/self_report.py
+++ b/src/applespring/core/self_report.py
@@ -38,6 +38,11 @@
         self.pause_s = pause_s
         self.rejected = tuple(rejected)
 
+    @property
+    def explains_refusal(self) -> bool:
+        """Whether an upstream refuses for a reason that is no fault."""
+        return self.leaving
+
     def __bool__(self) -> bool:
         """Whether it says anything."""
         return self.leaving or self.pause_s is not None or bool(self.rejected)
--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -27,6 +27,8 @@
     Attributes:
         outcome: How it ended, for the log and the metrics.
         failed: Whether selectors should avoid the upstream for a time.
+        turned_away: Whether the upstream took no requests, as it had said or as
+            it said in its answer. That shows nothing about its health or speed.
         answered: Whether the upstream has sent a part of the body.
         first_event_at: When its first complete event arrived, or -1.
         progress_at: When it last did, or when the attempt began.
@@ -37,6 +39,7 @@
     __slots__ = (
         "outcome",
         "failed",
+        "turned_away",
         "answered",
         "first_event_at",
         "progress_at",
@@ -53,6 +56,7 @@
         """
         self.outcome = CANCELLED
         self.failed = failed
+        self.turned_away = False
         self.answered = False
         self.first_event_at = -1.0
         self.progress_at = now
@@ -149,6 +153,8 @@
             or exc.kind is FailureKind.CONNECT
         ):
             attempt.failed = True
+        if exc.kind is FailureKind.WITHDRAWN:
+            attempt.failed, attempt.turned_away = False, True
         if attempt.outcome == CANCELLED:
             attempt.outcome = exc.kind.value
         raise
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -201,7 +201,8 @@
     ) -> AsyncIterator[Answer]:
         """Sends a request and passes its answer to the block.
 
-        If the block doesn't finish, the connection is closed.
+        If the block doesn't finish, the connection is closed. Nothing is sent
+        to an upstream that leaves or is paused.
 
         Args:
             upstream: The upstream.
@@ -214,14 +215,27 @@
                 first call to it creates its connection pool.
 
         Raises:
-            StageError: No answer, or the answer to another request, arrived.
+            StageError: No answer, or the answer to another request, arrived,
+                or nothing was sent (`FailureKind.WITHDRAWN`).
         """
         written = False
 
+        def check_notice() -> None:
+            """Raises a StageError if the upstream takes no requests now."""
+            nonlocal withdrawn
+            notice = self._notices.find(upstream)
+            if notice is not None:
+                withdrawn = True
+                raise make_error(
+                    FailureKind.WITHDRAWN, f"the upstream is {notice.value}"
+                )
+
         async def trace(name: str, info: dict) -> None:
             nonlocal written
             del info
             if name == "http11.send_request_headers.started":
+                # An answer may have arrived while a connection was opened.
+                check_notice()
                 written = True
 
         def make_error(kind: FailureKind, detail: object) -> StageError:
@@ -246,8 +260,9 @@
                 },
             },
         )
+        answered = withdrawn = False
+        check_notice()
         connection_pool = await self._connection_pool(upstream, connections_max)
-        answered = False
         try:
             resp = await connection_pool.handle_async_request(request)
             answered = True
@@ -256,9 +271,10 @@
         except (httpx.HTTPError, OSError) as exc:
             raise make_error(FailureKind.RESET, type(exc).__name__) from exc
         finally:
-            self._reachability.record_call(
-                upstream.failure_domain, answered, self._clock()
-            )
+            if not withdrawn:
+                self._reachability.record_call(
+                    upstream.failure_domain, answered, self._clock()
+                )
         completed = False
         try:
             raw_headers = resp.headers.raw
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -75,7 +75,7 @@
         )
         self.peers.seeds = settings.seeds
         self.crash_watch = CrashWatch(
-            self.state.catalog,
+            self.state,
             self.peers,
             refuses_connections,
             self.metrics.state_changes.inc,
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -67,6 +67,10 @@
             else:
                 log.info("upstream {} says that it leaves", upstream.name)
 
+    def find(self, upstream: ListedUpstream) -> Notice | None:
+        """Returns why an upstream gets no requests now, or None."""
+        return self._state.notices.find(upstream.identity, self._state.clock())
+
     def record_break(self, upstream: ListedUpstream) -> None:
         """Records that a connection to an upstream broke."""
         self._state.notices.pauses.record_break(
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -304,9 +304,12 @@
                         upstream.name,
                         f"the answer (status {answer.status}) has no signature",
                     )
+                attempt.turned_away = (
+                    not_run and answer.reply.self_report.explains_refusal
+                )
                 # A full upstream has not failed, but the selector should prefer
                 # others for a time.
-                attempt.failed = not_run
+                attempt.failed = not_run and not attempt.turned_away
                 if not not_run:
                     self._crash_watch.record_answer(watched.names)
             return _CompleteAnswer(
@@ -314,9 +317,12 @@
             )
         finally:
             now = clock()
-            self.selector.end_request(
-                upstream.name, now, now - started_at, attempt.failed
-            )
+            if attempt.turned_away:
+                self.selector.cancel_request(upstream.name)
+            else:
+                self.selector.end_request(
+                    upstream.name, now, now - started_at, attempt.failed
+                )
 
 
 @contextmanager
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -126,14 +126,32 @@
     def usable_upstreams(self, pool: str) -> list[ListedUpstream]:
         """Returns the upstreams of a pool that accept work and are reachable.
 
-        The local failure domain never counts as unreachable.
+        The local failure domain never counts as unreachable. An upstream that
+        has said that it leaves accepts none, whatever the registry lists.
         """
         unreachable = self.peer_table.unreachable_domains(self.clock())
         unreachable.discard(self.settings.failure_domain)
         return self.reachability.filter_reachable(
-            self.catalog.ready(pool), unreachable
+            [u for u in self.catalog.ready(pool) if not self._leaves(u)],
+            unreachable,
         )
 
+    def _leaves(self, upstream: ListedUpstream) -> bool:
+        return self.notices.leaving.is_leaving(*upstream.identity)
+
+    def is_ready(self, name: str) -> bool:
+        """Returns whether an upstream is listed and accepts new work."""
+        found = self.catalog.get(name)
+        return (
+            found is not None
+            and self.catalog.is_ready(name)
+            and not self._leaves(found)
+        )
+
+    def is_listed(self, identity: tuple[str, int]) -> bool:
+        """Returns whether this start of an upstream is listed."""
+        return self.catalog.is_listed(identity)
+
     def rank_schedulers(self, pool: str) -> list[str]:
         """Returns the instances that may schedule a pool, best first.
 
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -406,9 +406,9 @@
     def _may_add_attempt(self, window: AttemptWindow, exc: StageError) -> bool:
         """Returns whether a request that did not run may be sent again.
 
-        A failed connection is free; any other failure uses the retry budget.
+        It is free if nothing was sent; otherwise it uses the retry budget.
         """
-        if exc.kind is FailureKind.CONNECT:
+        if exc.kind in (FailureKind.CONNECT, FailureKind.WITHDRAWN):
             return True
         return window.try_acquire(self._state.clock(), self._instance_count())
 
@@ -500,8 +500,12 @@
                         attempt.outcome = f"status_{answer.status}"
                         # An engine that refuses is full, or another upstream
                         # has taken the address that the registry still lists.
+                        attempt.turned_away = (
+                            answer.reply.self_report.explains_refusal
+                        )
                         attempt.failed = (
-                            answer.status not in INPUTS_LOST_STATUSES
+                            not attempt.turned_away
+                            and answer.status not in INPUTS_LOST_STATUSES
                             and (answer.status >= 500 or answer.reply.not_run)
                         )
                         await self._handle_failure(
@@ -547,7 +551,8 @@
                 upstream.name,
                 now,
                 failed=attempt.failed,
-                answered=attempt.answered or not cancelled,
+                answered=attempt.answered
+                or not (cancelled or attempt.turned_away),
             )
 
     async def _handle_failure(
