Send nothing to a paused upstream until its pause ends, and use it at once then

Callers saw upstreams in need that were asked again and again within the time for which they had asked for no requests (BUDGET), and that stayed unused for seconds after it.

Cause: the time that an upstream asked for was passed on to the caller and remembered by nothing. Each refusal counted as a failure, with a pause of our own that doubles.

Change, by place: - choices leave paused upstreams out; the client withholds every call to them, also one that waited for a connection (reports, releases, stage calls); - a stage queue keeps a paused upstream, its calls and results, and calls it when its pause ends; results are released then by one call; - such a refusal counts neither against health, speed and progress of the upstream, nor as a trial or crash; the second arrival of a request still takes from the retry budget, as the users' rule on repeats counts it; - for 1 s after its pause an upstream gets its share of the requests only; - when all are paused, or leave, requests are refused at once and before their stages; Retry-After is after the end of the first pause, spread by request, and not shortened to the caller's remaining time, which would be false. It replaces that of a refusing upstream, which speaks of this instance and not of the pool. Stage pools tell their submitters by gossip.

Why it works: the client is the only way to an upstream, and what it withholds is known before a choice is made, so that requests move to others or are refused.

--- a/features/steps/relay_waits_steps.py
+++ b/features/steps/relay_waits_steps.py
@@ -51,13 +51,13 @@
     context.call_s = dict.fromkeys(range(3), call)
     context.queue_waits = QueueWaits()
     for n in range(3):
-        context.queue_waits.put(f"pool{n}", wait, wait, 0.0)
+        context.queue_waits.put(f"pool{n}", wait, wait, 0.0, 0.0)
     context.now = 0.0
 
 
 @given("the second stage has a queue wait of {wait:g} s")
 def given_wait(context, wait):
-    context.queue_waits.put("pool1", wait, wait, 0.0)
+    context.queue_waits.put("pool1", wait, wait, 0.0, 0.0)
 
 
 @when("{seconds:d} s pass")
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -80,11 +80,19 @@
     def __len__(self) -> int:
         return len(self._pieces)
 
-    def set_upstreams(self, upstreams: Iterable[ListedUpstream]) -> None:
+    def set_upstreams(
+        self,
+        upstreams: Iterable[ListedUpstream],
+        paused_until: Mapping[str, float] | None = None,
+    ) -> None:
         """Replaces the upstreams that may be called.
 
         The state of an upstream is kept unless it was restarted, which gives it
         a new identity.
+
+        Args:
+            upstreams: The upstreams, paused ones included.
+            paused_until: When the pauses end that upstreams have asked for.
         """
         listed = {u.name: u for u in upstreams}
         for name, upstream in listed.items():
@@ -97,6 +105,10 @@
         for name in list(self._upstreams):
             if name not in listed:
                 del self._upstreams[name]
+        for name, stage_upstream in self._upstreams.items():
+            stage_upstream.paused_until = (paused_until or {}).get(
+                name, -math.inf
+            )
 
     def calls_in_progress(self) -> int:
         """Counts the calls in progress at the listed upstreams."""
@@ -143,9 +155,10 @@
     def take_overdue(self, now: float) -> list[Piece]:
         """Removes and returns the pieces that cannot meet their deadline.
 
-        Even a call of a single piece that starts now would end too late.
+        Even a call of a single piece that starts now, or when the first pause
+        ends, would end too late.
         """
-        min_call_s = self.spec.call_s + self.spec.piece_s
+        min_call_s = self.opens_in_s(now) + self.spec.call_s + self.spec.piece_s
         overdue = [p for p in self._pieces if p.deadline_at < now + min_call_s]
         if overdue:
             taken_ids = set(map(id, overdue))
@@ -178,7 +191,7 @@
             stage_upstream
             for stage_upstream in self._upstreams.values()
             if len(stage_upstream.calls) < self.spec.slots
-            and stage_upstream.pause.until <= now
+            and stage_upstream.callable_at <= now
         ]
         if not available:
             return calls
@@ -271,7 +284,7 @@
         callable_domains = {
             other.failure_domain
             for other in self._upstreams.values()
-            if other.pause.until <= now
+            if other.callable_at <= now
         }
         taken: list[Piece] = []
         unreserved = self._unreserved_bytes(now)
@@ -418,6 +431,7 @@
         *,
         refused: bool = False,
         unreachable: bool = False,
+        turned_away: bool = False,
         repeat: bool = True,
         isolate: bool = False,
     ) -> list[Piece]:
@@ -429,6 +443,8 @@
             refused: Whether the upstream did not run the call; then it does not
                 count as an attempt of its pieces.
             unreachable: Whether it accepted no connection.
+            turned_away: Whether it said why it takes no calls, which is no
+                failure.
             repeat: Whether its pieces may be sent again.
             isolate: Whether each request is to be called apart from others.
 
@@ -436,7 +452,7 @@
             The pieces that are given up instead.
         """
         stage_upstream = self._end_call(call)
-        if stage_upstream is not None:
+        if stage_upstream is not None and not turned_away:
             stage_upstream.record_failure(
                 now, refused=refused, unreachable=unreachable
             )
@@ -505,9 +521,9 @@
         if not self._pieces:
             return math.inf
         times = [
-            stage_upstream.pause.until
+            stage_upstream.callable_at
             for stage_upstream in self._upstreams.values()
-            if stage_upstream.pause.until > now
+            if stage_upstream.callable_at > now
         ]
         reserved_until = (
             self._reserved_until(piece)
@@ -546,9 +562,17 @@
             * self.spec.batch
             / (full_s * max(stage_upstream.slowdown, 0.1))
             for stage_upstream in self._upstreams.values()
-            if stage_upstream.pause.until <= now + FAILED_PAUSE_S
+            if stage_upstream.callable_at <= now + FAILED_PAUSE_S
         )
 
+    def opens_in_s(self, now: float) -> float:
+        """Returns the time until the first paused upstream may be called.
+
+        It is 0 unless all upstreams have asked for a pause.
+        """
+        ends = [upstream.paused_until for upstream in self._upstreams.values()]
+        return max(0.0, min(ends, default=now) - now)
+
     def wait_s(self, now: float, *, on_time: bool = False) -> float:
         """Returns how long a new piece is expected to wait for its call.
 
@@ -561,6 +585,10 @@
                 behind the whole queue and behind later pieces that can be on
                 time.
         """
+        opens_in_s = self.opens_in_s(now)
+        if opens_in_s > 0.0:
+            capacity = self._nominal_pieces_per_s(now + opens_in_s)
+            return opens_in_s + len(self._pieces) / capacity
         capacity = self.capacity_pieces_per_s(now)
         if capacity <= 0.0:
             return math.inf
@@ -592,7 +620,7 @@
         callable_upstreams = [
             stage_upstream
             for stage_upstream in self._upstreams.values()
-            if stage_upstream.pause.until <= now
+            if stage_upstream.callable_at <= now
         ]
         if any(not upstream.calls for upstream in callable_upstreams):
             return 0.0
--- a/src/applespring/core/errors.py
+++ b/src/applespring/core/errors.py
@@ -19,6 +19,8 @@
         submission_verdict: Whether this submission may have run.
         stage: Name of the stage that led to the refusal, or "" at arrival.
         retry_after_s: Seconds after which the caller should retry, or None.
+        retry_after_known: Whether that is when the upstreams said they take
+            requests again, so that a shorter time would be wrong.
         detail: One sentence about this occurrence, else the reason's title.
         stages: Verdict of each stage that was attempted, by name.
     """
@@ -31,6 +33,7 @@
         *,
         stage: str = "",
         retry_after_s: float | None = None,
+        retry_after_known: bool = False,
         submission_verdict: Verdict | None = None,
     ) -> None:
         super().__init__(f"{reason.code}: {detail or reason.title}")
@@ -41,6 +44,7 @@
         self.submission_verdict = submission_verdict
         self.stage = stage
         self.retry_after_s = retry_after_s
+        self.retry_after_known = retry_after_known
         self.detail = detail or reason.title
         self.stages: dict[str, Verdict] = {}
 
--- a/src/applespring/core/notices.py
+++ b/src/applespring/core/notices.py
@@ -17,6 +17,10 @@
 # they do not all come back at the same moment.
 RETURN_SPREAD_SHARE = 0.25
 RETURN_SPREAD_MIN_S = 0.1
+# For this time after its pause an upstream gets its share of the requests only.
+# It has no load then, so that every instance would prefer it, until they learn
+# each other's load, which takes up to this time.
+RETURN_TIME_S = 1.0
 # Source of notices from answers in the leaving table.
 FROM_ANSWER = "header"
 
@@ -78,11 +82,31 @@
 
     def find(self, identity: tuple[str, int], now: float) -> Notice | None:
         """Returns why an upstream gets no requests now, or None."""
-        del now
         if self.leaving.is_leaving(*identity):
             return Notice.LEAVING
+        if self.pauses.until(identity) > now:
+            return Notice.PAUSED
         return None
 
+    def takes_share(
+        self,
+        identity: tuple[str, int],
+        request: str,
+        upstream_count: int,
+        now: float,
+    ) -> bool:
+        """Returns whether a request may go to an upstream after its pause.
+
+        Args:
+            identity: Name and incarnation of the upstream.
+            request: Id of the request.
+            upstream_count: Number of upstreams of its pool.
+            now: Current time.
+        """
+        if now - self.pauses.until(identity) >= RETURN_TIME_S:
+            return True
+        return _hash_share(f"{identity[0]}\x1f{request}") * upstream_count < 1.0
+
     def opens_in_s(
         self, identities: Iterable[tuple[str, int]], now: float
     ) -> float | None:
@@ -109,6 +133,10 @@
         wait_s: Time until the first upstream takes requests, in seconds.
         request: Id of the request.
     """
-    share = (zlib.crc32(request.encode()) & 0xFFFF) / 0x10000
     spread_s = max(RETURN_SPREAD_MIN_S, RETURN_SPREAD_SHARE * wait_s)
-    return wait_s + share * spread_s
+    return wait_s + _hash_share(request) * spread_s
+
+
+def _hash_share(text: str) -> float:
+    """Returns a number from 0 to 1 that depends on the text alone."""
+    return zlib.crc32(text.encode()) / 2**32
--- a/src/applespring/core/queue_waits.py
+++ b/src/applespring/core/queue_waits.py
@@ -28,10 +28,15 @@
     __slots__ = ("_waits",)
 
     def __init__(self) -> None:
-        self._waits: dict[str, tuple[float, float, float]] = {}
+        self._waits: dict[str, tuple[float, float, float, float]] = {}
 
     def put(
-        self, pool: str, on_time_s: float, total_s: float, now: float
+        self,
+        pool: str,
+        on_time_s: float,
+        total_s: float,
+        opens_in_s: float,
+        now: float,
     ) -> None:
         """Records the waits of a pool.
 
@@ -39,17 +44,29 @@
             pool: Name of the pool.
             on_time_s: Wait of a piece that can be on time.
             total_s: Wait of a late piece, behind all that is queued.
+            opens_in_s: Time until the first pause ends if all upstreams of the
+                pool are paused, else 0.
             now: Current time.
         """
-        self._waits[pool] = (now, on_time_s, total_s)
+        self._waits[pool] = (now, on_time_s, total_s, opens_in_s)
+
+    def opens_in_s(self, pool: str, now: float) -> float:
+        """Returns the time until the first pause ends, 0 if it is not paused.
+
+        A pause counts until its end, however old the report is.
+        """
+        received_at, _, _, opens_in_s = self._waits.get(
+            pool, (-math.inf, 0.0, 0.0, 0.0)
+        )
+        return max(0.0, received_at + opens_in_s - now)
 
     def get(self, pool: str, now: float) -> tuple[float, float]:
         """Returns the waits of a piece that can be on time and of a late one.
 
         Both are 0 if none was reported within `WAIT_MAX_AGE_S`.
         """
-        received_at, on_time_s, total_s = self._waits.get(
-            pool, (-math.inf, 0.0, 0.0)
+        received_at, on_time_s, total_s, _ = self._waits.get(
+            pool, (-math.inf, 0.0, 0.0, 0.0)
         )
         if now - received_at > WAIT_MAX_AGE_S:
             return (0.0, 0.0)
--- a/src/applespring/core/self_report.py
+++ b/src/applespring/core/self_report.py
@@ -41,7 +41,7 @@
     @property
     def explains_refusal(self) -> bool:
         """Whether an upstream refuses for a reason that is no fault."""
-        return self.leaving
+        return self.leaving or self.pause_s is not None
 
     def __bool__(self) -> bool:
         """Whether it says anything."""
--- a/src/applespring/core/stage_upstream.py
+++ b/src/applespring/core/stage_upstream.py
@@ -29,6 +29,7 @@
         upstream: Its registry entry.
         calls: Calls in progress by number.
         pause: Time during which it is not called, after a failure or refusal.
+        paused_until: When the pause that it asked for ends, or -inf.
         slowdown: Moving average of the time of its calls, as a multiple of the
             configured time.
     """
@@ -37,6 +38,7 @@
         "upstream",
         "calls",
         "pause",
+        "paused_until",
         "slowdown",
         "_results",
         "_in_progress_bytes",
@@ -47,6 +49,7 @@
         self.upstream = upstream
         self.calls: dict[int, Call] = {}
         self.pause = FailurePause(FAILED_PAUSE_S, FAILED_PAUSE_MAX_S)
+        self.paused_until = -math.inf
         self.slowdown = 1.0
         # Size in bytes and expiry time of each result, by handle.
         self._results: dict[str, tuple[float, float]] = {}
@@ -60,6 +63,11 @@
         """Failure domain in which the upstream runs."""
         return self.upstream.failure_domain
 
+    @property
+    def callable_at(self) -> float:
+        """When it may be called again, whatever the reason why not now."""
+        return max(self.pause.until, self.paused_until)
+
     def used_bytes(self, now: float) -> float:
         """Returns the memory of all results, those being made included.
 
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -275,10 +275,12 @@
     """Queue waits of a pool that the sender schedules.
 
     `on_time_s` is the wait of a piece that can be on time, `whole_s` that of a
-    late piece, which waits for all that is queued.
+    late piece, which waits for all that is queued, and `opens_in_s` the time
+    until the first pause ends if all upstreams of the pool are paused.
     """
 
-    __slots__ = ("pool", "on_time_s", "whole_s")
+    __slots__ = ("pool", "on_time_s", "whole_s", "opens_in_s")
+    DEFAULTS = {"opens_in_s": 0.0}
 
 
 class CrashCandidate(Message):
@@ -446,10 +448,18 @@
 
 
 class StageAck(Message):
-    """Whether the scheduler queued the pieces; if not, none of them has run."""
+    """Whether the scheduler queued the pieces; if not, none of them has run.
 
-    __slots__ = ("accepted", "reason", "retry_after_s")
-    DEFAULTS = {"accepted": True, "reason": "", "retry_after_s": 0.0}
+    `retry_after_known` says that `retry_after_s` is no estimate.
+    """
+
+    __slots__ = ("accepted", "reason", "retry_after_s", "retry_after_known")
+    DEFAULTS = {
+        "accepted": True,
+        "reason": "",
+        "retry_after_s": 0.0,
+        "retry_after_known": False,
+    }
 
 
 class PieceResult(Message):
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -211,6 +211,7 @@
   pool @0 :Text;
   onTimeS @1 :Float32;
   wholeS @2 :Float32;
+  opensInS @3 :Float32;
 }
 
 struct PieceOrder {
@@ -246,6 +247,7 @@
   accepted @0 :Bool;
   reason @1 :Text;
   retryAfterS @2 :Float64;
+  retryAfterKnown @3 :Bool;
 }
 
 struct PieceResult {
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -305,7 +305,11 @@
         send: Send,
     ) -> None:
         retry_after_s = exc.retry_after_s
-        if exchange is not None and retry_after_s is not None:
+        if (
+            exchange is not None
+            and retry_after_s is not None
+            and not exc.retry_after_known
+        ):
             remaining_s = exchange.deadline_at - self._state.clock()
             retry_after_s = min(
                 retry_after_s, RETRY_AFTER_SHARE * max(0.0, remaining_s)
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -240,8 +240,6 @@
 
         def make_error(kind: FailureKind, detail: object) -> StageError:
             verdict = Verdict.MAY_HAVE_RUN if written else Verdict.NOT_RUN
-            if kind in (FailureKind.CONNECT, FailureKind.RESET):
-                self._notices.record_break(upstream)
             return StageError(kind, verdict, upstream.name, str(detail))
 
         request = httpx.Request(
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -70,9 +70,3 @@
     def find(self, upstream: ListedUpstream) -> Notice | None:
         """Returns why an upstream gets no requests now, or None."""
         return self._state.notices.find(upstream.identity, self._state.clock())
-
-    def record_break(self, upstream: ListedUpstream) -> None:
-        """Records that a connection to an upstream broke."""
-        self._state.notices.pauses.record_break(
-            upstream.identity, self._state.clock()
-        )
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -10,11 +10,13 @@
 from applespring.core import reason
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, RefusalError, StageError
+from applespring.core.notices import spread_return_s
 from applespring.core.plain_selector import PlainSelector
 from applespring.core.route import PoolSpec
 from applespring.core.verdict import Verdict, combine
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
 from applespring.relay.attempt import Attempt, record_attempt, watch_attempt
+from applespring.relay.availability import check_pool, make_unavailable_refusal
 from applespring.relay.client import UpstreamClient
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
@@ -34,7 +36,7 @@
 # A request that did not run at an upstream, for example after a refused
 # connection, is not sent to another one once this many upstreams were tried.
 NOT_RUN_ATTEMPTS_MAX = 4
-# Retry-After of a refusal for which no upstream named a time.
+# Retry-After of a request that all upstreams that were asked refused.
 RETRY_AFTER_S = 0.2
 
 
@@ -83,6 +85,7 @@
         Raises:
             RefusalError: The request gets a refusal instead.
         """
+        check_pool(self._state, exchange.pool, exchange.request_id)
         async with self._crash_watch.admit(
             exchange, (), exchange.fingerprint
         ) as watched:
@@ -109,7 +112,9 @@
             now = clock()
             remaining_s = exchange.deadline_at - now
             upstream = self.selector.choose(
-                self._state.usable_upstreams(exchange.pool),
+                self._state.usable_upstreams(
+                    exchange.pool, exchange.request_id
+                ),
                 self._state.settings.failure_domain,
                 tried,
                 now,
@@ -227,14 +232,20 @@
             if last_answer.not_run:
                 exchange.outcome = "upstream_refused"
             headers = self._protocol.reply_headers(last_answer.headers)
-            if last_answer.not_run and not any(
-                name.lower() == b"retry-after" for name, _ in headers
-            ):
-                headers.append((b"retry-after", b"%.2f" % RETRY_AFTER_S))
+            if last_answer.not_run:
+                # What the upstream asks this instance for does not say when
+                # the pool has room.
+                headers = [h for h in headers if h[0].lower() != b"retry-after"]
+                retry_after_s = self._retry_after_s(exchange)
+                headers.append((b"retry-after", b"%.2f" % retry_after_s))
             await exchange.start(last_answer.status, headers)
             await exchange.finish(last_answer.body)
             return
         if verdict is Verdict.NOT_RUN:
+            if not self._state.usable_upstreams(exchange.pool):
+                raise make_unavailable_refusal(
+                    self._state, exchange.pool, exchange.request_id
+                )
             raise RefusalError(
                 reason.NO_UPSTREAM,
                 verdict,
@@ -243,6 +254,13 @@
             )
         raise RefusalError(reason.UPSTREAM_FAILED, verdict, detail)
 
+    def _retry_after_s(self, exchange: Exchange) -> float:
+        """Returns when the pool may take a request that it refused."""
+        opens_in_s = self._state.pool_opens_in_s(exchange.pool)
+        if opens_in_s:
+            return spread_return_s(opens_in_s, exchange.request_id)
+        return RETRY_AFTER_S
+
     async def _attempt(
         self,
         exchange: Exchange,
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -26,6 +26,7 @@
     MessageError,
     StageError,
 )
+from applespring.core.notices import spread_return_s
 from applespring.core.piece import Call, Piece
 from applespring.core.queue_waits import RETRY_AFTER_MIN_S
 from applespring.core.verdict import Verdict
@@ -122,6 +123,8 @@
         self._pieces_by_handle: OrderedDict[
             tuple[tuple[str, int], str], tuple[str, int, int]
         ] = OrderedDict()
+        # Handles to release once their upstream's pause has ended.
+        self._held_releases: dict[tuple[str, int], list[str]] = {}
         self._tasks: TaskGroup | None = None
         peers.register_handler(message.StageSubmit, self._on_submit)
         peers.register_handler(message.StageCancel, self._on_cancel)
@@ -133,24 +136,29 @@
             while True:
                 # Peers receive the same queue waits by gossip.
                 now = self._state.clock()
-                for pool, (on_time_s, total_s) in self.queue_waits().items():
-                    self._state.queue_waits.put(pool, on_time_s, total_s, now)
+                for pool, waits in self.queue_waits().items():
+                    self._state.queue_waits.put(pool, *waits, now)
                 await anyio.sleep(POLL_INTERVAL_S)
 
     def queue_lengths(self) -> dict[str, int]:
         """Returns the number of waiting pieces by pool."""
         return {pool: len(queue) for pool, queue in self._queues.items()}
 
-    def queue_waits(self) -> dict[str, tuple[float, float]]:
+    def queue_waits(self) -> dict[str, tuple[float, float, float]]:
         """Returns the queue waits of pools with pieces or calls.
 
         Returns:
-            By pool, the seconds that a piece waits if it can be on time, and
-            those that a late one waits.
+            By pool, the seconds that a piece waits if it can be on time, those
+            that a late one waits, and those until the first pause ends if all
+            upstreams are paused.
         """
         now = self._state.clock()
         return {
-            pool: (queue.wait_s(now, on_time=True), queue.wait_s(now))
+            pool: (
+                queue.wait_s(now, on_time=True),
+                queue.wait_s(now),
+                queue.opens_in_s(now),
+            )
             for pool, queue in self._queues.items()
             if len(queue) or queue.calls_in_progress()
         }
@@ -194,7 +202,7 @@
                 return None
             queue = self._queues[pool] = BatchQueue(spec.batch)
             self._wake_events[pool] = anyio.Event()
-            queue.set_upstreams(self._state.usable_upstreams(pool))
+            self._update_upstreams(pool, queue)
             reporting: list[ListedUpstream] = []
             resolution = self._protocol.report_resolution_bytes
             if spec.batch.result_memory_bytes > 2 * resolution:
@@ -206,6 +214,11 @@
             )
         return queue
 
+    def _update_upstreams(self, pool: str, queue: BatchQueue) -> None:
+        queue.set_upstreams(
+            self._state.staying_upstreams(pool), self._state.paused_until(pool)
+        )
+
     async def _on_submit(self, msg: message.StageSubmit) -> message.Message:
         now = self._state.clock()
         queue = self._get_or_create_queue(msg.pool)
@@ -213,12 +226,23 @@
             return message.StageAck(accepted=False, reason=UNKNOWN_POOL)
         if self._state.leaving:
             return message.StageAck(accepted=False, reason=MOVED)
-        queue.set_upstreams(self._state.usable_upstreams(msg.pool))
+        self._update_upstreams(msg.pool, queue)
         ledger = self._crash_watch.ledger
         if not msg.is_trial and (
             msg.fingerprint in ledger.quarantined_fingerprints
         ):
             return message.StageAck(accepted=False, reason=QUARANTINED)
+        opens_in_s = queue.opens_in_s(now)
+        if not msg.begun and (
+            opens_in_s > 0.0 and opens_in_s + queue.full_call_s > msg.aim_s
+        ):
+            # It would wait for the end of the pause and be late.
+            return message.StageAck(
+                accepted=False,
+                reason=OVERLOADED,
+                retry_after_s=spread_return_s(opens_in_s, msg.request),
+                retry_after_known=True,
+            )
         if not msg.begun and not queue.admits(msg.deadline_s, now):
             wait_s = min(queue.wait_s(now), msg.deadline_s)
             return message.StageAck(
@@ -294,9 +318,29 @@
             )
             if upstream is not None and self._tasks is not None:
                 self._tasks.start_soon(
-                    self._send_release, pool, upstream, address_handles
+                    self._release_after_pause, pool, upstream, address_handles
                 )
 
+    async def _release_after_pause(
+        self, pool: str, upstream: ListedUpstream, handles: Sequence[str]
+    ) -> None:
+        """Releases results, at the end of its pause if the upstream is paused.
+
+        What is to be released during the pause is released by one call. Results
+        that expire before are not.
+        """
+        clock, queue = self._state.clock, self._queues.get(pool)
+        until = self._state.notices.pauses.until(upstream.identity)
+        held = self._held_releases.get(upstream.identity)
+        if held is not None:
+            held += handles
+            return
+        if until > clock() and queue is not None:
+            held = self._held_releases[upstream.identity] = list(handles)
+            await anyio.sleep(min(until - clock(), queue.spec.result_ttl_s))
+            handles = self._held_releases.pop(upstream.identity)
+        await self._send_release(pool, upstream, handles)
+
     async def _send_release(
         self, pool: str, upstream: ListedUpstream, handles: Sequence[str]
     ) -> None:
@@ -346,7 +390,7 @@
         while True:
             self._wake_events[pool] = anyio.Event()
             now = self._state.clock()
-            queue.set_upstreams(self._state.usable_upstreams(pool))
+            self._update_upstreams(pool, queue)
             overdue = queue.take_overdue(now)
             if overdue:
                 # Not awaited: a silent submitter would hold up all calls.
@@ -388,6 +432,7 @@
         evidence = self._describe_pieces(call.pieces)
         replies: list[PieceReply] | None = None
         refused, unreachable, failure = False, False, "timeout"
+        turned_away = False
         broken_off = False
         limit = _CallLimit()
         self._tasks.start_soon(
@@ -405,10 +450,12 @@
                             replies, failure = None, "answer of another call"
                     else:
                         refused = answer.reply.not_run
+                        turned_away = answer.reply.self_report.explains_refusal
                         failure = f"status {answer.status}"
         except StageError as exc:
             refused = exc.verdict is Verdict.NOT_RUN
             unreachable = exc.kind is FailureKind.CONNECT
+            turned_away = exc.kind is FailureKind.WITHDRAWN
             failure = exc.kind.value
             broken_off = is_broken_off(exc)
         except (httpx.HTTPError, OSError) as exc:
@@ -437,6 +484,7 @@
                 refused,
                 unreachable,
                 limit.may_retry,
+                turned_away=turned_away,
                 ended=ended,
             )
         else:
@@ -530,6 +578,7 @@
         unreachable: bool,
         may_retry: bool | None,
         *,
+        turned_away: bool,
         ended: bool,
     ) -> None:
         now = self._state.clock()
@@ -544,6 +593,7 @@
             now,
             refused=refused,
             unreachable=unreachable,
+            turned_away=turned_away,
             repeat=may_retry,
             isolate=ended,
         )
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -16,6 +16,7 @@
     MessageError,
     RefusalError,
 )
+from applespring.core.notices import spread_return_s
 from applespring.core.queue_waits import excess_s, retry_after_s
 from applespring.core.verdict import Verdict
 from applespring.peer import message
@@ -233,11 +234,21 @@
             now=now,
         )
         if excess > 0.0:
+            pools = {step.pool for step in run.chain.steps.values()}
+            opens_in_s = max(
+                self._state.queue_waits.opens_in_s(pool, now) for pool in pools
+            )
             raise RefusalError(
                 reason.OVERLOADED,
                 Verdict.NOT_RUN,
                 f"the stages are expected to end {excess:.2f} s too late",
-                retry_after_s=retry_after_s(excess, run.leaves_at - now),
+                retry_after_s=max(
+                    spread_return_s(opens_in_s, run.req.request_id)
+                    if opens_in_s
+                    else 0.0,
+                    retry_after_s(excess, run.leaves_at - now),
+                ),
+                retry_after_known=opens_in_s > 0.0,
             )
 
     def abandon(self, run: StageRun) -> None:
@@ -409,6 +420,7 @@
                     f"the queue of pool {step.pool} is too long for stage "
                     f"{index}",
                     retry_after_s=reply.retry_after_s,
+                    retry_after_known=reply.retry_after_known,
                 )
             if reply.reason == QUARANTINED:
                 self._submissions.pop(msg.ticket, None)
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -123,11 +123,57 @@
         """Returns the estimate for a pool's engines, created at first use."""
         return self._first_events.setdefault(pool, FirstEventEstimate())
 
-    def usable_upstreams(self, pool: str) -> list[ListedUpstream]:
+    def usable_upstreams(
+        self, pool: str, request: str = ""
+    ) -> list[ListedUpstream]:
+        """Returns the upstreams of a pool that may get a request now.
+
+        Those that are paused get none. An upstream whose pause has just ended
+        is left out for most requests, see `UpstreamNotices.takes_share`.
+
+        Args:
+            pool: Name of the pool.
+            request: Id of the request, or "" if it is not known yet.
+        """
+        now = self.clock()
+        staying = self.staying_upstreams(pool)
+        usable = [
+            u for u in staying if self.notices.pauses.until(u.identity) <= now
+        ]
+        if not request:
+            return usable
+        return [
+            u
+            for u in usable
+            if self.notices.takes_share(u.identity, request, len(staying), now)
+        ] or usable
+
+    def pool_opens_in_s(self, pool: str) -> float | None:
+        """Returns when the first upstream of a pool takes requests again.
+
+        Returns:
+            Seconds from now, 0 if one takes them now, or None if none of them
+            is known to.
+        """
+        return self.notices.opens_in_s(
+            (u.identity for u in self.catalog.ready(pool)), self.clock()
+        )
+
+    def paused_until(self, pool: str) -> dict[str, float]:
+        """Returns until when the paused upstreams of a pool are, by name."""
+        now, pauses = self.clock(), self.notices.pauses
+        return {
+            u.name: pauses.until(u.identity)
+            for u in self.catalog.ready(pool)
+            if pauses.until(u.identity) > now
+        }
+
+    def staying_upstreams(self, pool: str) -> list[ListedUpstream]:
         """Returns the upstreams of a pool that accept work and are reachable.
 
-        The local failure domain never counts as unreachable. An upstream that
-        has said that it leaves accepts none, whatever the registry lists.
+        Paused ones are among them. The local failure domain never counts as
+        unreachable. An upstream that has said that it leaves accepts no work,
+        whatever the registry lists.
         """
         unreachable = self.peer_table.unreachable_domains(self.clock())
         unreachable.discard(self.settings.failure_domain)
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -14,6 +14,7 @@
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.events import EventSplitter, EventTooLongError
 from applespring.core.first_event import FirstEventEstimate
+from applespring.core.queue_waits import critical_path_s
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
@@ -23,6 +24,7 @@
     record_attempt,
     watch_attempt,
 )
+from applespring.relay.availability import check_pool, make_unavailable_refusal
 from applespring.relay.client import Answer, UpstreamClient
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
@@ -93,21 +95,21 @@
             RefusalError: The request gets a refusal, or its started stream
                 can't be completed.
         """
+        run = self._make_run(exchange)
+        check_pool(
+            self._state,
+            exchange.pool,
+            exchange.request_id,
+            within_s=critical_path_s(run.chain, run.call_s, {}, 0.0),
+        )
         async with self._crash_watch.admit(
             exchange, _shared_parts(exchange), exchange.fingerprint
         ) as watched:
-            await self._execute(exchange, watched)
-
-    async def _execute(
-        self, exchange: Exchange, watched: WatchedRequest
-    ) -> None:
-        """Has the stages executed, then sends the stream of an engine.
+            run.is_trial = watched.is_trial
+            await self._execute(exchange, run, watched)
 
-        Raises:
-            RefusalError: The request gets a refusal, or its started stream
-                can't be completed.
-        """
-        run = StageRun(
+    def _make_run(self, exchange: Exchange) -> StageRun:
+        return StageRun(
             exchange.req,
             Chain(exchange.route.stages, exchange.req.piece_counts),
             exchange.document,
@@ -116,8 +118,17 @@
             leaves_at=exchange.refuse_at,
             run_s=self._state.first_event(exchange.pool).run_s,
             fingerprint=exchange.fingerprint,
-            is_trial=watched.is_trial,
         )
+
+    async def _execute(
+        self, exchange: Exchange, run: StageRun, watched: WatchedRequest
+    ) -> None:
+        """Has the stages executed, then sends the stream of an engine.
+
+        Raises:
+            RefusalError: The request gets a refusal, or its started stream
+                can't be completed.
+        """
         self._state.attempt_window(exchange.pool).record_request(
             self._state.clock()
         )
@@ -158,7 +169,7 @@
                 await self._restore_results(exchange, run, attempts)
             now = clock()
             remaining_s = exchange.deadline_at - now
-            ready = self._state.usable_upstreams(exchange.pool)
+            ready = self._state.usable_upstreams(exchange.pool, req.request_id)
             untried = [u for u in ready if u.name not in tried] or ready
             if watched.is_trial:
                 idlest = self._state.engines.find_least_loaded(untried, now)
@@ -173,7 +184,16 @@
                 ).tokens_per_s,
                 now=now,
             )
-            if upstream is None or len(tried) > NOT_RUN_ATTEMPTS_MAX:
+            if upstream is None:
+                refusal = make_unavailable_refusal(
+                    self._state, exchange.pool, req.request_id
+                )
+                if attempts:
+                    refusal = _make_refusal(
+                        refusal.reason, attempts, refusal.detail
+                    )
+                raise refusal
+            if len(tried) > NOT_RUN_ATTEMPTS_MAX:
                 raise _make_refusal(
                     reason.NO_UPSTREAM,
                     attempts,
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -308,10 +308,12 @@
                 pool=pool,
                 on_time_s=min(on_time_s, REPORTED_WAIT_MAX_S),
                 whole_s=min(total_s, REPORTED_WAIT_MAX_S),
+                opens_in_s=opens_in_s,
             )
             for pool, (
                 on_time_s,
                 total_s,
+                opens_in_s,
             ) in self._scheduler.queue_waits().items()
         ]
 
@@ -328,5 +330,5 @@
         )
         for wait in gossip.waits:
             self._state.queue_waits.put(
-                wait.pool, wait.on_time_s, wait.whole_s, now
+                wait.pool, wait.on_time_s, wait.whole_s, wait.opens_in_s, now
             )
