Send nothing to paused upstreams on the JSON interface

Callers of the JSON interface, too, had calls sent to an upstream that had asked for a pause, and after it the upstream was ejected.

Retry-After of a refused call was passed on to the caller and read by nothing else, in whole seconds only; load reports, reads of cache events and orders did not read what their answers say.

Membership holds the notices; a paused upstream is not usable and not probed, and a call that waited for a connection is withheld. An answer that asks for a pause counts for nothing in its gate. Gates and admission refuse with the end of the first pause as Retry-After.

--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -122,9 +122,9 @@
         self.usable_calls = 0
         self.share_calls = 0
 
-    def set_usable(self, pool, names):
+    def set_usable(self, pool, names, opens_at):
         self.usable_calls += 1
-        super().set_usable(pool, names)
+        super().set_usable(pool, names, opens_at)
 
     def set_share(self, pool, fraction):
         self.share_calls += 1
--- a/src/applespring/core/deadline.py
+++ b/src/applespring/core/deadline.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from applespring.core.errors import RefusalError
+from applespring.core.notices import spread_return_s
 from applespring.core.reason import DEADLINE_UNREACHABLE, NO_UPSTREAM
 from applespring.core.verdict import Verdict
 
@@ -24,9 +25,17 @@
             usable upstream.
         service_s: Expected seconds of the call.
         service_high_s: High estimate of the seconds of the call.
+        opens_in_s: Seconds until the first pause ends if all upstreams of the
+            pool are paused, else 0.
     """
 
-    __slots__ = ("stage", "wait_s", "service_s", "service_high_s")
+    __slots__ = (
+        "stage",
+        "wait_s",
+        "service_s",
+        "service_high_s",
+        "opens_in_s",
+    )
 
     def __init__(
         self,
@@ -34,11 +43,13 @@
         wait_s: float,
         service_s: float,
         service_high_s: float,
+        opens_in_s: float = 0.0,
     ) -> None:
         self.stage = stage
         self.wait_s = wait_s
         self.service_s = service_s
         self.service_high_s = service_high_s
+        self.opens_in_s = opens_in_s
 
 
 def expected_remaining_s(stages: Sequence[StageTime]) -> float:
@@ -67,6 +78,7 @@
     *,
     verdict: Verdict = Verdict.NOT_RUN,
     stage: str = "",
+    request: str = "",
 ) -> None:
     """Refuses a request whose remaining stages cannot finish in time.
 
@@ -76,6 +88,8 @@
         now: Current time in seconds.
         verdict: Verdict of the request so far, for the refusal.
         stage: Name of the next stage, or "" when the request arrives.
+        request: Id of the request, by which the times are spread at which
+            callers come back after a pause.
 
     Raises:
         RefusalError: NO_UPSTREAM or DEADLINE_UNREACHABLE. `retry_after_s` is
@@ -88,7 +102,9 @@
                 verdict,
                 f"stage {stage_time.stage} has no usable upstream",
                 stage=stage,
-                retry_after_s=NO_UPSTREAM_RETRY_S,
+                retry_after_s=spread_return_s(stage_time.opens_in_s, request)
+                if stage_time.opens_in_s
+                else NO_UPSTREAM_RETRY_S,
             )
     # The gates apply the same margin. Without it here, a request could run
     # its first stages and then be refused by the gate of a later, full pool.
--- a/src/applespring/core/gate.py
+++ b/src/applespring/core/gate.py
@@ -74,6 +74,7 @@
         "_immediate",
         "_demand",
         "_eligibility_changed",
+        "_opens_at",
     )
 
     def __init__(
@@ -96,6 +97,7 @@
         self._immediate: dict[Ticket, None] = {}
         self._demand = DemandRate()
         self._eligibility_changed = False
+        self._opens_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -113,13 +115,25 @@
         """Sets whether the site prefers cost or attainment; see `HEADROOM`."""
         self._upstreams.headroom = HEADROOM[prefer]
 
-    def set_usable(self, names: Iterable[str], now: float) -> None:
+    def set_usable(
+        self,
+        names: Iterable[str],
+        now: float,
+        opens_at: float = -math.inf,
+    ) -> None:
         """Sets the names of the upstreams that may receive new calls.
 
         Until the first call of this method all upstreams are usable. An
         upstream that reported "leaving" gets no calls until `names` has once
         omitted it and later lists it again.
+
+        Args:
+            names: Names of the upstreams.
+            now: Current time in seconds.
+            opens_at: When the first one may again if all are paused, else
+                -inf.
         """
+        self._opens_at = opens_at
         self._eligibility_changed = True
         self._upstreams.set_usable(names, now)
 
@@ -263,7 +277,13 @@
         if ticket is not None and self._upstreams.available:
             wait_s = self._ticket_wait_s(ticket)
         upstreams = self._upstreams
-        return StageTime(stage, wait_s, upstreams.mean_s, upstreams.reserve_s)
+        return StageTime(
+            stage,
+            wait_s,
+            upstreams.mean_s,
+            upstreams.reserve_s,
+            max(0.0, self._opens_at - now),
+        )
 
     def busy(self, now: float) -> float:
         """Returns the fraction of the capacity that is in use, 0 to 1.
@@ -426,6 +446,8 @@
         self, ticket: Ticket, reason: Reason, now: float
     ) -> float | None:
         if reason is NO_UPSTREAM:
+            if self._opens_at > now:
+                return self._opens_at - now
             return (
                 self._upstreams.ejection_remaining_s(now) or NO_UPSTREAM_RETRY_S
             )
--- a/src/applespring/core/membership.py
+++ b/src/applespring/core/membership.py
@@ -14,7 +14,8 @@
     ListedEntries,
     ListOutcome,
 )
-from applespring.core.leaving import LeavingNotice, LeavingTable
+from applespring.core.leaving import LeavingNotice
+from applespring.core.notices import UpstreamNotices
 
 # Age up to which evidence makes an upstream usable.
 EVIDENCE_S = 2.0
@@ -62,12 +63,14 @@
     """Whether a call may be written to an upstream now, and why not.
 
     LEAVING: a leaving notice applies to the upstream.
+    PAUSED: the upstream has asked for no requests for a time.
     STALE: nothing has shown recently that the upstream serves.
     UNKNOWN: the configuration in force does not name the upstream.
     """
 
     OK = "ok"
     LEAVING = "leaving"
+    PAUSED = "paused"
     STALE = "stale"
     UNKNOWN = "unknown"
 
@@ -95,13 +98,15 @@
 
     Attributes:
         listed: The platform's list.
-        leaving: The leaving notices.
+        notices: What upstreams have said of themselves.
+        leaving: The leaving notices among them.
         read_state: How the last attempt to read the list ended.
         pauses: Number of pauses of this process that were detected.
     """
 
     __slots__ = (
         "listed",
+        "notices",
         "leaving",
         "read_state",
         "pauses",
@@ -119,7 +124,8 @@
 
     def __init__(self) -> None:
         self.listed = ListedEntries()
-        self.leaving = LeavingTable()
+        self.notices = UpstreamNotices()
+        self.leaving = self.notices.leaving
         self.read_state = ReadState.NONE
         self.pauses = 0
         self._pools: dict[str, tuple[str, ...]] = {}
@@ -294,6 +300,33 @@
             self.leaving.trim(self._listed_names() | self._reports_load.keys())
         return new
 
+    def note_pause_asked(self, name: str, pause_s: float, now: float) -> bool:
+        """Records that an upstream asks for no requests for a time.
+
+        Returns:
+            Whether it was not paused before.
+        """
+        if name not in self._reports_load:
+            return False
+        return self.notices.pauses.add(self._identity(name), pause_s, now)
+
+    def is_paused(self, name: str, now: float) -> bool:
+        """Returns whether an upstream has asked for no requests now."""
+        return self.notices.pauses.until(self._identity(name)) > now
+
+    def opens_at(self, pool: str) -> float:
+        """Returns when the first pause in a pool ends, -inf without any."""
+        ends = [
+            self.notices.pauses.until(self._identity(name))
+            for name in self._pools.get(pool, ())
+            if name not in self._leaving_upstreams
+        ]
+        return min(ends, default=float("-inf"))
+
+    def _identity(self, name: str) -> tuple[str, int]:
+        entry = self.listed.get(name)
+        return (name, entry.incarnation if entry is not None else 0)
+
     def note_incarnation(self, name: str, incarnation: int) -> bool:
         """Records the incarnation that an entry instance reports of itself.
 
@@ -374,6 +407,8 @@
         """
         if upstream in self._leaving_upstreams:
             return DispatchCheck.LEAVING
+        if self.is_paused(upstream, now):
+            return DispatchCheck.PAUSED
         evidence = self._evidence.get(upstream)
         if evidence is not None and evidence.at >= now - EVIDENCE_S:
             return DispatchCheck.OK
@@ -391,6 +426,8 @@
         for name, reports_load in self._reports_load.items():
             evidence = self._evidence.get(name)
             at = evidence.at if evidence else float("-inf")
+            if self.is_paused(name, now):
+                continue
             if reports_load and now - at >= PROBE_AFTER_S:
                 outdated.append((at, name))
         return [name for _, name in sorted(outdated)]
--- a/src/applespring/entry/compose.py
+++ b/src/applespring/entry/compose.py
@@ -17,6 +17,7 @@
 from applespring.core.request import Answer, Request
 from applespring.core.retry import RetryBudget
 from applespring.core.revision import RevisionTracker
+from applespring.core.self_report import SelfReport
 from applespring.entry.drain import DrainService
 from applespring.entry.execution.calls import Guard, UpstreamClient
 from applespring.entry.execution.gates import Clock, Gates
@@ -235,7 +236,11 @@
         external, settings = self._external, self.settings
         clock, rng = external.clock, external.rng
         self._platform_client = platform = PlatformClient(external.platform)
-        control = ControlClient(external.control)
+        control = ControlClient(
+            external.control,
+            lambda name: self.membership.is_paused(name, clock()),
+            lambda name, report: self.members.note_pause(name, report),
+        )
         self.members = MemberService(
             self.membership,
             platform,
@@ -320,7 +325,7 @@
     def _make_runner(self) -> None:
         external = self._external
         client = UpstreamClient(
-            external.pooled, external.single, self._record_upstream_state
+            external.pooled, external.single, self._record_self_report
         )
         self.retry_budget = RetryBudget()
         stages = self.stage_class(
@@ -429,10 +434,11 @@
         await self.members.wait_evidence()
         self._sharing.apply()
 
-    def _record_upstream_state(
-        self, upstream: str, state: str, asked_at: float
+    def _record_self_report(
+        self, upstream: str, report: SelfReport, asked_at: float
     ) -> None:
-        if state == "leaving":
+        self.members.note_pause(upstream, report)
+        if report.leaving:
             self.members.note_leaving(upstream, 0, "header")
         else:
             now = self._external.clock()
--- a/src/applespring/entry/execution/calls.py
+++ b/src/applespring/entry/execution/calls.py
@@ -23,15 +23,17 @@
     check_result,
     prompt_text,
 )
+from applespring.core.self_report import SelfReport, make_self_report
 from applespring.core.verdict import Verdict
 
 RESULT_BYTES_MAX = 4 * 1024 * 1024
 EVENT_BYTES_MAX = 64 * 1024
-RETRY_AFTER_S_MAX = 3600.0
 STATE_HEADER = "applespring-state"
+LEAVING_STATE = "leaving"
 DONE = b"[DONE]"
 
 Guard = Callable[[], None]
+OnReport = Callable[[str, SelfReport, float], None]
 Emit = Callable[[Sequence[str]], Awaitable[None]]
 
 
@@ -132,18 +134,17 @@
     """HTTP client for stage calls.
 
     Attributes:
-        on_state: Called for each response with the name of the upstream, the
-            state in its `applespring-state` header (`serving` if there is
-            none), and the start time of the call.
+        on_report: Called for each response with the name of the upstream, what
+            the response says of it, and the start time of the call.
     """
 
-    __slots__ = ("_pooled", "_single", "on_state")
+    __slots__ = ("_pooled", "_single", "on_report")
 
     def __init__(
         self,
         pooled: httpx.AsyncClient,
         single: httpx.AsyncClient,
-        on_state: Callable[[str, str, float], None],
+        on_report: OnReport,
     ) -> None:
         """Initializes the client.
 
@@ -152,11 +153,11 @@
             single: Opens a connection for each call; for non-idempotent
                 pools. If the upstream closed a reused connection while a call
                 is written, it would be unknown whether the call was run.
-            on_state: See the class.
+            on_report: See the class.
         """
         self._pooled = pooled
         self._single = single
-        self.on_state = on_state
+        self.on_report = on_report
 
     async def call_service(self, call: Call) -> Any:
         """Executes one call and returns its output.
@@ -235,9 +236,10 @@
                 headers=headers,
                 extensions={"trace": call.write_probe},
             ) as resp:
-                self._report_state(call, resp)
+                report = read_self_report(resp)
+                self.on_report(call.upstream.name, report, call.started_at)
                 if resp.status_code != 200:
-                    raise _make_status_error(call, resp)
+                    raise _make_status_error(call, resp, report)
                 yield resp
         except ApplespringError:
             raise
@@ -248,9 +250,14 @@
             detail = f"{type(exc).__name__}: {exc}"
             raise call.make_error(kind, detail) from exc
 
-    def _report_state(self, call: Call, resp: httpx.Response) -> None:
-        state = resp.headers.get(STATE_HEADER, "serving")
-        self.on_state(call.upstream.name, state, call.started_at)
+
+def read_self_report(resp: httpx.Response) -> SelfReport:
+    """Returns what a response of an upstream says of it."""
+    return make_self_report(
+        resp.status_code,
+        leaving=resp.headers.get(STATE_HEADER) == LEAVING_STATE,
+        retry_after=resp.headers.get("retry-after"),
+    )
 
 
 def _identity_fields(call: Call) -> dict[str, Any]:
@@ -330,7 +337,9 @@
             yield events
 
 
-def _make_status_error(call: Call, resp: httpx.Response) -> StageError:
+def _make_status_error(
+    call: Call, resp: httpx.Response, report: SelfReport
+) -> StageError:
     """Returns the error for a response whose status is not 200.
 
     Only for the statuses in `refusal_not_run` of the pool does the upstream
@@ -342,15 +351,5 @@
         Verdict.NOT_RUN if refused else Verdict.MAY_HAVE_RUN,
         call.upstream.name,
         f"status {resp.status_code}",
-        retry_after_s=_parse_retry_after(resp.headers.get("retry-after")),
+        retry_after_s=report.pause_s,
     )
-
-
-def _parse_retry_after(text: str | None) -> float | None:
-    """Returns the delay of a Retry-After header, at most RETRY_AFTER_S_MAX.
-
-    None if it is missing or not a whole number of seconds.
-    """
-    if text is None or not text.isdigit():
-        return None
-    return min(float(text), RETRY_AFTER_S_MAX)
--- a/src/applespring/entry/execution/gates.py
+++ b/src/applespring/entry/execution/gates.py
@@ -132,11 +132,20 @@
         gate.finish(grant, kind, latency_s, self._clock())
         self._process_queue(gate)
 
-    def set_usable(self, pool: str, names: Collection[str]) -> None:
-        """Sets which upstreams of a pool may receive new work."""
+    def set_usable(
+        self, pool: str, names: Collection[str], opens_at: float
+    ) -> None:
+        """Sets which upstreams of a pool may receive new work.
+
+        Args:
+            pool: Name of the pool.
+            names: Names of the upstreams.
+            opens_at: When the first one may again if all are paused, else
+                -inf.
+        """
         gate = self._gates.get(pool)
         if gate is not None:
-            gate.set_usable(names, self._clock())
+            gate.set_usable(names, self._clock(), opens_at)
             self._process_queue(gate)
 
     def record_report(
--- a/src/applespring/entry/execution/runner.py
+++ b/src/applespring/entry/execution/runner.py
@@ -183,7 +183,12 @@
                 pipeline.stages[first:], pools[first:], req, decision, weight
             )
 
-        check_admission(estimate(0), req.deadline_at, self._clock())
+        check_admission(
+            estimate(0),
+            req.deadline_at,
+            self._clock(),
+            request=req.request_id,
+        )
         value = req.payload
         for position, stage in enumerate(pipeline.stages):
             is_last = position == len(pipeline.stages) - 1
--- a/src/applespring/entry/execution/stage.py
+++ b/src/applespring/entry/execution/stage.py
@@ -58,6 +58,7 @@
 
 _WITHDRAWAL_DETAILS = {
     DispatchCheck.LEAVING: "the upstream is leaving",
+    DispatchCheck.PAUSED: "the upstream has asked for a pause",
     DispatchCheck.STALE: "no recent evidence that the upstream serves",
     DispatchCheck.UNKNOWN: "the upstream is not in the configuration in force",
 }
@@ -275,6 +276,7 @@
         call = self._create_call(work, grant)
         kind: FailureKind | None = FailureKind.CANCELLED
         verdict = Verdict.MAY_HAVE_RUN
+        turned_away = False
         candidates = stage_candidates(work.watched.fingerprint, work.position)
         evidence = self._crash_watch.describe(
             candidates, breaks=work.watched.breaks
@@ -287,6 +289,7 @@
             return output
         except StageError as exc:
             kind, verdict = exc.kind, exc.verdict
+            turned_away = exc.retry_after_s is not None
             if is_broken_off(exc):
                 self._record_break(work, call, evidence)
             raise
@@ -304,7 +307,9 @@
             outcome = "ok" if kind is None else kind.value
             self._metrics.attempts.inc(work.pool.name, outcome)
             elapsed_s = self._clock() - started_at
-            self._gates.finish(work.pool.name, grant, kind, elapsed_s)
+            # An upstream that asks for a pause has not failed.
+            counted = FailureKind.WITHDRAWN if turned_away else kind
+            self._gates.finish(work.pool.name, grant, counted, elapsed_s)
 
     def _record_break(
         self, work: StageWork, call: Call, evidence: BrokenRequest
--- a/src/applespring/entry/external/engines.py
+++ b/src/applespring/entry/external/engines.py
@@ -19,7 +19,8 @@
 )
 from applespring.core.placement import rank
 from applespring.core.prefix import CacheChange, CacheEvent
-from applespring.entry.execution.calls import WriteProbe
+from applespring.core.self_report import SelfReport
+from applespring.entry.execution.calls import WriteProbe, read_self_report
 from applespring.entry.execution.gates import Clock, Gates
 from applespring.entry.monitoring.metrics import Metrics
 
@@ -80,12 +81,29 @@
 
 
 class ControlClient:
-    """Client for the control calls; the `Probe` of `MemberService`."""
+    """Client for the control calls; the `Probe` of `MemberService`.
 
-    __slots__ = ("_http",)
+    Nothing is sent to a paused upstream.
+    """
+
+    __slots__ = ("_http", "_is_paused", "_on_pause")
+
+    def __init__(
+        self,
+        http: httpx.AsyncClient,
+        is_paused: Callable[[str], bool],
+        on_pause: Callable[[str, SelfReport], None],
+    ) -> None:
+        """Initializes the client.
 
-    def __init__(self, http: httpx.AsyncClient) -> None:
+        Args:
+            http: Sends the calls.
+            is_paused: Returns whether an upstream has asked for no requests.
+            on_pause: Records what a response says of its upstream.
+        """
         self._http = http
+        self._is_paused = is_paused
+        self._on_pause = on_pause
 
     async def probe(self, upstream: Upstream) -> UpstreamReport:
         """Reads the load report of an upstream.
@@ -124,6 +142,7 @@
 
         Raises:
             httpx.HTTPError: The engine did not answer.
+            OrderRefusedError: The engine is paused.
         """
         state = order.state
         body = {
@@ -134,17 +153,26 @@
             "role": state.role,
         }
         fields = {name: value for name, value in body.items() if value != ""}
+
+        def check_and_guard() -> None:
+            guard()
+            if self._is_paused(order.engine):
+                raise OrderRefusedError
+
         async with self._http.stream(
             "POST",
             f"http://{order.address}/v1/orders",
             content=orjson.dumps(fields),
             headers={"Content-Type": "application/json"},
-            extensions={"trace": WriteProbe(guard)},
+            extensions={"trace": WriteProbe(check_and_guard)},
             timeout=ORDER_TIMEOUT_S,
         ) as resp:
+            self._on_pause(order.engine, read_self_report(resp))
             return resp.status_code
 
     async def _read(self, upstream: Upstream, path: str) -> dict[str, Any]:
+        if self._is_paused(upstream.name):
+            raise MessageError(f"{path}: the upstream is paused")
         try:
             with anyio.fail_after(CONTROL_TIMEOUT_S):
                 content = await self._read_content(upstream, path)
@@ -167,6 +195,7 @@
             f"http://{upstream.address}{path}",
             timeout=CONTROL_TIMEOUT_S,
         ) as resp:
+            self._on_pause(upstream.name, read_self_report(resp))
             if resp.status_code != 200:
                 raise MessageError(f"{path}: status {resp.status_code}")
             async for chunk in resp.aiter_bytes():
--- a/src/applespring/entry/external/members.py
+++ b/src/applespring/entry/external/members.py
@@ -13,6 +13,7 @@
 from applespring.core.fleet import Fleet, Upstream
 from applespring.core.instances import InstanceList, ListOutcome
 from applespring.core.membership import EVIDENCE_S, Membership, ReadState
+from applespring.core.self_report import SelfReport
 from applespring.entry.external.pacing import Pacer
 from applespring.entry.external.platform import (
     ListReply,
@@ -224,6 +225,20 @@
             )
             self._notify_subscribers()
 
+    def note_pause(self, name: str, report: SelfReport) -> None:
+        """Records that an upstream asks for no requests for a time."""
+        for detail in report.rejected:
+            logger.warning("upstream {}: {}", name, detail)
+        if report.pause_s and self.membership.note_pause_asked(
+            name, report.pause_s, self._clock()
+        ):
+            logger.info(
+                "upstream {} asks for no requests for {:g} s",
+                name,
+                report.pause_s,
+            )
+            self._notify_subscribers()
+
     def note_incarnation(self, name: str, incarnation: int) -> None:
         """Records the incarnation of an instance from its heartbeat."""
         if self.membership.note_incarnation(name, incarnation):
@@ -373,6 +388,7 @@
         spare_probes = min(spare_probes, PROBES_MAX - len(chosen))
         for group in (self._local, self._reporting - self._local):
             due = self._find_outdated(group - needed, now)
+            due -= {n for n in due if self.membership.is_paused(n, now)}
             picked = heapq.nsmallest(spare_probes, due, key=self._probe_key)
             self.probes_deferred += len(due) - len(picked)
             chosen += picked
@@ -381,14 +397,14 @@
                 break
         return chosen
 
-    def _find_outdated(self, names: set[str], now: float) -> list[str]:
+    def _find_outdated(self, names: set[str], now: float) -> set[str]:
         """Returns those not probed within REPORT_INTERVAL_S."""
         due_at = now - REPORT_INTERVAL_S
-        return [
+        return {
             name
             for name in names
             if self._probed_at.get(name, float("-inf")) <= due_at
-        ]
+        }
 
     def _probe_key(self, name: str) -> tuple[bool, float, float]:
         is_remote = name not in self._local
--- a/src/applespring/entry/mesh/sharing.py
+++ b/src/applespring/entry/mesh/sharing.py
@@ -82,7 +82,7 @@
         self._clock = clock
         self._is_leaving = False
         self._instance_count = 1
-        self._applied_usable: dict[str, tuple[Pool, set[str]]] = {}
+        self._applied_usable: dict[str, tuple[Pool, set[str], float]] = {}
         self._applied_shares: dict[str, tuple[Pool, float]] = {}
 
     def announce_leaving(self) -> None:
@@ -160,10 +160,11 @@
         have replaced upstreams in the gate.
         """
         usable = self._membership.usable(name, now)
+        opens_at = float("-inf") if usable else self._membership.opens_at(name)
         self.found_upstream = self.found_upstream or bool(usable)
-        if self._applied_usable.get(name) != (pool, usable):
-            self._applied_usable[name] = (pool, usable)
-            self._gates.set_usable(name, usable)
+        if self._applied_usable.get(name) != (pool, usable, opens_at):
+            self._applied_usable[name] = (pool, usable, opens_at)
+            self._gates.set_usable(name, usable, opens_at)
 
     def _apply_share(self, name: str, pool: Pool, fraction: float) -> None:
         applied_pool, applied = self._applied_shares.get(name, (None, 0.0))
--- a/standins/network.py
+++ b/standins/network.py
@@ -309,7 +309,7 @@
             host.on_written()
         self._network.observe(Step.WRITTEN, request, self._source)
         body = await request.aread()
-        exchange = _Exchange(host, _make_scope(request), body)
+        exchange = _Exchange(host, _make_scope(request, self._source), body)
         try:
             await self._network.wait_transit(
                 self._failure_domain, host.failure_domain
@@ -434,9 +434,11 @@
     return math.inf if timeout_s is None else timeout_s
 
 
-def _make_scope(request: httpx.Request) -> dict[str, Any]:
+def _make_scope(request: httpx.Request, source: str) -> dict[str, Any]:
+    host, _, port = source.rpartition(":")
     return {
         "type": "http",
+        "client": (host, int(port)) if source else None,
         "method": request.method,
         "path": request.url.path,
         "query_string": request.url.query,
