soak: workers that say that they leave or ask for a pause

Change: two faults, and the checks 'leaving' and 'paused', in the words of the users' rules with their excuses.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -40,6 +40,8 @@
       | denied   | a valid request gets 404                                             |
       | drain    | a request reaches an upstream 2.1 s after it started to drain        |
       | budget   | a window has 60 added attempts and 40 requests                       |
+      | leaving  | a request reaches an upstream 2.1 s after it told the instance that it leaves |
+      | paused   | 3 requests reach an upstream that had asked the instance for a pause |
       | deadly   | 4 requests reach engines 3.1 s after a part crashed the fifth one    |
       | deadly   | 4 requests reach upstreams 3.1 s after one crashed the third         |
       | ended    | a process ends unexpectedly                                          |
@@ -153,6 +155,13 @@
     When the soak runs seed 9001 with 6 faults "part crashes engines,workers misbehave"
     Then no guarantee is violated
 
+  Scenario: Workers that say that they leave or ask for a pause
+    Guards against requests that go on reaching such workers, and against
+    refusals and retries in their place that violate another guarantee.
+    Incident inc-leaving-and-rest showed this fault.
+    When the soak runs seed 9501 with 8 faults "worker says that it leaves,workers ask for a pause,worker crashed"
+    Then no guarantee is violated
+
   Scenario Outline: A short run of a fixed seed violates no guarantee
     Guards against violations under a mix of all kinds of faults.
     When the soak runs seed <seed>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,9 +20,11 @@
     STREAMING,
     TESTBED,
     UNSAFE,
+    Arrival,
     CallerRequest,
     Execution,
     Fault,
+    Notice,
     Piece,
     Records,
     Version,
@@ -414,6 +416,30 @@
     records.pieces.clear()
 
 
+@violation(
+    "a request reaches an upstream 2.1 s after it told the instance that it "
+    "leaves"
+)
+def violate_leaving(records):
+    request = records.requests[SAFE]
+    records.notices.append(
+        Notice("worker-1", request.instance, request.sent_at - 2.1)
+    )
+    records.arrivals.append(Arrival("worker-1", request, SENT_AT + 0.01))
+
+
+@violation(
+    "3 requests reach an upstream that had asked the instance for a pause"
+)
+def violate_paused(records):
+    request = records.requests[SAFE]
+    records.notices.append(
+        Notice("worker-1", request.instance, SENT_AT - 1.0, pause_s=2.0)
+    )
+    for n in range(3):
+        records.arrivals.append(Arrival("worker-1", request, SENT_AT + n / 100))
+
+
 @violation("a window has 60 added attempts and 40 requests")
 def violate_budget(records):
     for n in range(40):
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -29,6 +29,10 @@
 RETRY_RATIO = 0.2  # retryBudgetRatio
 RETRY_EXTRA = 50  # budgetExtraRetries, its default
 RETRY_WINDOW_S = 10.0  # budgetWindowS
+# From this time after an upstream asked for a pause it gets at most so many
+# requests of the instance until the end of the pause (rule BUDGET).
+PAUSE_SLACK_S = 0.5
+PAUSED_REQUESTS_MAX = 2
 # The users count answers as late when more than LATE_ANSWERS_MAX requests, and
 # over a quarter of those that reach their deadline, have no answer after a
 # further LATE_ANSWER_S (rule CONFIG).
@@ -390,7 +394,7 @@
 def check_drain(records: Records) -> Iterator[str]:
     """A draining upstream gets no request after `DRAIN_NOTICE_S`."""
     for execution, request in _each_run(records):
-        acked_at = records.drain_acked_at.get(execution.upstream, math.inf)
+        acked_at = records.drain_acked_at.get(execution.start, math.inf)
         if request is None or execution.started_at <= acked_at + DRAIN_NOTICE_S:
             continue
         if records.is_undisturbed(
@@ -405,6 +409,67 @@
             )
 
 
+@check("leaving")
+def check_leaving(records: Records) -> Iterator[str]:
+    """An instance that an upstream told that it leaves sends it no more.
+
+    Requests that callers sent up to `DRAIN_NOTICE_S` after the answer may still
+    reach it, and any after a restart or freeze of the instance.
+    """
+    told_at: dict[tuple[str, str], float] = {}
+    for notice in records.notices:
+        if notice.pause_s is None:
+            told_at.setdefault((notice.start, notice.instance), notice.at)
+    for arrival in records.arrivals:
+        request = arrival.request
+        at = told_at.get((arrival.start, request.instance), math.inf)
+        if request.sent_at > at + DRAIN_NOTICE_S and records.is_undisturbed(
+            at,
+            arrival.at,
+            [f"instance:{request.instance}", f"term:{request.instance}"],
+        ):
+            yield (
+                f"{describe(request)} reached {arrival.start} "
+                f"{request.sent_at - at:.2f} s after its notice"
+            )
+
+
+@check("paused")
+def check_paused(records: Records) -> Iterator[str]:
+    """An upstream gets few requests from whom it asked for a pause.
+
+    A restart, freeze or cut of the instance excuses it.
+    """
+    times: dict[tuple[str, str], list[float]] = {}
+    for arrival in records.arrivals:
+        key = (arrival.start, arrival.request.instance)
+        times.setdefault(key, []).append(arrival.at)
+    for notice in records.notices:
+        if notice.pause_s is None:
+            continue
+        since, until = notice.at + PAUSE_SLACK_S, notice.at + notice.pause_s
+        found = [
+            at
+            for at in times.get((notice.start, notice.instance), ())
+            if since < at < until
+        ]
+        host = notice.start.partition("#")[0].rpartition("-")[0]
+        if len(found) > PAUSED_REQUESTS_MAX and records.is_undisturbed(
+            notice.at,
+            until,
+            [
+                f"{kind}:{notice.instance}"
+                for kind in ("instance", "term", "peer", "store")
+            ]
+            + [f"place:{host}"],
+        ):
+            yield (
+                f"{len(found)} requests of {notice.instance} reached "
+                f"{notice.start}, which had asked it at {notice.at:.3f} s for "
+                f"{notice.pause_s:g} s without any"
+            )
+
+
 @check("budget")
 def check_budget(records: Records) -> Iterator[str]:
     """Added attempts of any cause stay within the retry budget of a pool."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -42,6 +42,10 @@
 DEADLY_RANGE_S = (3.0, 8.0)
 # Shortest and longest time for which a request that crashes workers is sent.
 REPEATED_RANGE_S = (6.0, 14.0)
+# Shortest and longest time from an announcement in answers to that of the
+# store, and of a pause that a worker asks for.
+ANNOUNCED_RANGE_S = (0.5, 4.0)
+PAUSE_RANGE_S = (0.6, 4.0)
 IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
 # Shortest and longest time between changes of the idle limit, which overlap
 # with connections that rest under an earlier limit.
@@ -343,6 +347,41 @@
             worker_host.start_worker()
 
 
+@fault("worker says that it leaves")
+async def announce_leave(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets a worker say that it leaves, and drains it some time later.
+
+    At times another start of it is there before the store lists that it leaves.
+    """
+    worker_host = rng.choice(testbed.worker_hosts)
+    with recorded_fault(testbed, "leave", [f"leaving:{worker_host.name}"]):
+        worker = worker_host.worker
+        if worker is None:
+            return
+        worker.leaving = True
+        await anyio.sleep(rng.uniform(*ANNOUNCED_RANGE_S))
+        if worker_host.worker is not worker:
+            return
+        if rng.random() < 0.5:
+            await _crash_worker(worker_host, _draw_duration(rng), True)
+            return
+        await worker_host.drain_worker()
+        await anyio.sleep(ADDRESS_REUSE_S)
+        if worker_host.worker is None:
+            worker_host.start_worker()
+
+
+@fault("workers ask for a pause")
+async def ask_pause(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets workers, up to all, refuse requests and ask for no more."""
+    for worker_host in _sample(rng, testbed.worker_hosts, 1.0):
+        if worker_host.worker is not None:
+            worker_host.worker.paused_until = testbed.clock() + rng.uniform(
+                *PAUSE_RANGE_S
+            )
+    await anyio.sleep(_draw_duration(rng))
+
+
 @fault("workers misbehave")
 async def misbehave(testbed: "Testbed", rng: random.Random) -> None:
     """Applies one kind of misbehaviour to the workers of some hosts."""
--- a/soak/record.py
+++ b/soak/record.py
@@ -117,6 +117,7 @@
     Attributes:
         request_id: Value of the `Request-Id` header as received.
         upstream: Name of the upstream; the name of its host and a number.
+        start: Its start: the name, and the number of its worker in the run.
         pool: Pool of the upstream.
         started_at: When the upstream started it.
         path: Path and query as received.
@@ -133,6 +134,7 @@
     __slots__ = (
         "request_id",
         "upstream",
+        "start",
         "pool",
         "started_at",
         "path",
@@ -152,6 +154,7 @@
         pool: str,
         started_at: float,
         *,
+        start: str = "",
         path: str = "",
         body: bytes = b"",
         account: str = "",
@@ -163,6 +166,7 @@
     ) -> None:
         self.request_id = request_id
         self.upstream = upstream
+        self.start = start or upstream
         self.pool = pool
         self.started_at = started_at
         self.path = path
@@ -180,6 +184,45 @@
         return self.upstream.rpartition("-")[0]
 
 
+class Notice:
+    """What an answer of an upstream told the instance that had sent a request.
+
+    Attributes:
+        start: Start of the upstream, see `Execution.start`.
+        instance: Name of the instance.
+        at: When the answer was sent.
+        pause_s: Time for which it asks for no requests, or None if it says
+            that the upstream leaves.
+    """
+
+    __slots__ = ("start", "instance", "at", "pause_s")
+
+    def __init__(
+        self, start: str, instance: str, at: float, pause_s: float | None = None
+    ) -> None:
+        self.start = start
+        self.instance = instance
+        self.at = at
+        self.pause_s = pause_s
+
+
+class Arrival:
+    """A request of a caller that arrived at an upstream, executed or not.
+
+    Attributes:
+        start: Start of the upstream, see `Execution.start`.
+        request: The request.
+        at: When it arrived.
+    """
+
+    __slots__ = ("start", "request", "at")
+
+    def __init__(self, start: str, request: CallerRequest, at: float) -> None:
+        self.start = start
+        self.request = request
+        self.at = at
+
+
 class Piece:
     """One execution of a piece at a stage upstream.
 
@@ -296,7 +339,9 @@
         pieces: Executions of pieces at stage upstreams.
         faults: Injected faults, and pauses of the soak's own process.
         drain_acked_at: When the store acknowledged that an upstream is
-            draining, by upstream.
+            draining, by its start.
+        notices: What upstreams told instances in answers.
+        arrivals: Requests of callers that arrived at upstreams.
         sigterms: Times in order at which SIGTERM was sent, by instance.
         unexpected_exits: Instance, time and exit code of processes that ended
             although the soak had not ended them.
@@ -319,6 +364,8 @@
         "pieces",
         "faults",
         "drain_acked_at",
+        "notices",
+        "arrivals",
         "sigterms",
         "unexpected_exits",
         "late_exits",
@@ -336,6 +383,8 @@
         self.pieces: list[Piece] = []
         self.faults: list[Fault] = []
         self.drain_acked_at: dict[str, float] = {}
+        self.notices: list[Notice] = []
+        self.arrivals: list[Arrival] = []
         self.sigterms: dict[str, list[float]] = {}
         self.unexpected_exits: list[tuple[str, float, int]] = []
         self.late_exits: list[tuple[str, float]] = []
--- a/soak/server.py
+++ b/soak/server.py
@@ -43,14 +43,26 @@
         is_control: Whether it answers a release or a report.
         unframed: Whether the answer has neither a length nor chunks and ends
             with its connection.
+        said: Headers in which the worker says something of itself.
+        on_said: Called when they are sent, or None.
     """
 
-    __slots__ = ("silence", "is_control", "unframed", "_conn", "_state")
+    __slots__ = (
+        "silence",
+        "is_control",
+        "unframed",
+        "said",
+        "on_said",
+        "_conn",
+        "_state",
+    )
 
     def __init__(self, conn: Conn, state: h11.Connection) -> None:
         self.silence: Silence | None = None
         self.is_control = False
         self.unframed = False
+        self.said: list[tuple[str, str]] = []
+        self.on_said: Callable[[], None] | None = None
         self._conn = conn
         self._state = state
 
@@ -63,6 +75,9 @@
     ) -> None:
         """Sends status and headers."""
         await self._wait(HEAD)
+        headers = [*headers, *self.said]
+        if self.on_said is not None:
+            self.on_said()
         if self.unframed:
             lines = [f"HTTP/1.1 {status} x"]
             lines += [
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -5,14 +5,17 @@
 """
 
 import hashlib
+import itertools
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 import orjson
 
-from soak.record import Execution, Piece, Records
+from soak.record import Arrival, Execution, Notice, Piece, Records
 from soak.server import Reply, Request
+from soak.silence import CONTROL_TARGETS
 
 NOT_RUN_HEADER = ("Not-Executed", "1")
 # Stage workers: base time of a call, time per piece, most pieces of a call,
@@ -83,7 +86,7 @@
         rng: Random generator of times and misbehaviour.
     """
 
-    __slots__ = ("records", "results", "clock", "rng")
+    __slots__ = ("records", "results", "clock", "rng", "start_numbers")
 
     def __init__(
         self,
@@ -95,6 +98,7 @@
         self.results: dict[str, Piece] = {}
         self.clock = clock
         self.rng = rng
+        self.start_numbers = itertools.count(1)
 
 
 class Worker:
@@ -102,7 +106,11 @@
 
     Attributes:
         name: Worker id, the value that `Target-Instance` has to have.
+        start: The id and a number unique in the run, since another start may
+            have the same id.
         pool: Service that it belongs to.
+        leaving: Whether it says in all answers that it leaves.
+        paused_until: Until when it refuses requests and asks for no more.
         misbehaviour: Its deviations, shared with its host.
         crash: Ends this worker; called with the cause when it begins to run
             the deadly request, or an answer on the deadly prompt part.
@@ -118,7 +126,10 @@
         context: WorkerContext,
     ) -> None:
         self.name = name
+        self.start = f"{name}#{next(context.start_numbers)}"
         self.pool = pool
+        self.leaving = False
+        self.paused_until = -math.inf
         self.misbehaviour = misbehaviour
         self._context = context
 
@@ -128,13 +139,47 @@
         echo = [("Request-Id", request_id)] if request_id else []
         target = req.headers.get("target-instance", self.name)
         if target != self.name:
+            reply.said, reply.on_said = [], None
             await reply.send_complete(421, b"", [*echo, NOT_RUN_HEADER])
+        elif await self._turn_away(req, reply, echo):
+            return
         elif self._draw(self.misbehaviour.full):
             await reply.send_complete(503, b"", [*echo, NOT_RUN_HEADER])
         else:
             reply.unframed = self._draw(self.misbehaviour.unframed)
             await self.execute(request_id, req, reply)
 
+    def speak(self, req: Request, reply: Reply) -> None:
+        """Lets the answer to a request say that the worker leaves, if so."""
+        records, clock = self._context.records, self._context.clock
+        request = records.requests.get(req.headers.get("request-id", ""))
+        if request is not None:
+            records.arrivals.append(Arrival(self.start, request, clock()))
+        if not self.leaving:
+            return
+        reply.said = [("Server-Leaving", "1")]
+        if request is not None:
+            reply.on_said = lambda: records.notices.append(
+                Notice(self.start, request.instance, clock())
+            )
+
+    async def _turn_away(
+        self, req: Request, reply: Reply, echo: Sequence[tuple[str, str]]
+    ) -> bool:
+        """Asks for a pause in place of an answer; returns whether it did."""
+        records, now = self._context.records, self._context.clock()
+        pause_s = round(self.paused_until - now, 3)
+        if pause_s <= 0.0:
+            return False
+        request = records.requests.get(req.headers.get("request-id", ""))
+        if request is not None:
+            records.notices.append(
+                Notice(self.start, request.instance, now, pause_s)
+            )
+        headers = [*echo, NOT_RUN_HEADER, ("Retry-After", str(pause_s))]
+        await reply.send_complete(503, b"", headers)
+        return True
+
     async def execute(
         self, request_id: str, req: Request, reply: Reply
     ) -> None:
@@ -167,6 +212,7 @@
             self.name,
             self.pool,
             self._context.clock(),
+            start=self.start,
             path=req.target,
             body=req.body,
             account=req.headers.get("tenant", ""),
@@ -289,6 +335,10 @@
 
     async def handle(self, req: Request, reply: Reply) -> None:
         """Answers a call, a release or a query of the free result memory."""
+        if req.target in CONTROL_TARGETS and await self._turn_away(
+            req, reply, ()
+        ):
+            return
         if req.target == "/stage-free":
             for handle in orjson.loads(req.body)["handles"]:
                 self._release(handle)
--- a/soak/worker_hosts.py
+++ b/soak/worker_hosts.py
@@ -140,7 +140,7 @@
         if worker is None:
             return
         acked_at = self._register(worker.name, "draining")
-        self._context.records.drain_acked_at[worker.name] = acked_at
+        self._context.records.drain_acked_at[worker.start] = acked_at
         await anyio.sleep(DRAIN_NOTICE_S + ENTRY_EXPIRY_S)
         if self.worker is worker:
             self.crash_worker()
@@ -162,4 +162,5 @@
         else:
             reply.silence = self.silence
             reply.is_control = req.target in CONTROL_TARGETS
+            self.worker.speak(req, reply)
             await self.worker.handle(req, reply)
