Hold releases until an extended pause ends

Cause: the wait for the end of a pause was computed once. Found by reading the code.

Change: the wait is repeated until the pause or the life of the results ends.

--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -330,15 +330,20 @@
         that expire before are not.
         """
         clock, queue = self._state.clock, self._queues.get(pool)
-        until = self._state.notices.pauses.until(upstream.identity)
-        held = self._held_releases.get(upstream.identity)
+        pauses, identity = self._state.notices.pauses, upstream.identity
+        held = self._held_releases.get(identity)
         if held is not None:
             held += handles
             return
-        if until > clock() and queue is not None:
-            held = self._held_releases[upstream.identity] = list(handles)
-            await anyio.sleep(min(until - clock(), queue.spec.result_ttl_s))
-            handles = self._held_releases.pop(upstream.identity)
+        if pauses.until(identity) > clock() and queue is not None:
+            self._held_releases[identity] = list(handles)
+            expire_at = clock() + queue.spec.result_ttl_s
+            # The pause may be extended meanwhile.
+            while clock() < min(pauses.until(identity), expire_at):
+                await anyio.sleep(
+                    min(pauses.until(identity), expire_at) - clock()
+                )
+            handles = self._held_releases.pop(identity)
         await self._send_release(pool, upstream, handles)
 
     async def _send_release(
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -608,7 +608,7 @@
     Guard(
         "relay: releases wait for the end of a pause",
         "relay/stage_scheduler.py",
-        "if until > clock() and queue is not None:",
+        "if pauses.until(identity) > clock() and queue is not None:",
         "if False:",
         (NOTICES, "Releases wait"),
     ),
