--- a/features/steps/relay_wire_steps.py
+++ b/features/steps/relay_wire_steps.py
@@ -201,7 +201,9 @@
     async def read():
         async with httpx.AsyncClient(transport=context.store.transport) as http:
             upstream = Upstream("u", "10.0.0.1:80", "koper", 1)
-            await ControlClient(http).probe(upstream)
+            await ControlClient(
+                http, lambda _name: False, lambda _name, _report: None
+            ).probe(upstream)
 
     run_read(context, read)
 
