Read and log the rate limits that answers name

Each answer's limits are decoded where leaving and pauses are, recorded by start of the upstream, and logged when the limit in force changes (event rate_limit, with request, target and status). Malformed values leave the limit as it was, the lowest of several counts, and a higher one or the end counts only if its request was sent after the last answer that named the lower one.

--- a/src/applespring/core/notices.py
+++ b/src/applespring/core/notices.py
@@ -10,6 +10,7 @@
 
 from applespring.core.leaving import LeavingTable
 from applespring.core.pauses import PauseTable
+from applespring.core.rate_limits import RateLimitTable
 from applespring.core.self_report import SelfReport
 
 # The Retry-After of callers that are refused until a pause ends is longer than
@@ -42,13 +43,15 @@
     Attributes:
         leaving: Upstreams that leave, whoever says so.
         pauses: Pauses that upstreams have asked this instance for.
+        limits: Rate limits that upstreams have named, to any instance.
     """
 
-    __slots__ = ("leaving", "pauses")
+    __slots__ = ("leaving", "pauses", "limits")
 
     def __init__(self) -> None:
         self.leaving = LeavingTable()
         self.pauses = PauseTable()
+        self.limits = RateLimitTable()
 
     def __bool__(self) -> bool:
         """Whether there may be a notice; without any, all checks pass."""
--- /dev/null
+++ b/src/applespring/core/rate_limits.py
@@ -0,0 +1,142 @@
+"""Rates that upstreams have named as the most that they take.
+
+An upstream names its limit in each answer, for all instances together, for as
+long as the limit holds. Instances tell each other, so that one that got no
+answer of it knows the limit too.
+"""
+
+from collections.abc import Container, Iterator
+
+# Least rate at which a limited upstream gets requests. Only an answer shows
+# that a limit has ended, so that a limit of 0 must not stop all requests.
+RATE_MIN_PER_S = 0.1
+# Above the 600 upstreams of the design scale. Beyond it limits of upstreams
+# that are not listed are dropped first, then those named longest ago.
+LIMITS_MAX = 2048
+# The age of a forwarded limit does not include its transmission time. Without
+# this margin, peers would renew a limit by forwarding it to each other.
+RENEW_MARGIN_S = 0.5
+# How long the end of a limit is kept, for peers that still forward the limit.
+ENDED_KEPT_S = 30.0
+
+
+class RateLimit:
+    """What is known of the rate limit of one start of an upstream.
+
+    Attributes:
+        per_s: Requests a second from all instances together, or None if the
+            limit has ended.
+        named_at: When the newest answer that shows it arrived, at any instance.
+    """
+
+    __slots__ = ("per_s", "named_at")
+
+    def __init__(self, per_s: float | None, named_at: float) -> None:
+        self.per_s = per_s
+        self.named_at = named_at
+
+
+class RateLimitTable:
+    """Rate limits by name and incarnation of the upstream, bounded in number.
+
+    A limit belongs to a start of its upstream. A lower one counts at once. A
+    higher one, or the end of the limit, counts only if the request that shows
+    it was sent after the last answer that named the lower one, since answers
+    may arrive in another order than they were made.
+    """
+
+    __slots__ = ("_limits",)
+
+    def __init__(self) -> None:
+        self._limits: dict[tuple[str, int], RateLimit] = {}
+
+    def __len__(self) -> int:
+        return len(self._limits)
+
+    def __iter__(self) -> Iterator[tuple[tuple[str, int], RateLimit]]:
+        return iter(self._limits.items())
+
+    def record(
+        self,
+        identity: tuple[str, int],
+        per_s: float | None,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Records what an answer to this instance shows.
+
+        Args:
+            identity: Name and incarnation of the upstream.
+            per_s: The limit that it names, or None if it names none.
+            sent_at: When the request was sent that it answers.
+            now: Current time.
+
+        Returns:
+            Whether the limit in force has changed.
+        """
+        held = self._limits.get(identity)
+        if held is None:
+            if per_s is None:
+                return False
+            self._limits[identity] = RateLimit(per_s, now)
+            return True
+        if held.per_s == per_s:
+            held.named_at = now
+            return False
+        is_lower = None not in (per_s, held.per_s) and per_s < held.per_s
+        if not is_lower and sent_at < held.named_at:
+            return False
+        self._limits[identity] = RateLimit(per_s, now)
+        return True
+
+    def merge(
+        self, identity: tuple[str, int], per_s: float | None, named_at: float
+    ) -> bool:
+        """Records what a peer knows; the newer knowledge counts.
+
+        Args:
+            identity: Name and incarnation of the upstream.
+            per_s: The limit, or None if it has ended.
+            named_at: When the newest answer that shows it arrived, on the clock
+                of this instance.
+
+        Returns:
+            Whether the limit in force has changed.
+        """
+        held = self._limits.get(identity)
+        if held is not None:
+            if named_at <= held.named_at + RENEW_MARGIN_S:
+                return False
+            changed = held.per_s != per_s
+        else:
+            changed = per_s is not None
+        self._limits[identity] = RateLimit(per_s, named_at)
+        return changed
+
+    def per_s(self, identity: tuple[str, int]) -> float | None:
+        """Returns the rate that an upstream gets, or None without a limit.
+
+        It is at least `RATE_MIN_PER_S`.
+        """
+        held = self._limits.get(identity)
+        if held is None or held.per_s is None:
+            return None
+        return max(RATE_MIN_PER_S, held.per_s)
+
+    def get(self, identity: tuple[str, int]) -> RateLimit | None:
+        """Returns what is known of an upstream, or None."""
+        return self._limits.get(identity)
+
+    def trim(self, names_in_use: Container[str], now: float) -> None:
+        """Removes limits that ended long ago, and those above `LIMITS_MAX`."""
+        for identity, held in list(self._limits.items()):
+            if held.per_s is None and now - held.named_at > ENDED_KEPT_S:
+                del self._limits[identity]
+        excess = len(self._limits) - LIMITS_MAX
+        if excess > 0:
+            order = sorted(
+                self._limits,
+                key=lambda i: (i[0] in names_in_use, self._limits[i].named_at),
+            )
+            for identity in order[:excess]:
+                del self._limits[identity]
--- a/src/applespring/core/self_report.py
+++ b/src/applespring/core/self_report.py
@@ -12,7 +12,9 @@
 # Statuses whose Retry-After is a pause that the upstream asks for (RFC 9110,
 # 15.6.4, and RFC 6585, 4). With a redirect the header means something else.
 PAUSE_STATUSES = frozenset([429, 503])
-_SECONDS = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
+# Highest rate limit that is kept apart from none; a higher one counts as this.
+RATE_LIMIT_MAX_PER_S = 1e6
+_DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 
 
 class SelfReport:
@@ -22,56 +24,124 @@
         leaving: Whether it says that the upstream leaves.
         pause_s: Time from the answer for which the upstream wants no requests
             of this instance, or None.
+        rate_limit: Requests a second that the upstream takes from all
+            instances together, or None.
+        rate_limit_known: Whether it shows the limit in force; False if a
+            malformed value leaves that open.
+        refuses: Whether its status is one of `PAUSE_STATUSES`.
         rejected: A sentence on each value that is out of range or malformed.
     """
 
-    __slots__ = ("leaving", "pause_s", "rejected")
+    __slots__ = (
+        "leaving",
+        "pause_s",
+        "rate_limit",
+        "rate_limit_known",
+        "refuses",
+        "rejected",
+    )
 
     def __init__(
         self,
         *,
         leaving: bool = False,
         pause_s: float | None = None,
+        rate_limit: float | None = None,
+        rate_limit_known: bool = False,
+        refuses: bool = False,
         rejected: Sequence[str] = (),
     ) -> None:
         self.leaving = leaving
         self.pause_s = pause_s
+        self.rate_limit = rate_limit
+        self.rate_limit_known = rate_limit_known or rate_limit is not None
+        self.refuses = refuses
         self.rejected = tuple(rejected)
 
     @property
     def explains_refusal(self) -> bool:
         """Whether an upstream refuses for a reason that is no fault."""
-        return self.leaving or self.pause_s is not None
+        return (
+            self.leaving
+            or self.pause_s is not None
+            or (self.refuses and self.rate_limit is not None)
+        )
 
     def __bool__(self) -> bool:
         """Whether it says anything."""
-        return self.leaving or self.pause_s is not None or bool(self.rejected)
+        return (
+            self.leaving
+            or self.pause_s is not None
+            or self.rate_limit is not None
+            or bool(self.rejected)
+        )
 
 
 def make_self_report(
-    status: int, *, leaving: bool, retry_after: str | None
+    status: int,
+    *,
+    leaving: bool,
+    retry_after: str | None,
+    rate_limits: Sequence[str] = (),
 ) -> SelfReport:
     """Returns what an answer says of its upstream.
 
     A Retry-After counts only with `PAUSE_STATUSES`. One that is no decimal
     number of seconds is ignored, also a date, since clocks differ. One above
-    `PAUSE_MAX_S` is shortened.
+    `PAUSE_MAX_S` is shortened. Of several rate limits the lowest counts.
 
     Args:
         status: HTTP status.
         leaving: Whether a header says that the upstream leaves.
         retry_after: Value of the Retry-After header, or None.
+        rate_limits: Values of the headers that name a rate limit.
     """
-    if retry_after is None or status not in PAUSE_STATUSES:
-        return SelfReport(leaving=leaving)
-    if not _SECONDS.fullmatch(retry_after):
-        detail = f"Retry-After {retry_after[:40]!r} is no number of seconds"
-        return SelfReport(leaving=leaving, rejected=[detail])
-    pause_s = float(retry_after)
-    if pause_s <= PAUSE_MAX_S:
-        return SelfReport(leaving=leaving, pause_s=pause_s)
-    detail = (
-        f"Retry-After of {pause_s:g} s exceeds {PAUSE_MAX_S:g} s, which "
-        "counts instead"
+    rejected: list[str] = []
+    pause_s = None
+    if retry_after is not None and status in PAUSE_STATUSES:
+        pause_s = _decode_pause(retry_after, rejected)
+    rate_limit = _decode_rate_limit(rate_limits, rejected)
+    return SelfReport(
+        leaving=leaving,
+        pause_s=pause_s,
+        rate_limit=rate_limit,
+        rate_limit_known=rate_limit is not None or not rate_limits,
+        refuses=status in PAUSE_STATUSES,
+        rejected=rejected,
     )
-    return SelfReport(leaving=leaving, pause_s=PAUSE_MAX_S, rejected=[detail])
+
+
+def _decode_pause(text: str, rejected: list[str]) -> float | None:
+    if not _DECIMAL.fullmatch(text):
+        rejected.append(f"Retry-After {text[:40]!r} is no number of seconds")
+        return None
+    pause_s = float(text)
+    if pause_s > PAUSE_MAX_S:
+        rejected.append(
+            f"Retry-After of {pause_s:g} s exceeds {PAUSE_MAX_S:g} s, which "
+            "counts instead"
+        )
+    return min(pause_s, PAUSE_MAX_S)
+
+
+def _decode_rate_limit(
+    texts: Sequence[str], rejected: list[str]
+) -> float | None:
+    limits = []
+    for text in texts:
+        if not _DECIMAL.fullmatch(text):
+            rejected.append(f"rate limit {text[:40]!r} is no decimal number")
+            continue
+        limit = float(text)
+        if limit > RATE_LIMIT_MAX_PER_S:
+            rejected.append(
+                f"rate limit of {limit:g} a second exceeds "
+                f"{RATE_LIMIT_MAX_PER_S:g}, which counts instead"
+            )
+        limits.append(min(limit, RATE_LIMIT_MAX_PER_S))
+    if len(set(limits)) > 1:
+        rejected.append(
+            f"{len(limits)} rate limits in one answer, from {min(limits):g} to "
+            f"{max(limits):g} a second; the lowest counts"
+        )
+    return min(limits, default=None)
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -155,7 +155,7 @@
             signed=b"response-signature" in by_name,
             self_report=SelfReport()
             if is_other
-            else _decode_self_report(status, by_name),
+            else _decode_self_report(status, headers, by_name),
         )
 
     def reply_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -247,7 +247,7 @@
 
 
 def _decode_self_report(
-    status: int, by_name: Mapping[bytes, bytes]
+    status: int, headers: Headers, by_name: Mapping[bytes, bytes]
 ) -> SelfReport:
     retry_after = by_name.get(b"retry-after")
     return make_self_report(
@@ -256,6 +256,14 @@
         retry_after=None
         if retry_after is None
         else retry_after.decode("latin-1").strip(),
+        rate_limits=[
+            value.strip()
+            for name, values in headers
+            if name.lower() == b"server-limit"
+            for value in values.decode("latin-1").split(",")
+        ]
+        if b"server-limit" in by_name
+        else (),
     )
 
 
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -4,6 +4,7 @@
 new connections.
 """
 
+import math
 import socket
 import ssl
 from collections import OrderedDict
@@ -219,6 +220,7 @@
                 or nothing was sent (`FailureKind.WITHDRAWN`).
         """
         written = False
+        written_at = -math.inf
 
         def check_notice() -> None:
             """Raises a StageError if the upstream takes no requests now."""
@@ -231,12 +233,12 @@
                 )
 
         async def trace(name: str, info: dict) -> None:
-            nonlocal written
+            nonlocal written, written_at
             del info
             if name == "http11.send_request_headers.started":
                 # An answer may have arrived while a connection was opened.
                 check_notice()
-                written = True
+                written, written_at = True, self._clock()
 
         def make_error(kind: FailureKind, detail: object) -> StageError:
             verdict = Verdict.MAY_HAVE_RUN if written else Verdict.NOT_RUN
@@ -283,6 +285,7 @@
                 request=request_id,
                 target=target.decode("latin-1"),
                 status=resp.status_code,
+                sent_at=written_at,
             )
             if request_id and reply.request_id != request_id:
                 # An upstream may send a late second answer to an earlier
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -1,5 +1,7 @@
 """Records and logs what the answers of upstreams say of them."""
 
+from typing import TYPE_CHECKING
+
 from loguru import logger
 
 from applespring.core.catalog import ListedUpstream
@@ -8,6 +10,9 @@
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.state import RelayState
 
+if TYPE_CHECKING:
+    from loguru import Logger
+
 
 class NoticeRecorder:
     """Passes each answer's self-report to the notices of the instance."""
@@ -26,6 +31,7 @@
         request: str,
         target: str,
         status: int,
+        sent_at: float,
     ) -> None:
         """Records what an answer says of its upstream.
 
@@ -35,8 +41,9 @@
             request: Id of the request, or "".
             target: Path of the request.
             status: HTTP status of the answer.
+            sent_at: When the request was sent.
         """
-        if not report:
+        if not report and not self._state.notices.limits:
             return
         log = logger.bind(
             upstream=upstream.name,
@@ -67,6 +74,33 @@
             else:
                 log.info("upstream {} says that it leaves", upstream.name)
 
+        self._record_limit(upstream, report, log, sent_at)
+
+    def _record_limit(
+        self,
+        upstream: ListedUpstream,
+        report: SelfReport,
+        log: "Logger",
+        sent_at: float,
+    ) -> None:
+        limits, now = self._state.notices.limits, self._state.clock()
+        if not report.rate_limit_known or not limits.record(
+            upstream.identity, report.rate_limit, sent_at, now
+        ):
+            return
+        limits.trim(self._state.catalog.all(), now)
+        log = log.bind(event="rate_limit", limit_per_s=report.rate_limit)
+        if report.rate_limit is None:
+            self._metrics.state_changes.inc("rate_limit_ended")
+            log.info("upstream {} names no rate limit any more", upstream.name)
+            return
+        self._metrics.state_changes.inc("rate_limit")
+        log.info(
+            "upstream {} takes {:g} requests a second from all instances",
+            upstream.name,
+            report.rate_limit,
+        )
+
     def find(self, upstream: ListedUpstream) -> Notice | None:
         """Returns why an upstream gets no requests now, or None."""
         return self._state.notices.find(upstream.identity, self._state.clock())
