Move the broker of permits to a package that both interfaces use

It knew the state and the peer link of a relay. It gets the limits, a clock and what it needs of the other instances (PermitFleet) now; relay/permit_fleet.py is that of the relay.

--- /dev/null
+++ b/src/applespring/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for upstreams with a rate limit, for both interfaces."""
--- a/src/applespring/relay/permits.py
+++ b/src/applespring/permits/broker.py
@@ -1,22 +1,19 @@
-"""Permits for requests to upstreams that have named a rate limit.
+"""Obtains and grants permits for upstreams that have named a rate limit.
 
 `core/rate_permits.py` decides. Here an instance asks the one that grants the
 permits of a pool, which may be itself, and tells the others of limits.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
+from typing import Protocol, TypeVar
 
 import anyio
 from loguru import logger
 
-from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import ApplespringError
-from applespring.core.rate_limits import RateLimit
+from applespring.core.rate_limits import RateLimit, RateLimitTable
 from applespring.core.rate_permits import PERMIT_VALID_S, RatePermits
 from applespring.peer import message
-from applespring.relay.metrics import RelayMetrics
-from applespring.relay.peers import Peers
-from applespring.relay.state import RelayState
 
 # Interval at which the members are observed.
 OBSERVE_INTERVAL_S = 0.25
@@ -31,6 +28,57 @@
 NO_REPLY_PAUSE_S = 0.1
 
 
+class LimitedUpstream(Protocol):
+    """One start of an upstream that may have a rate limit.
+
+    Attributes:
+        name: Its name.
+        identity: Its name and incarnation.
+        pool: Its pool.
+    """
+
+    name: str
+    identity: tuple[str, int]
+    pool: str
+
+
+Upstream = TypeVar("Upstream", bound=LimitedUpstream)
+
+
+class PermitFleet(Protocol):
+    """The other instances, as the broker needs them.
+
+    Attributes:
+        name: Name of this instance.
+    """
+
+    name: str
+
+    def links(self) -> Mapping[str, float]:
+        """Returns the link speed of each live instance that may grant."""
+
+    def left(self) -> Sequence[str]:
+        """Returns the instances that have left, or have said that they do."""
+
+    def settle_s(self) -> float:
+        """Returns the time within which all instances learn of a change."""
+
+    def upstreams(self) -> Container[str]:
+        """Returns the names of the listed upstreams."""
+
+    async def ask(
+        self, granter: str, request: message.PermitRequest
+    ) -> message.Message:
+        """Sends a request to an instance and returns its reply.
+
+        Raises:
+            ApplespringError: There is no reply.
+        """
+
+    async def announce(self) -> None:
+        """Sends the limits to other instances at once."""
+
+
 class Permit:
     """Permission for one request to an upstream.
 
@@ -50,15 +98,29 @@
     """Obtains permits for this instance, and grants those of others."""
 
     def __init__(
-        self, state: RelayState, peers: Peers, metrics: RelayMetrics
+        self,
+        fleet: PermitFleet,
+        limits: RateLimitTable,
+        clock: Callable[[], float],
+        count_permit: Callable[[str, str], None],
+        count_change: Callable[[str], None],
     ) -> None:
-        self._state = state
-        self._peers = peers
-        self._metrics = metrics
-        self._permits = RatePermits(peers.name)
+        """Asks for nothing before the first limit is known.
+
+        Args:
+            fleet: The other instances.
+            limits: The limits that are known here.
+            clock: Clock in seconds.
+            count_permit: Counts a permit, given its pool and the outcome.
+            count_change: Counts a change of what is known, given its kind.
+        """
+        self._fleet = fleet
+        self._limits = limits
+        self._clock = clock
+        self._count_permit = count_permit
+        self._count_change = count_change
+        self._permits = RatePermits(fleet.name)
         self._changed = anyio.Event()
-        peers.register_handler(message.PermitRequest, self._on_request)
-        peers.set_limit_exchange(self._list_limits, self._receive_limits)
 
     async def run(self) -> None:
         """Observes the members and announces limits until cancelled."""
@@ -77,16 +139,18 @@
             await self._changed.wait()
             await anyio.sleep(ANNOUNCE_DELAY_S)
             self._changed = anyio.Event()
-            await self._peers.announce()
+            await self._fleet.announce()
 
-    def is_limited(self, upstream: ListedUpstream) -> bool:
+    def is_limited(self, upstream: LimitedUpstream) -> bool:
         """Whether an upstream has named a rate limit that holds."""
-        limits = self._state.notices.limits
-        return bool(limits) and limits.per_s(upstream.identity) is not None
+        return (
+            bool(self._limits)
+            and self._limits.per_s(upstream.identity) is not None
+        )
 
-    def opens_at(self, upstream: ListedUpstream) -> float:
+    def opens_at(self, upstream: LimitedUpstream) -> float:
         """Returns until when no permit is to be had, -inf if one may be."""
-        limits, now = self._state.notices.limits, self._state.clock()
+        limits, now = self._limits, self._clock()
         per_s = limits.per_s(upstream.identity)
         if per_s is not None and self._is_granter(upstream.pool):
             wait_s = self._permits.opens_in_s(
@@ -97,10 +161,10 @@
 
     async def choose(
         self,
-        upstreams: Sequence[ListedUpstream],
-        select: Callable[[Sequence[ListedUpstream]], ListedUpstream | None],
+        upstreams: Sequence[Upstream],
+        select: Callable[[Sequence[Upstream]], Upstream | None],
         wait_until: float,
-    ) -> tuple[ListedUpstream | None, Permit | None]:
+    ) -> tuple[Upstream | None, Permit | None]:
         """Selects an upstream that may get a request, and waits for its permit.
 
         One that has no permit left is passed over. If that is so for all of
@@ -115,8 +179,8 @@
             The upstream and its permit. The permit is None without a limit, and
             the upstream is None if none may get the request in time.
         """
-        clock = self._state.clock
-        if not self._state.notices.limits:
+        clock = self._clock
+        if not self._limits:
             return select(upstreams), None
         left = [u for u in upstreams if self.opens_at(u) <= clock()]
         while left:
@@ -138,7 +202,7 @@
         return first, permit
 
     async def acquire(
-        self, upstream: ListedUpstream, wait_s: float = 0.0
+        self, upstream: LimitedUpstream, wait_s: float = 0.0
     ) -> Permit | None:
         """Returns a permit that begins within a time, or None.
 
@@ -146,8 +210,7 @@
             upstream: The upstream.
             wait_s: Time for which the request can wait, in seconds.
         """
-        state, limits = self._state, self._state.notices.limits
-        asked_at = state.clock()
+        limits, asked_at = self._limits, self._clock()
         per_s = limits.per_s(upstream.identity)
         if per_s is None:
             return Permit(asked_at, float("inf"))
@@ -161,21 +224,23 @@
             if limits.per_s(upstream.identity) is None:
                 return Permit(asked_at, float("inf"))
         outcome = "granted" if granted else "denied"
-        self._metrics.permits.inc(upstream.pool, outcome)
+        self._count_permit(upstream.pool, outcome)
         if not granted:
-            limits.close(upstream.identity, state.clock() + opens_in_s)
+            limits.close(upstream.identity, self._clock() + opens_in_s)
             return None
         starts_at = asked_at + opens_in_s
         return Permit(starts_at, starts_at + PERMIT_VALID_S)
 
-    def is_valid(self, upstream: ListedUpstream, permit: Permit | None) -> bool:
+    def is_valid(
+        self, upstream: LimitedUpstream, permit: Permit | None
+    ) -> bool:
         """Whether a request may be written to an upstream now."""
         if permit is None:
             return not self.is_limited(upstream)
-        return self._state.clock() <= permit.ends_at
+        return self._clock() <= permit.ends_at
 
     async def _ask(
-        self, upstream: ListedUpstream, wait_s: float
+        self, upstream: LimitedUpstream, wait_s: float
     ) -> tuple[bool, float]:
         """Asks the granter of an upstream for a permit.
 
@@ -183,9 +248,9 @@
             Whether it granted one, and the time until that begins or until the
             next one may be granted.
         """
-        held = self._state.notices.limits.get(upstream.identity)
+        held = self._limits.get(upstream.identity)
         granter = self._permits.members.granter(upstream.pool)
-        now = self._state.clock()
+        now = self._clock()
         request = message.PermitRequest(
             pool=upstream.pool,
             limit=_to_message(upstream.identity, held, now),
@@ -194,15 +259,13 @@
         detail = "it grants no permits"
         try:
             with anyio.move_on_after(REPLY_WAIT_S):
-                reply = await self._peers.request(
-                    self._peers.address_of(granter), request
-                )
+                reply = await self._fleet.ask(granter, request)
                 if isinstance(reply, message.PermitReply):
-                    self._merge(reply.limits)
+                    self.receive(reply.limits)
                     return reply.granted, reply.wait_s
         except ApplespringError as exc:
             detail = str(exc)
-        self._metrics.permits.inc(upstream.pool, "no_reply")
+        self._count_permit(upstream.pool, "no_reply")
         logger.bind(
             event="permit_not_answered",
             upstream=upstream.name,
@@ -217,10 +280,11 @@
         )
         return False, NO_REPLY_PAUSE_S
 
-    async def _on_request(self, msg: message.PermitRequest) -> message.Message:
-        now, limits = self._state.clock(), self._state.notices.limits
+    async def grant(self, msg: message.PermitRequest) -> message.Message:
+        """Answers the request of another instance for a permit."""
+        now, limits = self._clock(), self._limits
         identity = (msg.limit.upstream, msg.limit.born_ms)
-        self._merge([msg.limit])
+        self.receive([msg.limit])
         per_s = limits.per_s(identity)
         held = limits.get(identity)
         known = [_to_message(identity, held, now)] if held else []
@@ -243,39 +307,32 @@
         return members.granter(pool) == members.name
 
     def _observe(self) -> None:
-        state, now = self._state, self._state.clock()
-        link_mbps = None if state.leaving else state.settings.link_mbps
+        fleet = self._fleet
         self._permits.members.observe(
-            state.peer_table.live_links(now, link_mbps),
-            state.peer_table.leaving_names(),
-            state.peer_table.settle_s,
-            now,
+            fleet.links(), fleet.left(), fleet.settle_s(), self._clock()
         )
 
-    def _list_limits(self) -> list[message.UpstreamRate]:
+    def list_limits(self) -> list[message.UpstreamRate]:
         """Returns the limits to send, those named last first."""
-        limits, now = self._state.notices.limits, self._state.clock()
+        limits, now = self._limits, self._clock()
         if not limits:
             return []
-        limits.trim(self._state.catalog.all(), now)
+        limits.trim(self._fleet.upstreams(), now)
         newest = sorted(limits, key=lambda item: -item[1].named_at)
         return [
             _to_message(identity, held, now)
             for identity, held in newest[:LIMITS_SENT_MAX]
         ]
 
-    def _receive_limits(self, rates: Sequence[message.UpstreamRate]) -> None:
-        self._merge(rates)
-
-    def _merge(self, rates: Sequence[message.UpstreamRate]) -> None:
+    def receive(self, rates: Sequence[message.UpstreamRate]) -> None:
         """Records what a peer knows of limits."""
-        limits, now = self._state.notices.limits, self._state.clock()
+        limits, now = self._limits, self._clock()
         for rate in rates:
             per_s = None if rate.ended else rate.per_s
             identity = (rate.upstream, rate.born_ms)
             if not limits.merge(identity, per_s, now - max(0.0, rate.age_s)):
                 continue
-            self._metrics.state_changes.inc("rate_limit_from_peer")
+            self._count_change("rate_limit_from_peer")
             logger.bind(
                 event="rate_limit",
                 upstream=rate.upstream,
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -18,8 +18,8 @@
 from applespring.core.errors import FailureKind, StageError
 from applespring.core.reachability import DomainReachability
 from applespring.core.verdict import Verdict
+from applespring.permits.broker import Permit, PermitBroker
 from applespring.relay.notice_recorder import NoticeRecorder
-from applespring.relay.permits import Permit, PermitBroker
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
 
 # A connection is set up in about a millisecond, while a machine without power
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -10,6 +10,7 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.peer import message
 from applespring.peer.transport import Transport
+from applespring.permits.broker import PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch
 from applespring.relay.application import RelayApplication
 from applespring.relay.client import UpstreamClient
@@ -18,7 +19,7 @@
 from applespring.relay.notice_recorder import NoticeRecorder
 from applespring.relay.peer_sync import PeerSync
 from applespring.relay.peers import Peers
-from applespring.relay.permits import PermitBroker
+from applespring.relay.permit_fleet import RelayFleet
 from applespring.relay.plain import PlainForwarder
 from applespring.relay.protocol import Protocol
 from applespring.relay.registry import Registry
@@ -68,7 +69,17 @@
             random.Random(f"{settings.name} {incarnation}"),
         )
         self.peers.seeds = settings.seeds
-        self._permits = PermitBroker(self.state, self.peers, self.metrics)
+        self._permits = PermitBroker(
+            RelayFleet(self.state, self.peers),
+            self.state.notices.limits,
+            clock,
+            self.metrics.permits.inc,
+            self.metrics.state_changes.inc,
+        )
+        self.peers.register_handler(message.PermitRequest, self._permits.grant)
+        self.peers.set_limit_exchange(
+            self._permits.list_limits, self._permits.receive
+        )
         self._client = UpstreamClient(
             protocol,
             self.state.reachability,
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -14,6 +14,7 @@
 from applespring.core.plain_selector import PlainSelector
 from applespring.core.route import PoolSpec
 from applespring.core.verdict import Verdict, combine
+from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
 from applespring.relay.attempt import Attempt, record_attempt, watch_attempt
 from applespring.relay.availability import check_pool, make_unavailable_refusal
@@ -21,7 +22,6 @@
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
-from applespring.relay.permits import Permit, PermitBroker
 from applespring.relay.protocol import Protocol
 from applespring.relay.silence import UpstreamSilentError, run_until_replaced
 from applespring.relay.state import RelayState
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -31,11 +31,11 @@
 from applespring.core.queue_waits import RETRY_AFTER_MIN_S
 from applespring.core.verdict import Verdict
 from applespring.peer import message
+from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, is_broken_off
 from applespring.relay.client import UpstreamClient
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
-from applespring.relay.permits import Permit, PermitBroker
 from applespring.relay.protocol import PieceReply, Protocol
 from applespring.relay.state import RelayState
 
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -17,6 +17,7 @@
 from applespring.core.queue_waits import critical_path_s
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
+from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
 from applespring.relay.attempt import (
     CANCELLED,
@@ -29,7 +30,6 @@
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
-from applespring.relay.permits import Permit, PermitBroker
 from applespring.relay.plain import (
     BODY_BYTES_MAX,
     NOT_RUN_ATTEMPTS_MAX,
