Keep the rate limits of upstreams on the JSON interface

Calls went to an upstream that had named a limit (applespring-rate-limit) as before: 49 to 254 in 4 s, where 5 to 25 were planned for.

Change: the same table, permits and broker as on the platform. A call, an order, a probe and a load report need a permit; cache events of a limited upstream are not read, and its load is probed only for lack of evidence. An upstream without a permit is left out of the gates until there may be one. The members are those of the platform's list, so that an instance that is cut off gets no permits.

One row of entry_limits.feature is played at 10 requests a second instead of 20: with one of two engines unused altogether, 47 of 240 are refused at 20 too, since one engine serves some 14 a second there.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -14,7 +14,7 @@
       | embed    | encoder-1  | 120  | 1     |
       | embed    | encoder-1  | 120  | 0     |
       | pay      | payments-1 | 20   | 2     |
-      | ask      | engines-1  | 20   | 1     |
+      | ask      | engines-1  | 10   | 1     |
 
   Scenario: All upstreams of a pool of the JSON interface name a limit
     Guards against calls beyond the limits when there is no other upstream,
--- a/src/applespring/core/membership.py
+++ b/src/applespring/core/membership.py
@@ -308,22 +308,55 @@
         """
         if name not in self._reports_load:
             return False
-        return self.notices.pauses.add(self._identity(name), pause_s, now)
+        return self.notices.pauses.add(self.identity(name), pause_s, now)
 
     def is_paused(self, name: str, now: float) -> bool:
         """Returns whether an upstream has asked for no requests now."""
-        return self.notices.pauses.until(self._identity(name)) > now
+        return self.notices.pauses.until(self.identity(name)) > now
+
+    def is_limited(self, name: str) -> bool:
+        """Returns whether an upstream has named a rate limit that holds."""
+        limits = self.notices.limits
+        return bool(limits) and limits.per_s(self.identity(name)) is not None
+
+    def pool_of(self, name: str) -> str:
+        """Returns the pool of an upstream, or "" if it has none."""
+        return next(
+            (pool for pool, names in self._pools.items() if name in names), ""
+        )
 
     def opens_at(self, pool: str) -> float:
-        """Returns when the first pause in a pool ends, -inf without any."""
+        """Returns when the first upstream of a pool takes calls, -inf if now.
+
+        Counted are pauses, and rate limits that leave no permit.
+        """
         ends = [
-            self.notices.pauses.until(self._identity(name))
+            max(
+                self.notices.pauses.until(self.identity(name)),
+                self.notices.limits.closed_until(self.identity(name)),
+            )
             for name in self._pools.get(pool, ())
             if name not in self._leaving_upstreams
         ]
         return min(ends, default=float("-inf"))
 
-    def _identity(self, name: str) -> tuple[str, int]:
+    def next_opening(self, now: float) -> float:
+        """Returns when the next upstream may have a permit again, inf if none.
+
+        Only upstreams with a rate limit count that have no permit left now.
+        """
+        limits = self.notices.limits
+        if not limits:
+            return float("inf")
+        ends = (limits.closed_until(identity) for identity, _ in limits)
+        return min((at for at in ends if at > now), default=float("inf"))
+
+    def upstream_names(self) -> frozenset[str]:
+        """Returns the names of the configured upstreams."""
+        return frozenset(self._reports_load)
+
+    def identity(self, name: str) -> tuple[str, int]:
+        """Returns the name and incarnation of an upstream, 0 if unknown."""
         entry = self.listed.get(name)
         return (name, entry.incarnation if entry is not None else 0)
 
@@ -390,6 +423,7 @@
             name
             for name in self._pools.get(pool, ())
             if self._check(name, now) is DispatchCheck.OK
+            and self.notices.limits.closed_until(self.identity(name)) <= now
         }
 
     def check_dispatch(self, upstream: str, now: float) -> DispatchCheck:
--- a/src/applespring/entry/compose.py
+++ b/src/applespring/entry/compose.py
@@ -21,6 +21,7 @@
 from applespring.entry.drain import DrainService
 from applespring.entry.execution.calls import Guard, UpstreamClient
 from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.permits import CallPermits
 from applespring.entry.execution.runner import PipelineRunner
 from applespring.entry.execution.stage import StageRunner
 from applespring.entry.execution.watched_run import (
@@ -28,7 +29,11 @@
     UsableUpstreams,
 )
 from applespring.entry.external.config import ConfigService
-from applespring.entry.external.engines import ControlClient, EngineService
+from applespring.entry.external.engines import (
+    CONTROL_TIMEOUT_S,
+    ControlClient,
+    EngineService,
+)
 from applespring.entry.external.members import MemberService
 from applespring.entry.external.platform import PlatformClient
 from applespring.entry.front.app import Application
@@ -41,12 +46,14 @@
     Peering,
 )
 from applespring.entry.mesh.peers import PeerService
+from applespring.entry.mesh.permit_fleet import EntryFleet
 from applespring.entry.mesh.sharing import Sharing
 from applespring.entry.monitoring.metrics import Metrics
 from applespring.entry.monitoring.scrape import StateReader
 from applespring.entry.settings import Settings
-from applespring.peer.message import CrashReport, Trial
+from applespring.peer.message import CrashReport, PermitRequest, Trial
 from applespring.peer.transport import Transport
+from applespring.permits.broker import PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch
 
 DOCUMENT_NAME = "fleet.toml"
@@ -182,6 +189,7 @@
                 self._sharing.run,
                 self._engines.run,
                 self._peering.run,
+                self._broker.run,
                 self.crash_watch.run,
             ):
                 tasks.start_soon(service)
@@ -236,10 +244,29 @@
         external, settings = self._external, self.settings
         clock, rng = external.clock, external.rng
         self._platform_client = platform = PlatformClient(external.platform)
+        self._broker = PermitBroker(
+            EntryFleet(self.membership, self.peers),
+            self.membership.notices.limits,
+            clock,
+            lambda _, outcome: self.metrics.events.inc(f"permit_{outcome}"),
+            self.metrics.events.inc,
+        )
+        self.peers.register(PermitRequest, self._broker.grant)
+        self.peers.on_heartbeat(
+            lambda heartbeat: self._broker.receive(heartbeat.limits)
+        )
+        self._permits = CallPermits(
+            self._broker,
+            self.membership,
+            lambda: self._sharing.close_limited(),
+            self.metrics.events.inc,
+            clock,
+        )
         control = ControlClient(
             external.control,
             lambda name: self.membership.is_paused(name, clock()),
-            lambda name, report: self.members.note_pause(name, report),
+            self._record_control_report,
+            self._permits,
         )
         self.members = MemberService(
             self.membership,
@@ -300,6 +327,7 @@
             self.drain,
             lambda: self.config.tracker.revision,
             clock,
+            self._broker.list_limits,
         )
 
     def _make_crash_watch(self) -> CrashWatch:
@@ -336,6 +364,7 @@
             self._check_dispatch,
             self._wait_for_evidence,
             self.crash_watch,
+            self._permits,
             self.metrics,
         )
         self.runner = self.runner_class(
@@ -434,10 +463,17 @@
         await self.members.wait_evidence()
         self._sharing.apply()
 
+    def _record_control_report(self, upstream: str, report: SelfReport) -> None:
+        self.members.note_pause(upstream, report)
+        # Control calls end within this time.
+        sent_at = self._external.clock() - CONTROL_TIMEOUT_S
+        self._permits.record(upstream, report, sent_at)
+
     def _record_self_report(
         self, upstream: str, report: SelfReport, asked_at: float
     ) -> None:
         self.members.note_pause(upstream, report)
+        self._permits.record(upstream, report, asked_at)
         if report.leaving:
             self.members.note_leaving(upstream, 0, "header")
         else:
--- a/src/applespring/entry/execution/calls.py
+++ b/src/applespring/entry/execution/calls.py
@@ -25,11 +25,13 @@
 )
 from applespring.core.self_report import SelfReport, make_self_report
 from applespring.core.verdict import Verdict
+from applespring.permits.broker import Permit
 
 RESULT_BYTES_MAX = 4 * 1024 * 1024
 EVENT_BYTES_MAX = 64 * 1024
 STATE_HEADER = "applespring-state"
 LEAVING_STATE = "leaving"
+RATE_LIMIT_HEADER = "applespring-rate-limit"
 DONE = b"[DONE]"
 
 Guard = Callable[[], None]
@@ -65,6 +67,7 @@
         "started_at",
         "timeout_s",
         "write_probe",
+        "permit",
     )
 
     def __init__(
@@ -91,6 +94,7 @@
         self.started_at = started_at
         self.timeout_s = timeout_s
         self.write_probe = WriteProbe(guard)
+        self.permit: Permit | None = None
 
     def make_error(self, kind: FailureKind, detail: str) -> StageError:
         """Returns an error of this attempt, with its verdict.
@@ -257,6 +261,7 @@
         resp.status_code,
         leaving=resp.headers.get(STATE_HEADER) == LEAVING_STATE,
         retry_after=resp.headers.get("retry-after"),
+        rate_limits=resp.headers.get_list(RATE_LIMIT_HEADER, split_commas=True),
     )
 
 
--- a/src/applespring/entry/execution/stage.py
+++ b/src/applespring/entry/execution/stage.py
@@ -24,6 +24,7 @@
 from applespring.core.verdict import Verdict, combine
 from applespring.entry.execution.calls import Call, Emit, Guard, UpstreamClient
 from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.permits import CallPermits
 from applespring.entry.execution.progress import Progress
 from applespring.entry.execution.stall import StallDetector, StreamTiming
 from applespring.entry.execution.watched_run import (
@@ -63,6 +64,8 @@
     DispatchCheck.UNKNOWN: "the upstream is not in the configuration in force",
 }
 
+NO_PERMIT_DETAIL = "the rate limit of the upstream leaves no permit"
+
 CheckDispatch = Callable[[str], DispatchCheck]
 WaitForEvidence = Callable[[], Awaitable[None]]
 
@@ -92,6 +95,8 @@
             it stalled, until a later attempt fails other than by a refusal; ""
             otherwise.
         refusals: Refused attempts since then.
+        lacks_permit: Whether the current attempt was not sent, since the rate
+            limit of its upstream left no permit.
     """
 
     __slots__ = (
@@ -113,6 +118,7 @@
         "first_token_at",
         "stalled_upstream",
         "refusals",
+        "lacks_permit",
     )
 
     def __init__(
@@ -146,6 +152,7 @@
         self.retry_granted = False
         self.position = position
         self.watched = watched
+        self.lacks_permit = False
         self.first_token_at = -1.0
         self.stalled_upstream = ""
         self.refusals = 0
@@ -167,6 +174,7 @@
         "_check_dispatch",
         "_wait_for_evidence",
         "_crash_watch",
+        "_permits",
         "_metrics",
         "_timings",
     )
@@ -180,6 +188,7 @@
         check_dispatch: CheckDispatch,
         wait_for_evidence: WaitForEvidence,
         crash_watch: CrashWatch,
+        permits: CallPermits,
         metrics: Metrics,
     ) -> None:
         """Initializes the runner.
@@ -194,6 +203,7 @@
             wait_for_evidence: Waits, after a pause of the process, for a new
                 read of the instance list.
             crash_watch: Records which upstreams ended under which requests.
+            permits: Permits for upstreams with a rate limit.
             metrics: Counts calls and attempts.
         """
         self._gates = gates
@@ -203,6 +213,7 @@
         self._check_dispatch = check_dispatch
         self._wait_for_evidence = wait_for_evidence
         self._crash_watch = crash_watch
+        self._permits = permits
         self._metrics = metrics
         # By pool name.
         self._timings: dict[str, StreamTiming] = {}
@@ -223,7 +234,8 @@
                 return await self._run_attempt(work, grant)
             except StageError as exc:
                 unwritten = exc.kind in UNWRITTEN_KINDS
-                reroutes += unwritten
+                # Each upstream without a permit is closed, so that these end.
+                reroutes += unwritten and not work.lacks_permit
                 if not self._may_retry(work, exc, reroutes):
                     raise _make_refusal(work, exc) from exc
                 failed.add(exc.upstream)
@@ -282,7 +294,9 @@
             candidates, breaks=work.watched.breaks
         )
         work.first_token_at = -1.0
+        work.lacks_permit = False
         try:
+            await self._acquire_permit(work, call)
             output = await self._run_call(work, call)
             kind, verdict = None, Verdict.RAN
             self._crash_watch.record_answer([name for name, _ in candidates])
@@ -311,6 +325,17 @@
             counted = FailureKind.WITHDRAWN if turned_away else kind
             self._gates.finish(work.pool.name, grant, counted, elapsed_s)
 
+    async def _acquire_permit(self, work: StageWork, call: Call) -> None:
+        """Obtains a permit for a call if its upstream has a rate limit.
+
+        Raises:
+            StageError: None is left now.
+        """
+        call.permit = await self._permits.acquire(call.upstream.name)
+        if call.permit is None:
+            work.lacks_permit = True
+            raise call.make_error(FailureKind.WITHDRAWN, NO_PERMIT_DETAIL)
+
     def _record_break(
         self, work: StageWork, call: Call, evidence: BrokenRequest
     ) -> None:
@@ -337,6 +362,9 @@
                 raise call.make_error(
                     FailureKind.WITHDRAWN, _WITHDRAWAL_DETAILS[check]
                 )
+            if not self._permits.is_valid(upstream.name, call.permit):
+                work.lacks_permit = True
+                raise call.make_error(FailureKind.WITHDRAWN, NO_PERMIT_DETAIL)
             if not pool.idempotent:
                 work.guard()
             work.progress.start_write(pool)
--- a/src/applespring/entry/external/engines.py
+++ b/src/applespring/entry/external/engines.py
@@ -22,6 +22,7 @@
 from applespring.core.self_report import SelfReport
 from applespring.entry.execution.calls import WriteProbe, read_self_report
 from applespring.entry.execution.gates import Clock, Gates
+from applespring.entry.execution.permits import CallPermits
 from applespring.entry.monitoring.metrics import Metrics
 
 CONTROL_BYTES_MAX = 256 * 1024
@@ -83,16 +84,18 @@
 class ControlClient:
     """Client for the control calls; the `Probe` of `MemberService`.
 
-    Nothing is sent to a paused upstream.
+    Nothing is sent to a paused upstream, and to one with a rate limit only with
+    a permit. Its cache events are not read, since calls need the permits more.
     """
 
-    __slots__ = ("_http", "_is_paused", "_on_pause")
+    __slots__ = ("_http", "_is_paused", "_on_pause", "_permits")
 
     def __init__(
         self,
         http: httpx.AsyncClient,
         is_paused: Callable[[str], bool],
         on_pause: Callable[[str, SelfReport], None],
+        permits: CallPermits | None = None,
     ) -> None:
         """Initializes the client.
 
@@ -100,10 +103,13 @@
             http: Sends the calls.
             is_paused: Returns whether an upstream has asked for no requests.
             on_pause: Records what a response says of its upstream.
+            permits: Permits for upstreams with a rate limit, or None if none
+                has one.
         """
         self._http = http
         self._is_paused = is_paused
         self._on_pause = on_pause
+        self._permits = permits
 
     async def probe(self, upstream: Upstream) -> UpstreamReport:
         """Reads the load report of an upstream.
@@ -127,6 +133,8 @@
             MessageError: The reply is malformed.
             httpx.HTTPError: The engine did not answer.
         """
+        if self._permits and self._permits.is_limited(upstream.name):
+            raise MessageError("cache events: the upstream has a rate limit")
         reply = await self._read(upstream, f"/v1/cache_events?after={after}")
         try:
             return [_parse_event(item) for item in reply["events"]]
@@ -142,7 +150,8 @@
 
         Raises:
             httpx.HTTPError: The engine did not answer.
-            OrderRefusedError: The engine is paused.
+            OrderRefusedError: The engine is paused, or its rate limit leaves no
+                permit.
         """
         state = order.state
         body = {
@@ -163,6 +172,8 @@
             check_pause()
 
         check_pause()
+        if not await self._has_permit(order.engine):
+            raise OrderRefusedError
         async with self._http.stream(
             "POST",
             f"http://{order.address}/v1/orders",
@@ -177,6 +188,8 @@
     async def _read(self, upstream: Upstream, path: str) -> dict[str, Any]:
         if self._is_paused(upstream.name):
             raise MessageError(f"{path}: the upstream is paused")
+        if not await self._has_permit(upstream.name):
+            raise MessageError(f"{path}: the rate limit leaves no permit")
         try:
             with anyio.fail_after(CONTROL_TIMEOUT_S):
                 content = await self._read_content(upstream, path)
@@ -192,6 +205,13 @@
             raise MessageError(f"{path}: the reply is not a JSON object")
         return document
 
+    async def _has_permit(self, name: str) -> bool:
+        return (
+            self._permits is None
+            or not self._permits.is_limited(name)
+            or await self._permits.acquire(name) is not None
+        )
+
     async def _read_content(self, upstream: Upstream, path: str) -> bytes:
         content = bytearray()
         async with self._http.stream(
--- a/src/applespring/entry/external/members.py
+++ b/src/applespring/entry/external/members.py
@@ -388,7 +388,12 @@
         spare_probes = min(spare_probes, PROBES_MAX - len(chosen))
         for group in (self._local, self._reporting - self._local):
             due = self._find_outdated(group - needed, now)
-            due -= {n for n in due if self.membership.is_paused(n, now)}
+            due -= {
+                n
+                for n in due
+                if self.membership.is_paused(n, now)
+                or self.membership.is_limited(n)
+            }
             picked = heapq.nsmallest(spare_probes, due, key=self._probe_key)
             self.probes_deferred += len(due) - len(picked)
             chosen += picked
--- a/src/applespring/entry/mesh/peers.py
+++ b/src/applespring/entry/mesh/peers.py
@@ -16,6 +16,7 @@
     Leaving,
     Message,
     PoolLoad,
+    UpstreamRate,
 )
 from applespring.peer.transport import PeerUnreachableError, Transport
 
@@ -50,6 +51,7 @@
         accounts: Demand of the busiest client accounts, only the first
             `HEARTBEAT_ACCOUNTS_MAX`.
         leaving: Leaving notices, only the first `HEARTBEAT_NOTICES_MAX`.
+        limits: Rate limits of upstreams.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "pools",
         "accounts",
         "leaving",
+        "limits",
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         pools: Iterable[PoolLoad] = (),
         accounts: Iterable[AccountLoad] = (),
         leaving: Iterable[Leaving] = (),
+        limits: Iterable[UpstreamRate] = (),
     ) -> None:
         self.state = state
         self.config_revision = config_revision
@@ -76,6 +80,7 @@
         self.pools = tuple(pools)[:HEARTBEAT_POOLS_MAX]
         self.accounts = tuple(accounts)[:HEARTBEAT_ACCOUNTS_MAX]
         self.leaving = tuple(leaving)[:HEARTBEAT_NOTICES_MAX]
+        self.limits = tuple(limits)
 
 
 class KeyGroupView:
@@ -250,6 +255,7 @@
     def _encode_heartbeat(self) -> bytes:
         content = self.content()
         pools, accounts = content.pools, content.accounts
+        limits = content.limits
         while True:
             heartbeat = Heartbeat(
                 name=self.name,
@@ -263,14 +269,16 @@
                 pools=pools,
                 accounts=accounts,
                 leaving=content.leaving,
+                limits=limits,
             )
             try:
                 return codec.encode(heartbeat, codec.DATAGRAM_BYTES_MAX)
             except MessageError:
                 # Long names can exceed a datagram. Drop loads rather than the
                 # heartbeat, whose other fields the key lease needs.
-                if not pools and not accounts:
+                if not pools and not accounts and not limits:
                     raise
+                limits = limits[: len(limits) // 2]
                 pools = pools[: len(pools) // 2]
                 accounts = accounts[: len(accounts) // 2]
 
--- a/src/applespring/entry/mesh/sharing.py
+++ b/src/applespring/entry/mesh/sharing.py
@@ -1,6 +1,6 @@
 """Division of upstream slots among entry instances, by their demand."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 
@@ -21,9 +21,16 @@
     HeartbeatContent,
     PeerService,
 )
-from applespring.peer.message import AccountLoad, Leaving, PoolLoad
+from applespring.peer.message import (
+    AccountLoad,
+    Leaving,
+    PoolLoad,
+    UpstreamRate,
+)
 
 SHARE_INTERVAL_S = 0.5
+# Least time between two times at which upstreams have permits again.
+APPLY_INTERVAL_MIN_S = 0.01
 # Smallest relative change of a share that is applied. A smaller one shifts less
 # than one slot, but applying it makes the gate recalculate its capacity.
 SHARE_CHANGE_MIN = 0.01
@@ -51,6 +58,8 @@
         "_instance_count",
         "_applied_usable",
         "_applied_shares",
+        "_list_limits",
+        "_changed",
     )
 
     def __init__(
@@ -61,6 +70,7 @@
         drain: DrainService,
         revision: Callable[[], int],
         clock: Clock,
+        list_limits: Callable[[], Sequence[UpstreamRate]] = tuple,
     ) -> None:
         """Creates the service; nothing is applied to the gates yet.
 
@@ -71,7 +81,10 @@
             drain: The shutdown of this instance.
             revision: Returns the configuration revision in force.
             clock: Returns seconds on the monotonic clock.
+            list_limits: Returns the rate limits to send to peers.
         """
+        self._list_limits = list_limits
+        self._changed = anyio.Event()
         self.found_upstream = False
         self._gates = gates
         self._peers = peers
@@ -133,13 +146,25 @@
                 )
                 for notice in self._membership.recent_notices(now)
             ],
+            limits=self._list_limits(),
         )
 
     async def run(self) -> None:
         """Applies shares and usable upstreams until cancelled."""
         while True:
+            self._changed = anyio.Event()
             self.apply()
-            await anyio.sleep(SHARE_INTERVAL_S)
+            now = self._clock()
+            opens_in_s = self._membership.next_opening(now) - now
+            with anyio.move_on_after(
+                min(SHARE_INTERVAL_S, max(APPLY_INTERVAL_MIN_S, opens_in_s))
+            ):
+                await self._changed.wait()
+
+    def close_limited(self) -> None:
+        """Applies that an upstream has no permit left, and when it may have."""
+        self.apply()
+        self._changed.set()
 
     def apply(self) -> None:
         """Applies current shares and usable upstreams to all gates."""
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -73,11 +73,23 @@
     DEFAULTS = {"age_s": 0.0}
 
 
+class UpstreamRate(Message):
+    """Rate limit of one start of an upstream, for all instances together.
+
+    `per_s` is in requests a second; `ended` says that there is none any more.
+    `age_s` is the time since the newest answer that shows it.
+    """
+
+    __slots__ = ("upstream", "born_ms", "per_s", "ended", "age_s")
+    DEFAULTS = {"per_s": 0.0, "ended": False}
+
+
 class Heartbeat(Message):
     """State and load of the sender, sent as a datagram.
 
     `view_digest` is the digest of the sender's key group, and `leaving` lists
-    the notices that the sender passes on.
+    the notices that the sender passes on. `limits` are the rate limits of
+    upstreams that it knows.
     """
 
     __slots__ = (
@@ -92,9 +104,15 @@
         "pools",
         "accounts",
         "leaving",
+        "limits",
     )
-    DEFAULTS = {"pools": (), "accounts": (), "leaving": ()}
-    NESTED = {"pools": PoolLoad, "accounts": AccountLoad, "leaving": Leaving}
+    DEFAULTS = {"pools": (), "accounts": (), "leaving": (), "limits": ()}
+    NESTED = {
+        "pools": PoolLoad,
+        "accounts": AccountLoad,
+        "leaving": Leaving,
+        "limits": UpstreamRate,
+    }
 
 
 class HeartbeatEcho(Message):
@@ -313,17 +331,6 @@
     __slots__ = ("name", "answered_age_s", "trial_age_s", "trials")
 
 
-class UpstreamRate(Message):
-    """Rate limit of one start of an upstream, for all instances together.
-
-    `per_s` is in requests a second; `ended` says that there is none any more.
-    `age_s` is the time since the newest answer that shows it.
-    """
-
-    __slots__ = ("upstream", "born_ms", "per_s", "ended", "age_s")
-    DEFAULTS = {"per_s": 0.0, "ended": False}
-
-
 class PermitRequest(Message):
     """Asks for a permit for one request to an upstream with a rate limit.
 
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -33,6 +33,7 @@
   pools @8 :List(PoolLoad);
   accounts @9 :List(AccountLoad);
   leaving @10 :List(Leaving);
+  limits @11 :List(UpstreamRate);
 }
 
 struct HeartbeatEcho {
