soak: workers that name a rate limit; call stage upstreams whose permit begins now

The soak's workers name limits in all answers, and the check `limited` counts as the users' rule does, releases and stage calls included.

The scheduler read the clock, then asked when an upstream with a limit opens; "now" was a moment after its own reading, so that no upstream was ever free. Virtual time does not pass between two readings, so that no scenario showed it. An upstream with a permit left is not closed at all now.

The least rate of a limited upstream is 0.25 a second in place of 0.1, so that the end of a limit of 0 is known after 4 s, not 10; 4 s have at most 5 requests.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -40,7 +40,7 @@
       | 1 sent 0 read 1, none sent 2 read 3           | none  |
       | 1 sent 0 read 1, none sent 2 read 3, 1 sent 0 read 4 | none |
       | 1 sent 0 read 1, none sent 2 read 3, 1 sent 5 read 6 | 1  |
-      | 0 sent 0 read 1                               | 0.1   |
+      | 0 sent 0 read 1                               | 0.25  |
       | 2 sent 0 read 1, peer 1 named 0.8             | 2     |
       | 2 sent 0 read 1, peer none named 3            | none  |
       | peer 3 named 1                                | 3     |
--- a/features/relay_limits.feature
+++ b/features/relay_limits.feature
@@ -37,6 +37,14 @@
       | 7         | 30   | stream | e0 e1 e2 | 3     |
       | 3         | 12   | staged | s0 s1 s2 | 1     |
 
+  Scenario: Time passes between two decisions
+    Guards against a stage upstream that is never called since its permit is
+    always to begin a moment later. Soak seed 9701 showed this fault.
+    Given 3 instances with 3 engines and 3 services that speak
+    And each reading of the clock takes 10 ns
+    When 12 requests a second come for 14 s on the route staged, and s0 s1 s2 have from 2 s on a limit of 1 a second
+    Then each gets at least 0.9 of its limit from 6 s on
+
   Scenario Outline: Instances come and go
     Guards against a share of the limit that two instances use at once, and
     against one that nobody uses any more.
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -42,6 +42,7 @@
       | budget   | a window has 60 added attempts and 40 requests                       |
       | leaving  | a request reaches an upstream 2.1 s after it told the instance that it leaves |
       | paused   | 3 requests reach an upstream that had asked the instance for a pause |
+      | limited  | 12 requests in 4 s reach an upstream with a limit of 1 a second      |
       | deadly   | 4 requests reach engines 3.1 s after a part crashed the fifth one    |
       | deadly   | 4 requests reach upstreams 3.1 s after one crashed the third         |
       | ended    | a process ends unexpectedly                                          |
@@ -162,6 +163,13 @@
     When the soak runs seed 9501 with 8 faults "worker says that it leaves,workers ask for a pause,worker crashed"
     Then no guarantee is violated
 
+  Scenario: Workers that name a rate limit
+    Guards against requests beyond the limits, and against refusals and retries
+    in their place that violate another guarantee. Incident inc-rate-limit
+    showed this fault.
+    When the soak runs seed 9701 with 4 faults "workers name a rate limit"
+    Then no guarantee is violated
+
   Scenario Outline: A short run of a fixed seed violates no guarantee
     Guards against violations under a mix of all kinds of faults.
     When the soak runs seed <seed>
--- a/features/steps/relay_limit_steps.py
+++ b/features/steps/relay_limit_steps.py
@@ -3,7 +3,7 @@
 import json
 
 import anyio
-from behave import then, when
+from behave import given, then, when
 
 from features.fixtures.notice_world import LIMIT_WINDOW_S
 from features.steps.relay_notice_steps import run_traffic
@@ -36,6 +36,11 @@
     run_traffic(context, rate, seconds, route, say)
 
 
+@given("each reading of the clock takes {ns:d} ns")
+def given_clock(context, ns):
+    context.world.clock_step_s = ns / 1e9
+
+
 @when(
     "{rate:d} requests a second come for {seconds:d} s on the route {route}, "
     "and {names} have from 2 s on a limit of {limit:g} a second"
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,6 +24,7 @@
     CallerRequest,
     Execution,
     Fault,
+    LimitedArrival,
     Notice,
     Piece,
     Records,
@@ -440,6 +441,17 @@
         records.arrivals.append(Arrival("worker-1", request, SENT_AT + n / 100))
 
 
+@violation("12 requests in 4 s reach an upstream with a limit of 1 a second")
+def violate_limit(records):
+    for n in range(-30, 12):
+        # Few requests before the rule counts.
+        if n in (-30, -20, -10) or n >= 0:
+            at = SENT_AT + n / 4 if n < 0 else SENT_AT + n / 3
+            records.limited_arrivals.append(
+                LimitedArrival("worker-1", "instance-1", at, 1.0)
+            )
+
+
 @violation("a window has 60 added attempts and 40 requests")
 def violate_budget(records):
     for n in range(40):
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -15,6 +15,7 @@
     UNSAFE,
     CallerRequest,
     Execution,
+    LimitedArrival,
     Piece,
     Records,
 )
@@ -33,6 +34,13 @@
 # requests of the instance until the end of the pause (rule BUDGET).
 PAUSE_SLACK_S = 0.5
 PAUSED_REQUESTS_MAX = 2
+# From `CONTACT_S` after an upstream first named a rate limit it gets in
+# `LIMIT_WINDOW_S` at most this multiple of it and so many requests of the
+# instances that have known it for `LIMIT_SLACK_S` (rule LIMIT).
+LIMIT_SLACK_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 # The users count answers as late when more than LATE_ANSWERS_MAX requests, and
 # over a quarter of those that reach their deadline, have no answer after a
 # further LATE_ANSWER_S (rule CONFIG).
@@ -470,6 +478,53 @@
             )
 
 
+@check("limited")
+def check_limited(records: Records) -> Iterator[str]:
+    """An upstream gets what its rate limit allows from those that it told.
+
+    A restart, freeze or cut of an instance excuses what that instance sent.
+    """
+    by_start: dict[str, list[LimitedArrival]] = {}
+    for arrival in records.limited_arrivals:
+        by_start.setdefault(arrival.start, []).append(arrival)
+    for start, arrivals in by_start.items():
+        told_at: dict[str, float] = {}
+        for arrival in arrivals:
+            told_at.setdefault(arrival.instance, arrival.at)
+        counted_from = arrivals[0].at + CONTACT_S
+        counted = [
+            arrival
+            for arrival in arrivals
+            if arrival.at >= counted_from
+            and arrival.at >= told_at[arrival.instance] + LIMIT_SLACK_S
+            and _is_instance_undisturbed(records, arrival)
+        ]
+        for number, first in enumerate(counted):
+            window = [
+                arrival
+                for arrival in counted[number:]
+                if arrival.at < first.at + LIMIT_WINDOW_S
+            ]
+            per_s = max(arrival.per_s for arrival in window)
+            allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * per_s + LIMIT_EXTRA
+            if len(window) > allowed:
+                yield (
+                    f"{len(window)} requests reached {start} in 4 s from "
+                    f"{first.at:.3f} s; its limit of {per_s:g} a second allows "
+                    f"{allowed:g}"
+                )
+                break
+
+
+def _is_instance_undisturbed(records: Records, arrival: LimitedArrival) -> bool:
+    instance = arrival.instance
+    return records.is_undisturbed(
+        arrival.at - LIMIT_WINDOW_S - CONTACT_S,
+        arrival.at,
+        [f"{kind}:{instance}" for kind in ("instance", "term", "peer")],
+    )
+
+
 @check("budget")
 def check_budget(records: Records) -> Iterator[str]:
     """Added attempts of any cause stay within the retry budget of a pool."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Kinds of faults; the function of each starts the fault, waits and ends it."""
 
+import math
 import random
 import signal
 from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
@@ -46,6 +47,9 @@
 # store, and of a pause that a worker asks for.
 ANNOUNCED_RANGE_S = (0.5, 4.0)
 PAUSE_RANGE_S = (0.6, 4.0)
+# Rate limits that workers name, and the shortest and longest time for which.
+RATE_LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
+LIMITED_RANGE_S = (5.0, 12.0)
 IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
 # Shortest and longest time between changes of the idle limit, which overlap
 # with connections that rest under an earlier limit.
@@ -382,6 +386,22 @@
     await anyio.sleep(_draw_duration(rng))
 
 
+@fault("workers name a rate limit")
+async def name_limit(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets workers, up to all, name a limit in their answers for a time."""
+    workers = [
+        host.worker
+        for host in _sample(rng, testbed.worker_hosts, 1.0)
+        # The rule counts from when a worker first names a limit.
+        if host.worker is not None and host.worker.limit_per_s is None
+    ]
+    for worker in workers:
+        worker.limit_per_s = rng.choice(RATE_LIMITS_PER_S)
+    await anyio.sleep(rng.uniform(*LIMITED_RANGE_S))
+    for worker in workers:
+        worker.limit_per_s = math.inf
+
+
 @fault("workers misbehave")
 async def misbehave(testbed: "Testbed", rng: random.Random) -> None:
     """Applies one kind of misbehaviour to the workers of some hosts."""
--- a/soak/record.py
+++ b/soak/record.py
@@ -223,6 +223,28 @@
         self.at = at
 
 
+class LimitedArrival:
+    """A request of any kind that arrived at an upstream with a rate limit.
+
+    Attributes:
+        start: Start of the upstream, see `Execution.start`.
+        instance: Name of the instance that sent it, or "" if it is not known,
+            as of stage calls.
+        at: When it arrived.
+        per_s: The limit that its answer names.
+    """
+
+    __slots__ = ("start", "instance", "at", "per_s")
+
+    def __init__(
+        self, start: str, instance: str, at: float, per_s: float
+    ) -> None:
+        self.start = start
+        self.instance = instance
+        self.at = at
+        self.per_s = per_s
+
+
 class Piece:
     """One execution of a piece at a stage upstream.
 
@@ -341,6 +363,7 @@
         drain_acked_at: When the store acknowledged that an upstream is
             draining, by its start.
         notices: What upstreams told instances in answers.
+        limited_arrivals: Requests that arrived at upstreams with a rate limit.
         arrivals: Requests of callers that arrived at upstreams.
         sigterms: Times in order at which SIGTERM was sent, by instance.
         unexpected_exits: Instance, time and exit code of processes that ended
@@ -365,6 +388,7 @@
         "faults",
         "drain_acked_at",
         "notices",
+        "limited_arrivals",
         "arrivals",
         "sigterms",
         "unexpected_exits",
@@ -384,6 +408,7 @@
         self.faults: list[Fault] = []
         self.drain_acked_at: dict[str, float] = {}
         self.notices: list[Notice] = []
+        self.limited_arrivals: list[LimitedArrival] = []
         self.arrivals: list[Arrival] = []
         self.sigterms: dict[str, list[float]] = {}
         self.unexpected_exits: list[tuple[str, float, int]] = []
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -13,7 +13,14 @@
 import anyio
 import orjson
 
-from soak.record import Arrival, Execution, Notice, Piece, Records
+from soak.record import (
+    Arrival,
+    Execution,
+    LimitedArrival,
+    Notice,
+    Piece,
+    Records,
+)
 from soak.server import Reply, Request
 from soak.silence import CONTROL_TARGETS
 
@@ -111,6 +118,8 @@
         pool: Service that it belongs to.
         leaving: Whether it says in all answers that it leaves.
         paused_until: Until when it refuses requests and asks for no more.
+        limit_per_s: Rate limit that it names in all answers; infinite after it
+            had one, None before.
         misbehaviour: Its deviations, shared with its host.
         crash: Ends this worker; called with the cause when it begins to run
             the deadly request, or an answer on the deadly prompt part.
@@ -130,6 +139,7 @@
         self.pool = pool
         self.leaving = False
         self.paused_until = -math.inf
+        self.limit_per_s: float | None = None
         self.misbehaviour = misbehaviour
         self._context = context
 
@@ -150,14 +160,20 @@
             await self.execute(request_id, req, reply)
 
     def speak(self, req: Request, reply: Reply) -> None:
-        """Lets the answer to a request say that the worker leaves, if so."""
+        """Lets the answer to a request say what the worker says of itself."""
         records, clock = self._context.records, self._context.clock
         request = records.requests.get(req.headers.get("request-id", ""))
         if request is not None:
             records.arrivals.append(Arrival(self.start, request, clock()))
+        if self.limit_per_s not in (None, math.inf):
+            reply.said = [("Server-Limit", f"{self.limit_per_s:g}")]
+            instance = request.instance if request is not None else ""
+            records.limited_arrivals.append(
+                LimitedArrival(self.start, instance, clock(), self.limit_per_s)
+            )
         if not self.leaving:
             return
-        reply.said = [("Server-Leaving", "1")]
+        reply.said = [*reply.said, ("Server-Leaving", "1")]
         if request is not None:
             reply.on_said = lambda: records.notices.append(
                 Notice(self.start, request.instance, clock())
--- a/src/applespring/core/rate_limits.py
+++ b/src/applespring/core/rate_limits.py
@@ -10,7 +10,7 @@
 
 # Least rate at which a limited upstream gets requests. Only an answer shows
 # that a limit has ended, so that a limit of 0 must not stop all requests.
-RATE_MIN_PER_S = 0.1
+RATE_MIN_PER_S = 0.25
 # Above the 600 upstreams of the design scale. Beyond it limits of upstreams
 # that are not listed are dropped first, then those named longest ago.
 LIMITS_MAX = 2048
--- a/src/applespring/permits/broker.py
+++ b/src/applespring/permits/broker.py
@@ -4,6 +4,7 @@
 permits of a pool, which may be itself, and tells the others of limits.
 """
 
+import math
 from collections.abc import Callable, Container, Mapping, Sequence
 from typing import Protocol, TypeVar
 
@@ -156,7 +157,9 @@
             wait_s = self._permits.opens_in_s(
                 upstream.identity, upstream.pool, per_s, now
             )
-            limits.close(upstream.identity, now + wait_s)
+            limits.close(
+                upstream.identity, now + wait_s if wait_s > 0.0 else -math.inf
+            )
         return limits.closed_until(upstream.identity)
 
     async def choose(
@@ -213,7 +216,7 @@
         limits, asked_at = self._limits, self._clock()
         per_s = limits.per_s(upstream.identity)
         if per_s is None:
-            return Permit(asked_at, float("inf"))
+            return Permit(asked_at, math.inf)
         if self._is_granter(upstream.pool):
             decision = self._permits.request(
                 upstream.identity, upstream.pool, per_s, wait_s, asked_at
@@ -222,7 +225,7 @@
         else:
             granted, opens_in_s = await self._ask(upstream, wait_s)
             if limits.per_s(upstream.identity) is None:
-                return Permit(asked_at, float("inf"))
+                return Permit(asked_at, math.inf)
         outcome = "granted" if granted else "denied"
         self._count_permit(upstream.pool, outcome)
         if not granted:
