--- a/features/relay_limits.feature
+++ b/features/relay_limits.feature
@@ -37,6 +37,25 @@
       | 7         | 30   | stream | e0 e1 e2 | 3     |
       | 3         | 12   | staged | s0 s1 s2 | 1     |
 
+  Scenario: Requests wait for a permit if they can still be on time
+    Guards against requests that are refused though there is a permit for them
+    in time, and against requests that wait until they are late.
+    Given 1 instances with 3 engines and 1 services that speak
+    When p0 has a limit of 20 a second and 10 requests come at once each second for 8 s on the route safe
+    Then at least 6 of 10 requests are served, each within 0.25 s
+    And the others are refused within 20 ms, to come back within 1 s
+
+  Scenario Outline: All instances know a limit that one of them was told
+    Guards against requests of instances that the upstream has not told yet.
+    Given <instances> instances with 3 engines and 3 services that speak
+    When p0 names a limit of 1 a second to i0 alone
+    Then all instances know it within 0.2 s
+
+    Examples:
+      | instances |
+      | 7         |
+      | 40        |
+
   Scenario: Time passes between two decisions
     Guards against a stage upstream that is never called since its permit is
     always to begin a moment later. Soak seed 9701 showed this fault.
--- a/features/steps/relay_limit_steps.py
+++ b/features/steps/relay_limit_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 
 from features.fixtures.notice_world import LIMIT_WINDOW_S
-from features.steps.relay_notice_steps import run_traffic
+from features.steps.relay_crash_steps import run_in_world
+from features.steps.relay_notice_steps import run_traffic, send
 
 # Requests in 4 s beyond the limit that a plan may send.
 EXTRA_REQUESTS = 5
@@ -105,6 +106,88 @@
     run_limited(context, rate, seconds, route, name, limit, crash)
 
 
+@when(
+    "{name} has a limit of {limit:g} a second and {count:d} requests come at "
+    "once each second for {seconds:d} s on the route {route}"
+)
+def when_at_once(context, name, limit, count, seconds, route):
+    async def scenario(world):
+        set_limits(world, name, limit)
+        async with anyio.create_task_group() as callers:
+            # The first answer names the limit, and the first requests after it
+            # may not come at once.
+            for second in range(seconds):
+                for number in range(count if second else 1):
+                    prefix = "r" if second > 1 else "first"
+                    request = f"{prefix}{second}-{number}"
+                    await send(context, callers, request, route)
+                await anyio.sleep(1.0)
+
+    run_in_world(context, scenario)
+
+
+@then(
+    "at least {served:d} of {count:d} requests are served, each within "
+    "{seconds:g} s"
+)
+def then_some_served(context, served, count, seconds):
+    replies = timed_replies(context)
+    times = [took_s for reply, took_s in replies if reply.status == 200]
+    assert len(times) * count >= served * len(replies), len(times)
+    assert max(times) <= seconds, max(times)
+
+
+@then(
+    "the others are refused within {ms:d} ms, to come back within {seconds:g} s"
+)
+def then_others_refused(context, ms, seconds):
+    for reply, took_s in timed_replies(context):
+        if reply.status != 200:
+            assert reply.status == 503, reply.body
+            assert took_s <= ms / 1000, took_s
+            back_s = float(reply.headers[b"retry-after"])
+            assert 0.0 < back_s <= seconds, back_s
+
+
+def timed_replies(context):
+    """Returns the replies to all requests but the first ones, with times."""
+    world = context.world
+    return [
+        (reply, reply.ended_at - world.sent[name][0])
+        for name, reply in world.replies.items()
+        if not name.startswith("first")
+    ]
+
+
+@when("{name} names a limit of {limit:g} a second to {instance} alone")
+def when_told(context, name, limit, instance):
+    async def scenario(world):
+        set_limits(world, name, limit)
+        for upstream in list(world.upstreams):
+            if upstream.startswith("p") and upstream != name:
+                world.upstreams[upstream].down = True
+        async with anyio.create_task_group() as callers:
+            await send(context, callers, "first", "safe", instance)
+            while not any(n.per_s for n in world.notices):
+                await anyio.sleep(0.01)
+            told_at = anyio.current_time()
+            while len(knowing(world)) < context.instance_count:
+                await anyio.sleep(0.01)
+            context.known_s = anyio.current_time() - told_at
+
+    run_in_world(context, scenario)
+
+
+def knowing(world):
+    """Returns the instances that hold a limit."""
+    return [i for i in world.instances.values() if i.state.notices.limits]
+
+
+@then("all instances know it within {seconds:g} s")
+def then_known(context, seconds):
+    assert context.known_s <= seconds, context.known_s
+
+
 @then("no upstream with a limit gets in 4 s more than that and 5 requests")
 def then_limited(context):
     world = context.world
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -15,6 +15,9 @@
 NOTICES = "relay_notices"
 NOTICE_RULES = "upstream_notices"
 ENTRY_NOTICES = "entry_notices"
+LIMITS = "relay_limits"
+LIMIT_RULES = "rate_limits"
+ENTRY_LIMITS = "entry_limits"
 
 RELAY_GUARDS = (
     Guard(
@@ -649,4 +652,77 @@
         "",
         (ENTRY_NOTICES, "No control call"),
     ),
+    Guard(
+        "relay: no call to an upstream with a rate limit without a permit",
+        "relay/client.py",
+        "if permit is None and self._permits.is_limited(upstream):",
+        "if False:",
+        (LIMITS, "All upstreams of a pool name a limit -- @1.4"),
+    ),
+    Guard(
+        "relay: permits of all instances from one",
+        "permits/broker.py",
+        "return members.granter(pool) == members.name",
+        "return True",
+        (LIMITS, "All upstreams of a pool name a limit -- @1.2"),
+    ),
+    Guard(
+        "relay: a request waits for a permit",
+        "permits/broker.py",
+        "permit = await self.acquire(first, wait_s)",
+        "permit = None",
+        (LIMITS, "Requests wait for a permit"),
+    ),
+    Guard(
+        "relay: limits told to all instances at once",
+        "permits/broker.py",
+        "await self._fleet.announce()",
+        "pass",
+        (
+            LIMITS,
+            "All instances know a limit that one of them was told -- @1.2",
+        ),
+    ),
+    Guard(
+        "relay: an upstream whose permit begins now is open",
+        "permits/broker.py",
+        "now + wait_s if wait_s > 0.0 else -math.inf",
+        "now + wait_s",
+        (LIMITS, "Time passes between two decisions"),
+    ),
+    Guard(
+        "core: a new granter waits until all know of it",
+        "core/rate_permits.py",
+        "self.members.settled_at(pool) - now,",
+        "0.0,",
+        (LIMIT_RULES, "Members that change -- @1.9"),
+    ),
+    Guard(
+        "core: a granter counts the members that are missing",
+        "core/rate_permits.py",
+        "return min((part for _, part in self._parts), default=1.0)",
+        "return 1.0",
+        (LIMIT_RULES, "Members that change -- @1.14"),
+    ),
+    Guard(
+        "core: an instance that was frozen begins anew",
+        "core/rate_permits.py",
+        "if now - self._observed_at > OBSERVATION_GAP_S:",
+        "if False:",
+        (LIMIT_RULES, "Members that change -- @1.11"),
+    ),
+    Guard(
+        "core: a limit ends with an answer to a later request only",
+        "core/rate_limits.py",
+        "if not is_lower and sent_at < held.named_at:",
+        "if False:",
+        (LIMIT_RULES, "Limits that change, end, or come late -- @1.3"),
+    ),
+    Guard(
+        "entry: no call to an upstream with a rate limit without a permit",
+        "entry/execution/stage.py",
+        "if call.permit is None:",
+        "if False:",
+        (ENTRY_LIMITS, "All upstreams of a pool of the JSON interface"),
+    ),
 )
