--- a/soak/store.py
+++ b/soak/store.py
@@ -42,12 +42,16 @@
             else 0.
         delay_s: Extra time before each answer.
         drops_answers: Whether requests are handled but never answered.
+        era: Rises by one each time that the store comes back from a copy.
+        reads: When whole ranges were read.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.refusal_status = 0
         self.delay_s = 0.0
         self.drops_answers = False
+        self.era = 1
+        self.reads: list[float] = []
         self._clock = clock
         self._items: dict[str, Item] = {}
         self._history: list[Item] = []
@@ -72,6 +76,18 @@
         self._history.clear()
         self._history_start = self._revision + 1
 
+    def copy(self) -> tuple[dict[str, Item], int]:
+        """Returns a copy to which `restore` can go back."""
+        return dict(self._items), self._revision
+
+    def restore(self, copied: tuple[dict[str, Item], int]) -> None:
+        """Comes back from a copy: what was written since is gone."""
+        self.era += 1
+        self._items, self._revision = dict(copied[0]), copied[1]
+        self.discard_history()
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def _add(self, item: Item) -> None:
         self._revision = item.revision
         self._history.append(item)
@@ -90,19 +106,20 @@
         if self.refusal_status:
             await reply.send_complete(self.refusal_status)
             return
-        answer = await self._answer(url.path, query)
+        answer = await self.answer(url.path, query)
         if self.drops_answers:
             await anyio.sleep_forever()
+        era = ("Store-Era", str(self.era))
         if answer is None:
-            await reply.send_complete(404)
+            await reply.send_complete(404, b"", [era])
         elif isinstance(answer, int):
-            await reply.send_complete(answer)
+            await reply.send_complete(answer, b"", [era])
         else:
             body = orjson.dumps(answer)
             content_type = ("Content-Type", "application/json")
-            await reply.send_complete(200, body, [content_type])
+            await reply.send_complete(200, body, [content_type, era])
 
-    async def _answer(
+    async def answer(
         self, path: str, query: dict[str, str]
     ) -> dict[str, Any] | int | None:
         """Returns the body of an answer, a status, or None for 404."""
@@ -110,6 +127,7 @@
             item = self._items.get(query["key"])
             return item and item.encode() | {"at": self._revision}
         if path == "/kv-range":
+            self.reads.append(self._clock())
             return self._range(query["prefix"], query.get("after", ""))
         if path == "/kv-watch":
             return await self._watch(
@@ -134,7 +152,8 @@
     ) -> dict[str, Any] | int:
         with anyio.move_on_after(wait_s):
             while not self.refusal_status:
-                if after + 1 < self._history_start:
+                is_unknown = after > self._revision
+                if is_unknown or after + 1 < self._history_start:
                     return 410
                 events = [
                     item.encode()
