Order the registry's revisions by era, and do not believe a copy at once

Cause: `Store-Era` was read nowhere; revisions were compared as if they never went back.

Change: the store's client joins era and revision to one number at the platform boundary, which orders catalog, watches, gossip and peers' entries as before. A watch of another era reads everything again, spread over the instances; an answer of an earlier era is ignored.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -170,6 +170,12 @@
     When the soak runs seed 9701 with 4 faults "workers name a rate limit"
     Then no guarantee is violated
 
+  Scenario: The store comes back from copies
+    Guards against changes of a new era that are taken for older ones, and
+    against upstreams and documents that the copy brings back.
+    When the soak runs seed 9801 with 6 faults "store comes back from a copy,worker leaves,configuration changes"
+    Then no guarantee is violated
+
   Scenario Outline: A short run of a fixed seed violates no guarantee
     Guards against violations under a mix of all kinds of faults.
     When the soak runs seed <seed>
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,6 +50,10 @@
 # Rate limits that workers name, and the shortest and longest time for which.
 RATE_LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
 LIMITED_RANGE_S = (5.0, 12.0)
+# Shortest and longest age of a copy from which the store comes back, and time
+# until what was written since is written again.
+COPY_AGE_RANGE_S = (0.5, 5.0)
+REWRITE_RANGE_S = (0.2, 1.8)
 IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
 # Shortest and longest time between changes of the idle limit, which overlap
 # with connections that rest under an earlier limit.
@@ -490,6 +494,20 @@
         store.refusal_status, store.delay_s, store.drops_answers = 0, 0.0, False
 
 
+@fault("store comes back from a copy")
+async def restore_store(testbed: "Testbed", rng: random.Random) -> None:
+    """Takes the store back; what was written since is written again later."""
+    store = testbed.store
+    copied = store.copy()
+    await anyio.sleep(rng.uniform(*COPY_AGE_RANGE_S))
+    with recorded_fault(
+        testbed, "store restored", [f"store:{r.name}" for r in testbed.relays]
+    ):
+        lost = store.restore(copied)
+        await anyio.sleep(rng.uniform(*REWRITE_RANGE_S))
+        store.write_again(copied, lost)
+
+
 @fault("configuration changes")
 async def change_configuration(testbed: "Testbed", rng: random.Random) -> None:
     """Stores one configuration, or a burst of them."""
--- a/soak/store.py
+++ b/soak/store.py
@@ -80,13 +80,28 @@
         """Returns a copy to which `restore` can go back."""
         return dict(self._items), self._revision
 
-    def restore(self, copied: tuple[dict[str, Item], int]) -> None:
-        """Comes back from a copy: what was written since is gone."""
+    def restore(self, copied: tuple[dict[str, Item], int]) -> dict[str, Item]:
+        """Comes back from a copy; returns the items that it had before."""
+        lost = self._items
         self.era += 1
         self._items, self._revision = dict(copied[0]), copied[1]
         self.discard_history()
         self._changed.set()
         self._changed = anyio.Event()
+        return lost
+
+    def write_again(
+        self, copied: tuple[dict[str, Item], int], lost: dict[str, Item]
+    ) -> None:
+        """Writes what `restore` took back, unless it was written since."""
+        for key in sorted({*copied[0], *lost}):
+            if self._items.get(key) is not copied[0].get(key):
+                continue
+            item = lost.get(key)
+            if item is None:
+                self.delete(key)
+            elif item is not copied[0].get(key):
+                self._add(Item(key, item.value, self._revision + 1))
 
     def _add(self, item: Item) -> None:
         self._revision = item.revision
--- a/src/applespring/platform/registry.py
+++ b/src/applespring/platform/registry.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from applespring.core.era import era_of, join_era
 from applespring.core.errors import MessageError
 from applespring.platform import document
 from applespring.platform.store import HistoryGoneError, Store
@@ -27,7 +28,10 @@
 
     async def read(self) -> RegistryUpdate:
         """See `Registry.read`."""
-        return self._decode(*await self._store.read_prefix(ALL_KEYS))
+        try:
+            return self._decode(*await self._store.read_prefix(ALL_KEYS))
+        except HistoryGoneError as exc:
+            raise HistoryLostError(str(exc)) from exc
 
     async def wait_for_changes(
         self, after: int, wait_s: float
@@ -46,14 +50,15 @@
         return document.decode_document(data)
 
     def _decode(self, items: list[dict], revision: int) -> RegistryUpdate:
-        changes = list(_decode_entries(items))
+        changes = list(_decode_entries(items, era_of(revision)))
         return RegistryUpdate(_find_document(items), changes, revision)
 
 
-def _decode_entries(items: Iterable[dict]) -> Iterable[EntryChange]:
+def _decode_entries(items: Iterable[dict], era: int) -> Iterable[EntryChange]:
     """Yields the changes of registry entries among items of the store.
 
-    An entry that can't be decoded is logged and yielded as unreadable.
+    Their revisions are joined with the era. An entry that can't be decoded is
+    logged and yielded as unreadable.
     """
     for item in items:
         key = item.get("key")
@@ -65,7 +70,7 @@
         if not key.startswith(document.ENTRY_PREFIX):
             continue
         name = document.entry_name(key)
-        revision = int(item.get("revision", 0))
+        revision = join_era(era, int(item.get("revision", 0)))
         if item.get("deleted"):
             yield EntryChange(name, None, revision)
             continue
--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -6,6 +6,7 @@
 import httpx
 import orjson
 
+from applespring.core.era import ERA_MAX, era_of, join_era, revision_of
 from applespring.core.errors import ApplespringError, MessageError
 
 # Least and greatest timeout of a read. The store usually answers in
@@ -21,6 +22,8 @@
 # connection is then assumed to be dead.
 WATCH_MARGIN_S = 0.6
 CONNECT_TIMEOUT_S = 0.5
+# Header with the era, which rises each time the store comes back from a copy.
+ERA_HEADER = "store-era"
 # Bound on the pages of one range read.
 PAGES_MAX = 1000
 
@@ -36,8 +39,11 @@
 class Store:
     """Reads and watches keys of the platform's store.
 
+    Revisions in and out are joined with the era of the answer (`core/era.py`).
+
     Attributes:
         address: IP:port of the store.
+        era: Highest era that an answer has named.
     """
 
     def __init__(
@@ -45,6 +51,7 @@
     ) -> None:
         self._transport = transport
         self.address = address
+        self.era = 0
         self._read_timeout_s = READ_TIMEOUT_S
 
     async def read_prefix(self, prefix: str) -> tuple[list[dict], int]:
@@ -58,14 +65,20 @@
             MessageError: The answer is malformed.
         """
         items: list[dict] = []
-        revision = None
+        revision, era = None, self.era
         query = {"prefix": prefix}
         for _ in range(PAGES_MAX):
             page = await self._read_page(query)
             if page is None:
                 break
             if revision is None:
-                revision = int(page["at"])
+                revision = join_era(self.era, int(page["at"]))
+                era = self.era
+            elif self.era != era:
+                raise HistoryGoneError(
+                    f"/kv-range: era {self.era} began during a read of era "
+                    f"{era}"
+                )
             page_items = page.get("items") or []
             items.extend(page_items)
             if not page.get("hasMore") or not page_items:
@@ -104,18 +117,29 @@
             The changed items and the revision for the next watch.
 
         Raises:
-            HistoryGoneError: The store no longer has all changes after `after`.
+            HistoryGoneError: The store no longer has all changes after `after`,
+                or has begun another era since.
             StoreError: The store did not answer, or answered with an error.
             MessageError: The answer is malformed.
         """
         wait_ms = int(1000 * wait_s)
-        query = {"prefix": prefix, "after": after, "waitMs": wait_ms}
+        query = {
+            "prefix": prefix,
+            "after": revision_of(after),
+            "waitMs": wait_ms,
+        }
         page = await self._get("/kv-watch", query, wait_s + WATCH_MARGIN_S)
         if page is None:
             raise StoreError(
                 f"watch after revision {after} was answered with status 404"
             )
-        return page.get("events") or [], int(page.get("at", after))
+        if self.era != era_of(after):
+            raise HistoryGoneError(
+                f"/kv-watch: era {self.era} has begun, the watch is of era "
+                f"{era_of(after)}"
+            )
+        revision = int(page.get("at", revision_of(after)))
+        return page.get("events") or [], join_era(self.era, revision)
 
     async def _get(
         self, path: str, query: dict[str, Any], read_timeout_s: float
@@ -142,6 +166,7 @@
             ) from exc
         except (httpx.HTTPError, OSError) as exc:
             raise StoreError(f"{path}: {type(exc).__name__}: {exc}") from exc
+        self._check_era(path, resp.headers.get(ERA_HEADER))
         if resp.status_code == 404:
             return None
         if resp.status_code == 410:
@@ -158,6 +183,27 @@
             raise MessageError(f"{path}: the answer is not an object")
         return page
 
+    def _check_era(self, path: str, text: str | None) -> None:
+        """Records the era of an answer; one without any is of the era held.
+
+        Raises:
+            StoreError: The answer is of an earlier era, and came late.
+            MessageError: The era is no number, or out of range.
+        """
+        if text is None:
+            return
+        if not text.isascii() or not text.isdigit() or int(text) > ERA_MAX:
+            raise MessageError(
+                f"{path}: the era {text[:40]!r} is no number up to {ERA_MAX}"
+            )
+        era = int(text)
+        if era < self.era:
+            raise StoreError(
+                f"{path}: an answer of era {era} came after one of era "
+                f"{self.era}"
+            )
+        self.era = era
+
 
 async def _read_body(resp: httpx.Response, path: str) -> bytes:
     """Returns the complete body of an answer.
--- a/src/applespring/relay/registry.py
+++ b/src/applespring/relay/registry.py
@@ -68,6 +68,7 @@
         """Returns the document and all entries.
 
         Raises:
+            HistoryLostError: The registry began another era meanwhile.
             ApplespringError: The registry did not answer.
         """
 
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from applespring.core.catalog import ListedUpstream
+from applespring.core.era import era_of, revision_of
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.peer import message
 from applespring.relay.metrics import RelayMetrics
@@ -41,6 +42,10 @@
 # after 2 s.
 WATCH_PAUSE_S = 0.2
 LARGE_FLEET_WATCH_PAUSE_S = 0.8
+# After its history is lost, the instances read the registry this long apart on
+# the mean, and all within the maximum.
+READ_SPREAD_S = 0.005
+READ_SPREAD_MAX_S = 1.0
 # Longest queue wait that is reported; that of a pool without upstreams is
 # infinite.
 REPORTED_WAIT_MAX_S = 60.0
@@ -109,6 +114,8 @@
                     exc,
                 )
                 delay_s = RETRY_DELAY_MIN_S
+                # A registry that has just come back is not read by all at once.
+                await anyio.sleep(self._rng.uniform(0.0, self._spread_s()))
                 continue
             except (ApplespringError, ValueError, TypeError) as exc:
                 self._record_lost_contact(exc)
@@ -117,6 +124,11 @@
             await anyio.sleep(delay_s)
             delay_s = min(RETRY_DELAY_MAX_S, 2 * delay_s)
 
+    def _spread_s(self) -> float:
+        """Returns the time over which all instances read the registry again."""
+        count = 1 + len(self._peers.table.all_peers())
+        return min(READ_SPREAD_MAX_S, READ_SPREAD_S * count)
+
     def _record_lost_contact(self, exc: Exception) -> None:
         self._state.catalog.lose_contact()
         if not self._contact_lost:
@@ -165,6 +177,7 @@
         """Records an answer of the registry, and applies its document."""
         now = self._state.clock()
         self._state.catalog.regain_contact(now)
+        self._enter_era(update.revision)
         self._state.registry_read_at = now
         self._state.entries_revision = update.revision
         if self._contact_lost:
@@ -176,6 +189,16 @@
         if update.document is not None:
             self.apply_document(update.document, "registry")
 
+    def _enter_era(self, revision: int) -> None:
+        era = era_of(revision)
+        if self._state.catalog.enter_era(era, self._state.clock()):
+            self._metrics.state_changes.inc("registry_era")
+            logger.bind(event="registry_era", era=era, revision=revision).info(
+                "the registry has come back from a copy: era {} at revision {}",
+                era,
+                revision_of(revision),
+            )
+
     def apply_document(self, data: bytes, source: str) -> None:
         """Puts a document in force if it is newer than the current one.
 
@@ -222,10 +245,14 @@
 
     def apply_upstreams(self, upstreams: Iterable[ListedUpstream]) -> None:
         """Applies entries that are newer than those in the catalog."""
+        upstreams = list(upstreams)
+        newest = max((u.revision for u in upstreams), default=0)
+        self._enter_era(max(newest, self._state.entries_revision))
+        now = self._state.clock()
         for upstream in upstreams:
             held = self._state.catalog.get(upstream.name)
             born_ms = held.born_ms if held is not None else upstream.born_ms
-            if self._state.catalog.put(upstream):
+            if self._state.catalog.put(upstream, now):
                 self._log_listed(upstream)
                 if born_ms != upstream.born_ms:
                     self._state.engines.restart(
@@ -281,6 +308,10 @@
                     name,
                 )
                 self._remove_upstream(name)
+            for upstream in self._state.catalog.take_unbelieved(
+                self._state.clock()
+            ):
+                self._log_listed(upstream)
 
     # The methods of GossipSource.
 
