Name the upstream of a permit request beside its limit

The request names the upstream itself now, and the limit comes as a list, as in the reply. keys_link, relay_limits, entry_limits and rate_limits pass.

--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -334,12 +334,13 @@
 class PermitRequest(Message):
     """Asks for a permit for one request to an upstream with a rate limit.
 
-    `limit` is what the sender knows of the limit, and `wait_s` how long the
-    request can wait.
+    `upstream` and `born_ms` name its start, `limits` is what the sender knows
+    of the limit, and `wait_s` how long the request can wait.
     """
 
-    __slots__ = ("pool", "limit", "wait_s")
-    NESTED = {"limit": UpstreamRate}
+    __slots__ = ("pool", "upstream", "born_ms", "wait_s", "limits")
+    DEFAULTS = {"limits": ()}
+    NESTED = {"limits": UpstreamRate}
 
 
 class PermitReply(Message):
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -189,8 +189,10 @@
 
 struct PermitRequest {
   pool @0 :Text;
-  limit @1 :UpstreamRate;
-  waitS @2 :Float64;
+  upstream @1 :Text;
+  bornMs @2 :UInt64;
+  waitS @3 :Float64;
+  limits @4 :List(UpstreamRate);
 }
 
 struct PermitReply {
--- a/src/applespring/permits/broker.py
+++ b/src/applespring/permits/broker.py
@@ -256,8 +256,10 @@
         now = self._clock()
         request = message.PermitRequest(
             pool=upstream.pool,
-            limit=_to_message(upstream.identity, held, now),
+            upstream=upstream.name,
+            born_ms=upstream.identity[1],
             wait_s=wait_s,
+            limits=(_to_message(upstream.identity, held, now),),
         )
         detail = "it grants no permits"
         try:
@@ -286,8 +288,8 @@
     async def grant(self, msg: message.PermitRequest) -> message.Message:
         """Answers the request of another instance for a permit."""
         now, limits = self._clock(), self._limits
-        identity = (msg.limit.upstream, msg.limit.born_ms)
-        self.receive([msg.limit])
+        identity = (msg.upstream, msg.born_ms)
+        self.receive(msg.limits)
         per_s = limits.per_s(identity)
         held = limits.get(identity)
         known = [_to_message(identity, held, now)] if held else []
