Count requests, not time, ahead of the next permit when a limit changes

After a limit rose from 0 to 20 a second, no request was served for 8 s and more ("A limit that changes -- @1.4" of relay_limits.feature: 0 a second from 7 s after the change on): the time until the next permit was kept as computed for the lower limit, and instances that had been denied one kept that time too. As many requests are ahead now as before the change, at the new rate, and a change of the limit opens the upstream.

--- a/features/relay_limits.feature
+++ b/features/relay_limits.feature
@@ -90,6 +90,7 @@
       | 2     | none | 11    |
       | 0     | none | 19    |
       | 2     | 20   | 11    |
+      | 0     | 20   | 15    |
 
   Scenario: Another start of a limited upstream
     Guards against a limit that outlives the start of the upstream that named it.
--- a/src/applespring/core/rate_limits.py
+++ b/src/applespring/core/rate_limits.py
@@ -90,6 +90,7 @@
         if not is_lower and sent_at < held.named_at:
             return False
         self._limits[identity] = RateLimit(per_s, now)
+        self._closed_until.pop(identity, None)
         return True
 
     def merge(
@@ -114,6 +115,8 @@
         else:
             changed = per_s is not None
         self._limits[identity] = RateLimit(per_s, named_at)
+        if changed:
+            self._closed_until.pop(identity, None)
         return changed
 
     def per_s(self, identity: tuple[str, int]) -> float | None:
--- a/src/applespring/core/rate_permits.py
+++ b/src/applespring/core/rate_permits.py
@@ -172,8 +172,9 @@
 
     def __init__(self, name: str) -> None:
         self.members = Members(name)
-        # When the next request may follow without any burst.
-        self._free_at: dict[tuple[str, int], float] = {}
+        # When the next request may follow without any burst, and the interval
+        # of requests for which that was computed.
+        self._free_at: dict[tuple[str, int], tuple[float, float]] = {}
 
     def request(
         self,
@@ -197,9 +198,9 @@
             return PermitDecision(False, opens_in_s)
         if identity not in self._free_at:
             self._make_room(now)
-        self._free_at[identity] = self._interval_s(per_s) + max(
-            now, self._find_free_at(identity, pool, per_s, now)
-        )
+        interval_s = self._interval_s(per_s)
+        free_at = max(now, self._find_free_at(identity, pool, per_s, now))
+        self._free_at[identity] = (free_at + interval_s, interval_s)
         return PermitDecision(True, opens_in_s)
 
     def opens_in_s(
@@ -231,10 +232,15 @@
         without a burst, since the upstream may have had one before.
         """
         burst_s = self._burst_s(per_s)
-        return max(
-            self._free_at.get(identity, now + burst_s),
-            self.members.settled_at(pool) + burst_s,
+        free_at, interval_s = self._free_at.get(
+            identity, (now + burst_s, self._interval_s(per_s))
         )
+        if free_at > now:
+            # As many requests are ahead after a change of the limit as before.
+            free_at = (
+                now + (free_at - now) * self._interval_s(per_s) / interval_s
+            )
+        return max(free_at, self.members.settled_at(pool) + burst_s)
 
     def _burst_s(self, per_s: float) -> float:
         return (BURST - 1) * self._interval_s(per_s)
@@ -245,7 +251,7 @@
     def _make_room(self, now: float) -> None:
         if len(self._free_at) < SCHEDULES_MAX:
             return
-        free = [key for key, at in self._free_at.items() if at <= now]
-        first = min(self._free_at, key=self._free_at.__getitem__)
+        free = [key for key, (at, _) in self._free_at.items() if at <= now]
+        first = min(self._free_at, key=lambda key: self._free_at[key][0])
         for identity in free or [first]:
             del self._free_at[identity]
