Keep a request at its silent upstream while no other has a permit

A request that may go on at another upstream was taken from its silent one though the rate limits of all others left no permit, and refused then, as may have run: 502 for a safe request whose upstream answers after 0.5 s, and a stream that was cut though its engine went on after 4 s.

Cause: the replacement looked for upstreams that are used, not for ones that may get a request now.

--- a/features/relay_forward.feature
+++ b/features/relay_forward.feature
@@ -230,6 +230,20 @@
       | a, b    | used up | 4.0    | resume |
       | a, b    | free    | 4.0    | stream |
 
+  Scenario Outline: A silent upstream keeps a request that no other has room for
+    Guards against a request that is refused since its upstream is silent for
+    some seconds, though the rate limits of all others leave no permit.
+    Given a relay with the <pool> a, b
+    And upstream b has a rate limit that leaves no permit
+    And the <what>
+    When a caller sends a <kind> request
+    Then <answer>
+
+    Examples:
+      | pool            | what                                                               | kind   | answer                                     |
+      | engines         | engine sends the events 1 to 2, is silent for 4.0 s, and ends with event 3 | resume | it gets the events 1 to 3 and the end |
+      | plain upstreams | upstreams answer after 0.5 s                                       | safe   | it gets 200 and 1 upstreams got the request |
+
   Scenario: A stream goes to a third engine if the second one refuses it
     Guards against a stream that is cut off since the engine that should
     continue it is full and ran nothing, though another engine is free
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -193,6 +193,22 @@
     context.preparations.append(use_up)
 
 
+@given("upstream {name} has a rate limit that leaves no permit")
+def given_no_permit(context, name):
+    def use_up():
+        instance = context.world.instances["one"]
+        state, upstream = instance.state, context.world.listed[name]
+        state.notices.limits.record(upstream.identity, 0.0, 0.0, 0.0)
+        permits = instance._permits._permits
+        for _ in range(20):
+            # Requests that wait have the next permits.
+            permits.request(
+                upstream.identity, upstream.pool, 0.25, 100.0, state.clock()
+            )
+
+    context.preparations.append(use_up)
+
+
 @given("the upstreams answer after {seconds:f} s")
 def given_slow_answers(context, seconds):
     for upstream in context.world.upstreams.values():
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -233,6 +233,7 @@
             exchange.deadline_at - now >= ATTEMPT_REMAINING_MIN_S
             and any(
                 upstream.name not in tried
+                and self._permits.opens_at(upstream) <= now
                 for upstream in self._state.usable_upstreams(exchange.pool)
             )
             and self._state.attempt_window(exchange.pool).try_acquire(
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -375,6 +375,7 @@
             for upstream in self._state.usable_upstreams(exchange.pool)
             if upstream.name != engine
             and engines.is_available(upstream.name, now)
+            and self._permits.opens_at(upstream) <= now
         ]
         if (
             ends_at - now < needed_s
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -18,6 +18,7 @@
 LIMITS = "relay_limits"
 LIMIT_RULES = "rate_limits"
 ENTRY_LIMITS = "entry_limits"
+ERA = "registry_era"
 
 RELAY_GUARDS = (
     Guard(
@@ -725,4 +726,25 @@
         'permit = Permit(0.0, float("inf"))',
         (ENTRY_LIMITS, "All upstreams of a pool of the JSON interface"),
     ),
+    Guard(
+        "relay: a silent engine keeps a stream that no other has room for",
+        "relay/streams.py",
+        "            and self._permits.opens_at(upstream) <= now\n",
+        "",
+        (FORWARD, "A silent upstream keeps a request"),
+    ),
+    Guard(
+        "relay: entries are ordered by the era of the registry",
+        "platform/registry.py",
+        'revision = join_era(era, int(item.get("revision", 0)))',
+        'revision = int(item.get("revision", 0))',
+        (ERA, "Changes of the new era count"),
+    ),
+    Guard(
+        "core: an upstream that left is not ready again by a copy",
+        "core/catalog.py",
+        "and upstream.identity in self._left_at",
+        "and False",
+        (ERA, "The copy is not believed at once"),
+    ),
 )
