Skip permits on the JSON interface while no upstream has a limit

Each call looked for the pool of its upstream twice, also without any limit, and a limit of 0 was counted as one that ended (applespring_events_total). Found on reading the diff. entry_limits, entry_notices and stalled_stream pass.

--- a/src/applespring/entry/execution/permits.py
+++ b/src/applespring/entry/execution/permits.py
@@ -1,5 +1,6 @@
 """Permits of the JSON interface for upstreams with a rate limit."""
 
+import math
 from collections.abc import Callable
 
 from loguru import logger
@@ -9,6 +10,9 @@
 from applespring.entry.mesh.permit_fleet import EntryUpstream
 from applespring.permits.broker import Permit, PermitBroker
 
+# What a call gets while no upstream has a rate limit.
+UNLIMITED = Permit(-math.inf, math.inf)
+
 
 class CallPermits:
     """Obtains permits by the names of upstreams, and records their limits."""
@@ -46,6 +50,8 @@
 
     async def acquire(self, name: str) -> Permit | None:
         """Returns a permit for one call now, or None if none is left."""
+        if not self._membership.notices.limits:
+            return UNLIMITED
         permit = await self._broker.acquire(self._upstream(name))
         if permit is None:
             self._on_closed()
@@ -53,11 +59,15 @@
 
     def is_limited(self, name: str) -> bool:
         """Whether an upstream has a rate limit."""
-        return self._broker.is_limited(self._upstream(name))
+        return self._membership.is_limited(name)
 
     def is_valid(self, name: str, permit: Permit | None) -> bool:
         """Whether a call may be written now."""
-        return self._broker.is_valid(self._upstream(name), permit)
+        if permit is UNLIMITED:
+            permit = None
+        return not self._membership.notices.limits or self._broker.is_valid(
+            self._upstream(name), permit
+        )
 
     def record(self, name: str, report: SelfReport, sent_at: float) -> None:
         """Records the limit that an answer names.
@@ -74,13 +84,12 @@
             )
         ):
             return
-        self._count("rate_limit" if report.rate_limit else "rate_limit_ended")
+        ended = report.rate_limit is None
+        self._count("rate_limit_ended" if ended else "rate_limit")
         logger.info(
             "upstream {} names the rate limit {}",
             name,
-            "none any more"
-            if report.rate_limit is None
-            else f"{report.rate_limit:g} a second",
+            "none any more" if ended else f"{report.rate_limit:g} a second",
         )
         self._broker.announce()
 
