Decode evacuation orders, cold upstreams, regions and homes

Cause: the platform's newer terms had no types here, so that each part that decides on them would have decoded them for itself.

Change: the adapter decodes evacuation orders, the time that an upstream stays cold, the cold rate of a pool, regions of failure domains and the homes of routes and accounts. Messages between instances can carry them. Nothing reads them yet.

--- a/src/applespring/core/catalog.py
+++ b/src/applespring/core/catalog.py
@@ -46,6 +46,7 @@
         slots: Requests that it executes at the same time.
         state: Whether it accepts new work.
         revision: Revision of the entry in the registry.
+        cold_s: How much longer it stays cold, as of the entry's writing.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "slots",
         "state",
         "revision",
+        "cold_s",
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         slots: int,
         state: UpstreamState,
         revision: int,
+        cold_s: float = 0.0,
     ) -> None:
         self.name = name
         self.born_ms = born_ms
@@ -79,6 +82,7 @@
         self.slots = slots
         self.state = state
         self.revision = revision
+        self.cold_s = cold_s
 
     @property
     def identity(self) -> tuple[str, int]:
--- a/src/applespring/core/route.py
+++ b/src/applespring/core/route.py
@@ -57,6 +57,7 @@
         gap_s: Longest time between two events of a stream that is on time.
         sticky: Whether requests name the parts of their prompts and should go
             to engines that have these parts cached.
+        homes: Regions whose upstreams may get its requests; empty for all.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "resumable",
         "gap_s",
         "sticky",
+        "homes",
     )
 
     def __init__(
@@ -93,6 +95,7 @@
         resumable: bool = False,
         gap_s: float = 0.0,
         sticky: bool = False,
+        homes: Iterable[str] = (),
     ) -> None:
         self.name = name
         self.host = host
@@ -108,6 +111,7 @@
         self.resumable = resumable
         self.gap_s = gap_s
         self.sticky = sticky
+        self.homes = frozenset(homes)
 
     @property
     def idempotent(self) -> bool:
@@ -191,9 +195,19 @@
             instances together.
         engine: Capacity of its engines, or None if it has none.
         batch: Batching of its upstreams, or None if it executes no stages.
+        cold_start_s: How long an upstream is cold after a start; 0 if never.
+        cold_per_s: Requests a second that a cold upstream takes from all
+            instances together; 0 without a bound.
     """
 
-    __slots__ = ("name", "connections_max", "engine", "batch")
+    __slots__ = (
+        "name",
+        "connections_max",
+        "engine",
+        "batch",
+        "cold_start_s",
+        "cold_per_s",
+    )
 
     def __init__(
         self,
@@ -201,11 +215,15 @@
         connections_max: int,
         engine: EngineSpec | None = None,
         batch: BatchSpec | None = None,
+        cold_start_s: float = 0.0,
+        cold_per_s: float = 0.0,
     ) -> None:
         self.name = name
         self.connections_max = connections_max
         self.engine = engine
         self.batch = batch
+        self.cold_start_s = cold_start_s
+        self.cold_per_s = cold_per_s
 
 
 class CallerLimits:
@@ -240,16 +258,22 @@
         name: Name that is sent to upstreams.
         keys: Keys by which its callers identify themselves.
         priority: Rank that takes precedence over the route's, or None.
+        homes: Regions whose upstreams may get its requests; empty for all.
     """
 
-    __slots__ = ("name", "keys", "priority")
+    __slots__ = ("name", "keys", "priority", "homes")
 
     def __init__(
-        self, name: str, keys: Sequence[str], priority: int | None = None
+        self,
+        name: str,
+        keys: Sequence[str],
+        priority: int | None = None,
+        homes: Iterable[str] = (),
     ) -> None:
         self.name = name
         self.keys = tuple(keys)
         self.priority = priority
+        self.homes = frozenset(homes)
 
 
 class RoutingDocument:
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -268,6 +268,8 @@
 
     `sequence` is the number of the instance's newest heartbeat, and
     `entries_revision` the revision up to which it has the upstreams' entries.
+    `evacuations_revision` is that of the last change of the evacuated failure
+    domains that it knows.
     """
 
     __slots__ = (
@@ -280,13 +282,19 @@
         "document_version",
         "link_mbps",
         "entries_revision",
+        "evacuations_revision",
     )
+    DEFAULTS = {"evacuations_revision": 0}
 
 
 class UpstreamLoad(Message):
-    """Requests and tokens that the sender has in flight at one upstream."""
+    """Requests and tokens that the sender has in flight at one upstream.
 
-    __slots__ = ("upstream", "requests", "tokens")
+    `work_s` is the expected time that they keep the upstream occupied.
+    """
+
+    __slots__ = ("upstream", "requests", "tokens", "work_s")
+    DEFAULTS = {"work_s": 0.0}
 
 
 class PoolWait(Message):
@@ -421,7 +429,29 @@
         "slots",
         "state",
         "revision",
+        "cold_s",
     )
+    DEFAULTS = {"cold_s": 0.0}
+
+
+class FetchEvacuations(Message):
+    """Requests the evacuated failure domains if they changed after this."""
+
+    __slots__ = ("revision",)
+
+
+class EvacuatedDomain(Message):
+    """A failure domain whose upstreams get nothing."""
+
+    __slots__ = ("name",)
+
+
+class EvacuationList(Message):
+    """The failure domains that are evacuated as of a revision, all of them."""
+
+    __slots__ = ("revision", "domains")
+    DEFAULTS = {"domains": ()}
+    NESTED = {"domains": EvacuatedDomain}
 
 
 class UpstreamList(Message):
@@ -572,4 +602,6 @@
     "crashReport": CrashReport,
     "permitRequest": PermitRequest,
     "permitReply": PermitReply,
+    "fetchEvacuations": FetchEvacuations,
+    "evacuationList": EvacuationList,
 }
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -141,6 +141,7 @@
   documentVersion @6 :UInt64;
   linkMbps @7 :Float32;
   entriesRevision @8 :UInt64;
+  evacuationsRevision @9 :UInt64;
 }
 
 struct FetchUpstreams {
@@ -156,6 +157,20 @@
   slots @5 :UInt32;
   state @6 :Text;
   revision @7 :UInt64;
+  coldS @8 :Float32;
+}
+
+struct FetchEvacuations {
+  revision @0 :UInt64;
+}
+
+struct EvacuationList {
+  revision @0 :UInt64;
+  domains @1 :List(EvacuatedDomain);
+}
+
+struct EvacuatedDomain {
+  name @0 :Text;
 }
 
 struct UpstreamList {
@@ -167,6 +182,7 @@
   upstream @0 :Text;
   requests @1 :UInt32;
   tokens @2 :UInt32;
+  workS @3 :Float32;
 }
 
 struct Gossip {
@@ -332,5 +348,7 @@
     crashReport @22 :CrashReport;
     permitRequest @23 :PermitRequest;
     permitReply @24 :PermitReply;
+    fetchEvacuations @25 :FetchEvacuations;
+    evacuationList @26 :EvacuationList;
   }
 }
--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -7,6 +7,7 @@
 
 import base64
 import binascii
+import math
 from typing import Any
 
 import orjson
@@ -27,6 +28,8 @@
 
 DOCUMENT_KEY = "op/config"
 ENTRY_PREFIX = "servers/"
+# The rest of the key is the name of a failure domain.
+EVACUATION_PREFIX = "op/evacuate/"
 _STATE_BY_NAME = {
     "ready": UpstreamState.READY,
     "draining": UpstreamState.LEAVING,
@@ -73,7 +76,12 @@
                 idle_s=limits.get("idleTimeoutMs", 15000) / 1000,
             ),
             clients=[
-                ClientAccount(t["name"], t["apiKeys"], t.get("priority"))
+                ClientAccount(
+                    t["name"],
+                    t["apiKeys"],
+                    t.get("priority"),
+                    t.get("allowedRegions") or (),
+                )
                 for t in doc.get("tenants") or ()
             ],
         )
@@ -107,6 +115,7 @@
         resumable=bool(route.get("resumable", False)),
         gap_s=(route.get("targetGapMs") or 0) / 1000,
         sticky=bool(route.get("stickySessions", False)),
+        homes=route.get("allowedRegions") or (),
     )
 
 
@@ -134,6 +143,8 @@
         )
         if segments
         else None,
+        cold_start_s=float(service.get("coldStartS") or 0.0),
+        cold_per_s=float(service.get("coldPerS") or 0.0),
     )
 
 
@@ -159,6 +170,7 @@
         service, address = entry["service"], entry["address"]
         zone, born = entry.get("zone", ""), entry.get("born", 0)
         slots = entry.get("slots", 1)
+        cold_ms = entry.get("coldRemainingMs", 0)
         state = _STATE_BY_NAME[entry["state"]]
         host, _, port = address.rpartition(":")
         valid = (
@@ -168,6 +180,8 @@
             and isinstance(zone, str)
             and isinstance(born, int)
             and isinstance(slots, int)
+            and isinstance(cold_ms, (int, float))
+            and math.isfinite(cold_ms)
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise MessageError(f"entry {key!r} is malformed: {exc!r}") from exc
@@ -185,4 +199,5 @@
         slots=slots,
         state=state,
         revision=revision,
+        cold_s=max(0.0, cold_ms / 1000),
     )
--- a/src/applespring/platform/registry.py
+++ b/src/applespring/platform/registry.py
@@ -10,6 +10,7 @@
 from applespring.platform.store import HistoryGoneError, Store
 from applespring.relay.registry import (
     EntryChange,
+    EvacuationChange,
     HistoryLostError,
     Registry,
     RegistryUpdate,
@@ -50,8 +51,13 @@
         return document.decode_document(data)
 
     def _decode(self, items: list[dict], revision: int) -> RegistryUpdate:
-        changes = list(_decode_entries(items, era_of(revision)))
-        return RegistryUpdate(_find_document(items), changes, revision)
+        era = era_of(revision)
+        return RegistryUpdate(
+            _find_document(items),
+            list(_decode_entries(items, era)),
+            revision,
+            list(_decode_evacuations(items, era)),
+        )
 
 
 def _decode_entries(items: Iterable[dict], era: int) -> Iterable[EntryChange]:
@@ -86,6 +92,23 @@
         yield EntryChange(name, entry, revision)
 
 
+def _decode_evacuations(
+    items: Iterable[dict], era: int
+) -> Iterable[EvacuationChange]:
+    """Yields the orders to evacuate failure domains among items of the store.
+
+    An order is its key; what its value holds does not matter.
+    """
+    for item in items:
+        key = item.get("key")
+        if not isinstance(key, str):
+            continue
+        domain = key.removeprefix(document.EVACUATION_PREFIX)
+        if domain and domain != key:
+            revision = join_era(era, int(item.get("revision", 0)))
+            yield EvacuationChange(domain, not item.get("deleted"), revision)
+
+
 def _find_document(items: Iterable[dict]) -> bytes | None:
     """Returns the last configuration among items of the store, or None.
 
--- a/src/applespring/platform/settings.py
+++ b/src/applespring/platform/settings.py
@@ -7,6 +7,8 @@
 
 # Fixed, since the deployment configuration names this port.
 METRICS_PORT = 9464
+# Settings with this prefix name the region of each failure domain.
+ZONE_PREFIX = "zones."
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -88,4 +90,14 @@
         retry_window_s=number("bounds.budgetWindowS", 10.0),
         retry_extra=number("bounds.budgetExtraRetries", 50.0),
         link_mbps=number("limits.linkMbps", 1000.0),
+        region=values.get("region", ""),
+        regions={
+            name.removeprefix(ZONE_PREFIX): region
+            for name, region in values.items()
+            if name.startswith(ZONE_PREFIX)
+        },
+        cold_overshoot=number("bounds.coldOvershoot", 0.0)
+        if values.get("bounds.coldOvershoot")
+        else None,
+        cold_slack=number("bounds.coldSlack", 0.0),
     )
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -167,6 +167,7 @@
         slots=upstream.slots,
         state=upstream.state.value,
         revision=upstream.revision,
+        cold_s=upstream.cold_s,
     )
 
 
@@ -186,4 +187,5 @@
         slots=entry.slots,
         state=state,
         revision=entry.revision,
+        cold_s=max(0.0, entry.cold_s),
     )
--- a/src/applespring/relay/registry.py
+++ b/src/applespring/relay/registry.py
@@ -1,6 +1,7 @@
 """Interface to the registry of the routing document and the upstreams."""
 
 import abc
+from collections.abc import Sequence
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import ApplespringError
@@ -37,6 +38,25 @@
         self.unreadable = unreadable
 
 
+class EvacuationChange:
+    """An operator's order to evacuate a failure domain, or its end.
+
+    Attributes:
+        failure_domain: The domain.
+        in_force: Whether the order holds.
+        revision: Revision of the change.
+    """
+
+    __slots__ = ("failure_domain", "in_force", "revision")
+
+    def __init__(
+        self, failure_domain: str, in_force: bool, revision: int
+    ) -> None:
+        self.failure_domain = failure_domain
+        self.in_force = in_force
+        self.revision = revision
+
+
 class RegistryUpdate:
     """Result of a read or a watch of the registry.
 
@@ -45,16 +65,23 @@
             is none; in a watch, None if it did not change.
         changes: Entries of upstreams; in a watch, those that changed.
         revision: Revision after which the next watch starts.
+        evacuations: Orders to evacuate failure domains; in a watch, those that
+            changed.
     """
 
-    __slots__ = ("document", "changes", "revision")
+    __slots__ = ("document", "changes", "revision", "evacuations")
 
     def __init__(
-        self, document: bytes | None, changes: list[EntryChange], revision: int
+        self,
+        document: bytes | None,
+        changes: list[EntryChange],
+        revision: int,
+        evacuations: Sequence[EvacuationChange] = (),
     ) -> None:
         self.document = document
         self.changes = changes
         self.revision = revision
+        self.evacuations = tuple(evacuations)
 
 
 class Registry(abc.ABC):
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -1,6 +1,6 @@
 """Settings of a relay instance."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 
 class RelaySettings:
@@ -23,6 +23,11 @@
         retry_extra: Added attempts allowed on top of that in a window; all
             instances share them in equal parts.
         link_mbps: Speed of the machine's network link in Mbit/s.
+        region: Region of its failure domain, or "" if none is named.
+        regions: Region of each failure domain.
+        cold_overshoot: Multiple of a pool's cold rate that a cold upstream of
+            it may get in a second, or None if no bound is in force.
+        cold_slack: Requests a second that it may get on top of that.
     """
 
     __slots__ = (
@@ -40,6 +45,10 @@
         "retry_window_s",
         "retry_extra",
         "link_mbps",
+        "region",
+        "regions",
+        "cold_overshoot",
+        "cold_slack",
     )
 
     def __init__(
@@ -59,6 +68,10 @@
         retry_window_s: float = 10.0,
         retry_extra: float = 50.0,
         link_mbps: float = 1000.0,
+        region: str = "",
+        regions: Mapping[str, str] | None = None,
+        cold_overshoot: float | None = None,
+        cold_slack: float = 0.0,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -74,3 +87,7 @@
         self.retry_window_s = retry_window_s
         self.retry_extra = retry_extra
         self.link_mbps = link_mbps
+        self.region = region
+        self.regions = dict(regions or {})
+        self.cold_overshoot = cold_overshoot
+        self.cold_slack = cold_slack
