Reject homes that are no list of regions

Cause: a text in place of a list was read as its letters, each taken for a region, so that the route or tenant had no upstream.

Change: the document is rejected as malformed, with the value met.

Measured: feature platform passes (55 scenarios); the new example fails before the change, since the document was accepted.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -36,6 +36,7 @@
       | []                                                     |
       | {"version": 1}                                         |
       | {"version": 1, "routes": [{"name": 1}], "services": []} |
+      | {"version": 1, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": ["k"], "allowedRegions": "north"}]} |
 
   Scenario Outline: A malformed entry names no upstream
     Given the registry entry <text>
--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -80,7 +80,7 @@
                     t["name"],
                     t["apiKeys"],
                     t.get("priority"),
-                    t.get("allowedRegions") or (),
+                    _decode_homes(t),
                 )
                 for t in doc.get("tenants") or ()
             ],
@@ -89,6 +89,23 @@
         raise MessageError(f"the configuration is malformed: {exc!r}") from exc
 
 
+def _decode_homes(entry: dict[str, Any]) -> list[str]:
+    """Returns the homes of a route or tenant; empty if it has none.
+
+    Raises:
+        ValueError: They are no list of names.
+    """
+    homes = entry.get("allowedRegions") or []
+    if not isinstance(homes, list) or not all(
+        isinstance(home, str) and home for home in homes
+    ):
+        raise ValueError(
+            f"allowedRegions of {entry.get('name')!r} must be a list of "
+            f"regions, but is {homes!r}"
+        )
+    return homes
+
+
 def _decode_route(route: dict[str, Any]) -> Route:
     split = route.get("trafficSplit")
     if split:
@@ -115,7 +132,7 @@
         resumable=bool(route.get("resumable", False)),
         gap_s=(route.get("targetGapMs") or 0) / 1000,
         sticky=bool(route.get("stickySessions", False)),
-        homes=route.get("allowedRegions") or (),
+        homes=_decode_homes(route),
     )
 
 
