Keep requests and their bodies in the homes of route and account

Change: core/homes.py has the allowed regions of a request and the region of each failure domain. The choice of upstreams takes them as an argument in plain requests, retries, streams, resumes, trials and prefix fetches; a submission of pieces names them, and the queue of a stage pool checks each piece. Only instances in the homes, or the own one, get the pieces. Without an allowed upstream the request is refused on arrival as not run. A newer document can only narrow the homes of a request that waits.

Ruled out: a queue for each set of homes, since pieces of different requests could share no calls.

--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -14,6 +14,7 @@
 from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
 
 from applespring.core.catalog import ListedUpstream
+from applespring.core.homes import DomainRegions, Regions
 from applespring.core.piece import Call, Piece
 from applespring.core.route import BatchSpec
 from applespring.core.stage_upstream import FAILED_PAUSE_S, StageUpstream
@@ -64,10 +65,14 @@
         "_arrival_times",
         "_backlog_since",
         "_called",
+        "_homes",
     )
 
-    def __init__(self, spec: BatchSpec) -> None:
+    def __init__(
+        self, spec: BatchSpec, homes: DomainRegions | None = None
+    ) -> None:
         self.spec = spec
+        self._homes = homes or DomainRegions()
         self._pieces: list[Piece] = []
         self._upstreams: dict[str, StageUpstream] = {}
         self._call_numbers = itertools.count(1)
@@ -183,6 +188,31 @@
         self._pieces = [p for p in self._pieces if id(p) not in taken_ids]
         return taken
 
+    def take_homeless(self) -> list[Piece]:
+        """Removes and returns pieces whose homes have no listed upstream."""
+        taken = [
+            p
+            for p in self._pieces
+            if p.regions is not None and not self.has_upstream_in(p.regions)
+        ]
+        if taken:
+            taken_ids = set(map(id, taken))
+            self._pieces = [p for p in self._pieces if id(p) not in taken_ids]
+        return taken
+
+    def has_upstream_in(self, regions: Regions) -> bool:
+        """Returns whether an upstream is listed in these regions."""
+        return bool(self._upstreams_in(regions))
+
+    def _upstreams_in(self, regions: Regions) -> list[StageUpstream]:
+        if regions is None:
+            return list(self._upstreams.values())
+        return [
+            stage_upstream
+            for stage_upstream in self._upstreams.values()
+            if self._homes.allows(stage_upstream.failure_domain, regions)
+        ]
+
     def take_all(self) -> list[Piece]:
         """Removes and returns every queued piece."""
         pieces, self._pieces = self._pieces, []
@@ -295,13 +325,22 @@
         for piece in _order_for_domain(domain, ranked):
             if len(taken) >= self.spec.batch:
                 break
+            if piece.regions is not None and not self._homes.allows(
+                domain, piece.regions
+            ):
+                continue
             if piece.result_bytes > free_bytes:
                 continue
             if not self._may_share(taken, piece):
                 continue
             siblings = stages[piece.request, piece.stage]
             needed = 0.0 if piece.opened else _sum_result_bytes(siblings)
-            if needed > max(0.0, unreserved) and not self._is_unused(now):
+            left = unreserved
+            if piece.regions is not None:
+                left = min(left, self._unreserved_bytes(now, piece.regions))
+            if needed > max(0.0, left) and not self._is_unused(
+                now, piece.regions
+            ):
                 continue
             preferred = piece.failure_domain
             if preferred != domain and preferred in callable_domains:
@@ -357,30 +396,42 @@
             self.full_call_s, max(0.0, DOMAIN_WAIT_SLACK_SHARE * spare_s)
         )
 
-    def _unreserved_bytes(self, now: float) -> float:
+    def _unreserved_bytes(self, now: float, regions: Regions = None) -> float:
         """Returns the result memory that is left for unopened stages.
 
         The results of a stage are usable only together. A stage is opened only
         if all of its results fit beside those that opened stages still have to
         produce; otherwise opened stages could wait for each other's memory
         forever.
+
+        Args:
+            now: Current time.
+            regions: If given, only memory in these regions counts, and only
+                opened stages that depend on it.
         """
         free = sum(
             self.spec.result_memory_bytes - stage_upstream.used_bytes(now)
-            for stage_upstream in self._upstreams.values()
+            for stage_upstream in self._upstreams_in(regions)
+        )
+        return free - sum(
+            p.result_bytes
+            for p in self._pieces
+            if p.opened
+            and (regions is None or (p.regions and p.regions & regions))
         )
-        return free - sum(p.result_bytes for p in self._pieces if p.opened)
 
-    def _is_unused(self, now: float) -> bool:
-        """Returns whether no result memory is used or reserved.
+    def _is_unused(self, now: float, regions: Regions = None) -> bool:
+        """Returns whether no result memory is used or reserved there.
 
         Then a stage that is too large for `_unreserved_bytes` is opened all the
         same, since waiting would not free any memory.
         """
         return not any(
             stage_upstream.used_bytes(now)
-            for stage_upstream in self._upstreams.values()
-        ) and not any(p.opened for p in self._pieces)
+            for stage_upstream in self._upstreams_in(regions)
+        ) and not any(
+            p.opened and _may_meet(p.regions, regions) for p in self._pieces
+        )
 
     def _nominal_call_s(self, pieces: int) -> float:
         return self.spec.call_s + pieces * self.spec.piece_s
@@ -554,7 +605,9 @@
             min(nominal, called / window_s),
         )
 
-    def _nominal_pieces_per_s(self, now: float) -> float:
+    def _nominal_pieces_per_s(
+        self, now: float, upstreams: Iterable[StageUpstream] | None = None
+    ) -> float:
         """Returns the throughput of full calls, in pieces a second.
 
         An upstream whose pause lasts longer than `FAILED_PAUSE_S` from now, as
@@ -566,20 +619,24 @@
                 self.spec.slots / (full_s * max(stage_upstream.slowdown, 0.1)),
                 stage_upstream.calls_per_s,
             )
-            for stage_upstream in self._upstreams.values()
+            for stage_upstream in (
+                self._upstreams.values() if upstreams is None else upstreams
+            )
             if stage_upstream.callable_at <= now + FAILED_PAUSE_S
         )
 
-    def opens_in_s(self, now: float) -> float:
+    def opens_in_s(self, now: float, regions: Regions = None) -> float:
         """Returns the time until the first upstream may be called.
 
         It is 0 unless all have asked for a pause, or have a rate limit that
         leaves no room for a call.
         """
-        ends = [upstream.closed_until for upstream in self._upstreams.values()]
+        ends = [u.closed_until for u in self._upstreams_in(regions)]
         return max(0.0, min(ends, default=now) - now)
 
-    def wait_s(self, now: float, *, on_time: bool = False) -> float:
+    def wait_s(
+        self, now: float, *, on_time: bool = False, regions: Regions = None
+    ) -> float:
         """Returns how long a new piece is expected to wait for its call.
 
         The wait is infinite while no upstream can be called.
@@ -590,7 +647,10 @@
                 behind queued pieces that can be on time too. A late piece waits
                 behind the whole queue and behind later pieces that can be on
                 time.
+            regions: Regions whose upstreams may execute it; None for all.
         """
+        if regions is not None:
+            return self._wait_in_regions_s(now, regions)
         opens_in_s = self.opens_in_s(now)
         if opens_in_s > 0.0:
             capacity = self._nominal_pieces_per_s(now + opens_in_s)
@@ -617,7 +677,34 @@
             capacity if pieces_ahead <= self.spec.batch else late_capacity
         )
 
-    def _residual_s(self, now: float) -> float:
+    def _wait_in_regions_s(self, now: float, regions: Regions) -> float:
+        """Returns how long a new piece is expected to wait in its homes.
+
+        Their upstreams have the share of the pool's throughput that they have
+        of its capacity. They execute the queued pieces with a home in common,
+        and this share of the pieces that any upstream may execute.
+        """
+        upstreams = self._upstreams_in(regions)
+        opens_in_s = self.opens_in_s(now, regions)
+        at = now + opens_in_s
+        nominal = self._nominal_pieces_per_s(at, upstreams)
+        if nominal <= 0.0:
+            return math.inf
+        share = nominal / self._nominal_pieces_per_s(at)
+        capacity = nominal
+        if opens_in_s <= 0.0:
+            capacity = share * self.capacity_pieces_per_s(now)
+            opens_in_s = self._residual_s(now, upstreams)
+        pieces_ahead = sum(
+            share if p.regions is None else 1.0
+            for p in self._pieces
+            if _may_meet(p.regions, regions)
+        )
+        return opens_in_s + pieces_ahead / capacity
+
+    def _residual_s(
+        self, now: float, upstreams: Iterable[StageUpstream] | None = None
+    ) -> float:
         """Returns the expected time until the first upstream is idle.
 
         Calls of several upstreams end at different times, so one of n ends
@@ -625,7 +712,9 @@
         """
         callable_upstreams = [
             stage_upstream
-            for stage_upstream in self._upstreams.values()
+            for stage_upstream in (
+                self._upstreams.values() if upstreams is None else upstreams
+            )
             if stage_upstream.callable_at <= now
         ]
         if any(not upstream.calls for upstream in callable_upstreams):
@@ -649,9 +738,12 @@
         mean_slowdown = sum(slowdowns) / len(slowdowns)
         return mean_slowdown * self._nominal_call_s(pieces)
 
-    def admits(self, remaining_s: float, now: float) -> bool:
+    def admits(
+        self, remaining_s: float, now: float, regions: Regions = None
+    ) -> bool:
         """Returns whether a request with this time left should be started."""
-        return self.wait_s(now) <= ADMISSION_WAIT_SHARE * remaining_s
+        wait_s = self.wait_s(now, regions=regions)
+        return wait_s <= ADMISSION_WAIT_SHARE * remaining_s
 
 
 def _order_for_domain(
@@ -675,5 +767,10 @@
         yield from others
 
 
+def _may_meet(first: Regions, second: Regions) -> bool:
+    """Returns whether an upstream may exist that both regions allow."""
+    return first is None or second is None or bool(first & second)
+
+
 def _sum_result_bytes(pieces: Iterable[Piece]) -> float:
     return sum(piece.result_bytes for piece in pieces)
--- a/src/applespring/core/peer_table.py
+++ b/src/applespring/core/peer_table.py
@@ -1,6 +1,7 @@
 """Last known state of the other instances, from heartbeats and gossip."""
 
 import math
+from collections.abc import Callable
 
 from applespring.core.placement import rank_schedulers
 
@@ -238,7 +239,12 @@
         }
 
     def rank_schedulers(
-        self, pool: str, now: float, *, self_link_mbps: float | None
+        self,
+        pool: str,
+        now: float,
+        *,
+        self_link_mbps: float | None,
+        allows: Callable[[str], bool] | None = None,
     ) -> list[str]:
         """Returns the instances that may schedule a pool, best first.
 
@@ -247,11 +253,17 @@
             now: Seconds on the monotonic clock.
             self_link_mbps: Link speed of this instance, or None while it is
                 leaving and must not become a scheduler.
+            allows: Whether instances of a failure domain may schedule; None
+                allows all.
         """
-        return rank_schedulers(pool, self.live_links(now, self_link_mbps))
+        links = self.live_links(now, self_link_mbps, allows)
+        return rank_schedulers(pool, links)
 
     def live_links(
-        self, now: float, self_link_mbps: float | None
+        self,
+        now: float,
+        self_link_mbps: float | None,
+        allows: Callable[[str], bool] | None = None,
     ) -> dict[str, float]:
         """Returns the link speed of each reachable instance by name.
 
@@ -259,8 +271,14 @@
             now: Seconds on the monotonic clock.
             self_link_mbps: Link speed of this instance, or None to leave it
                 out.
+            allows: Whether to include other instances of a failure domain;
+                None includes all.
         """
-        links = {peer.name: peer.link_mbps for peer in self.reachable(now)}
+        links = {
+            peer.name: peer.link_mbps
+            for peer in self.reachable(now)
+            if allows is None or allows(peer.failure_domain)
+        }
         if self_link_mbps is not None:
             links[self._name] = self_link_mbps
         return links
--- a/src/applespring/core/piece.py
+++ b/src/applespring/core/piece.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from applespring.core.catalog import ListedUpstream
+from applespring.core.homes import Regions
 
 # From this size on, a result should not be moved out of its failure domain.
 LARGE_RESULT_BYTES = 500_000
@@ -35,6 +36,7 @@
         isolated: Whether it shares calls only with pieces of its request, of
             which one is made at a time, since an upstream ended under it.
         is_trial: Whether its request is a trial of what is quarantined.
+        regions: Regions whose upstreams may execute it; None for all.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "fingerprint",
         "isolated",
         "is_trial",
+        "regions",
     )
 
     def __init__(
@@ -78,6 +81,7 @@
         fingerprint: str = "",
         isolated: bool = False,
         is_trial: bool = False,
+        regions: Regions = None,
     ) -> None:
         self.request = request
         self.stage = stage
@@ -98,6 +102,7 @@
         self.fingerprint = fingerprint
         self.isolated = isolated
         self.is_trial = is_trial
+        self.regions = regions
 
 
 class Call:
--- a/src/applespring/core/route.py
+++ b/src/applespring/core/route.py
@@ -284,10 +284,19 @@
         routes: All routes.
         pools: Pools by name.
         limits: Bounds on what callers may send.
-        clients: Client accounts by key; empty if no key is needed.
+        accounts: Client accounts; empty if no key is needed.
+        clients: Client accounts by key.
     """
 
-    __slots__ = ("version", "routes", "pools", "limits", "clients", "_hosts")
+    __slots__ = (
+        "version",
+        "routes",
+        "pools",
+        "limits",
+        "accounts",
+        "clients",
+        "_hosts",
+    )
 
     def __init__(
         self,
@@ -301,8 +310,9 @@
         self.routes = tuple(routes)
         self.pools = {pool.name: pool for pool in pools}
         self.limits = limits
+        self.accounts = tuple(clients)
         self.clients = {
-            key: client for client in clients for key in client.keys
+            key: client for client in self.accounts for key in client.keys
         }
         hosts: dict[str, list[Route]] = {}
         for route in self.routes:
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -493,6 +493,12 @@
     __slots__ = ("segment", "key")
 
 
+class HomeRegion(Message):
+    """A region in which a request may be executed."""
+
+    __slots__ = ("name",)
+
+
 class StageSubmit(Message):
     """Pieces of a stage of one request, for the scheduler of the pool.
 
@@ -503,7 +509,8 @@
     another stage of the request has already started, in which case the
     scheduler does not refuse the pieces because of its load. `ticket`
     identifies the submission at `origin`. `is_trial` says that the request is
-    a trial of what is quarantined.
+    a trial of what is quarantined. Only upstreams in `homes` may execute the
+    pieces; a sender that knows of no homes, or a request without, names none.
     """
 
     __slots__ = (
@@ -524,9 +531,14 @@
         "pieces",
         "fingerprint",
         "is_trial",
+        "homes",
     )
-    DEFAULTS = {"fingerprint": "", "is_trial": False}
-    NESTED = {"inputs": InputHandle, "pieces": PieceOrder}
+    DEFAULTS = {"fingerprint": "", "is_trial": False, "homes": ()}
+    NESTED = {
+        "inputs": InputHandle,
+        "pieces": PieceOrder,
+        "homes": HomeRegion,
+    }
 
 
 class StageAck(Message):
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -277,6 +277,11 @@
   pieces @14 :List(PieceOrder);
   fingerprint @15 :Text;
   isTrial @16 :Bool;
+  homes @17 :List(HomeRegion);
+}
+
+struct HomeRegion {
+  name @0 :Text;
 }
 
 struct InputHandle {
--- a/src/applespring/relay/availability.py
+++ b/src/applespring/relay/availability.py
@@ -2,6 +2,7 @@
 
 from applespring.core import reason
 from applespring.core.errors import RefusalError
+from applespring.core.homes import Regions
 from applespring.core.notices import spread_return_s
 from applespring.core.verdict import Verdict
 from applespring.relay.state import RelayState
@@ -11,7 +12,12 @@
 
 
 def check_pool(
-    state: RelayState, pool: str, request: str, *, within_s: float = 0.0
+    state: RelayState,
+    pool: str,
+    request: str,
+    *,
+    within_s: float = 0.0,
+    regions: Regions = None,
 ) -> None:
     """Checks that an upstream of a pool takes requests soon.
 
@@ -20,43 +26,58 @@
         pool: Name of the pool.
         request: Id of the request.
         within_s: Time until the request needs the upstream.
+        regions: Regions that the homes of the request allow.
 
     Raises:
         RefusalError: None takes requests then; the request has not run.
     """
-    opens_in_s = state.pool_opens_in_s(pool, limits=False)
+    opens_in_s = state.pool_opens_in_s(pool, limits=False, regions=regions)
     if opens_in_s is None or opens_in_s > within_s:
-        raise make_unavailable_refusal(state, pool, request)
+        raise make_unavailable_refusal(state, pool, request, regions)
 
 
 def make_unavailable_refusal(
-    state: RelayState, pool: str, request: str
+    state: RelayState, pool: str, request: str, regions: Regions = None
 ) -> RefusalError:
     """Returns the refusal of a request that has not run, since none takes it.
 
     Its Retry-After is when the first upstream takes requests again, if all that
     do not leave are paused or have no permit left.
     """
-    opens_in_s = state.pool_opens_in_s(pool)
-    detail = f"pool {pool} has no upstream that accepts new work"
+    opens_in_s = state.pool_opens_in_s(pool, regions=regions)
+    homes = describe_homes(regions)
+    detail = f"pool {pool} has no upstream that accepts new work{homes}"
     if opens_in_s:
         detail = (
-            f"all upstreams of pool {pool} are paused, or get no more requests "
-            f"by their rate limits, for {opens_in_s:.2f} s"
+            f"all upstreams of pool {pool}{homes} are paused, or get no more "
+            f"requests by their rate limits, for {opens_in_s:.2f} s"
         )
     return RefusalError(
         reason.NO_UPSTREAM,
         Verdict.NOT_RUN,
         detail,
         retry_after_s=make_return_s(
-            state, pool, request, opens_in_s or RETRY_AFTER_S
+            state, pool, request, opens_in_s or RETRY_AFTER_S, regions
         ),
         retry_after_known=bool(opens_in_s),
     )
 
 
+def describe_homes(regions: Regions) -> str:
+    """Returns the end of a detail that names the regions, or "" for all."""
+    if regions is None:
+        return ""
+    if not regions:
+        return " (no region is a home of both the route and the account)"
+    return f" in the homes of the request ({', '.join(sorted(regions))})"
+
+
 def make_return_s(
-    state: RelayState, pool: str, request: str, wait_s: float
+    state: RelayState,
+    pool: str,
+    request: str,
+    wait_s: float,
+    regions: Regions = None,
 ) -> float:
     """Returns the Retry-After of a request that a pool can't take now.
 
@@ -68,8 +89,9 @@
         pool: Name of the pool.
         request: Id of the request.
         wait_s: Time until the first upstream takes requests.
+        regions: Regions that the homes of the request allow.
     """
-    per_s = state.pool_rate_limit(pool)
+    per_s = state.pool_rate_limit(pool, regions)
     if per_s is None:
         return spread_return_s(wait_s, request)
     return state.return_times(pool).add(wait_s, per_s, request, state.clock())
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -7,6 +7,12 @@
 
 from applespring.core.errors import RefusalError
 from applespring.core.fingerprint import fingerprint_request
+from applespring.core.homes import (
+    Regions,
+    allowed_regions,
+    allowed_regions_in,
+    intersect,
+)
 from applespring.core.route import (
     ClientAccount,
     Route,
@@ -80,6 +86,8 @@
         "_send",
         "_connection_header",
         "_fingerprint",
+        "_regions",
+        "_regions_document",
     )
 
     def __init__(
@@ -120,6 +128,8 @@
         self._send = send
         self._connection_header = connection_header
         self._fingerprint = ""
+        self._regions_document: RoutingDocument | None = document
+        self._regions = allowed_regions(route, client_account)
 
     @property
     def request_id(self) -> str:
@@ -136,6 +146,25 @@
             )
         return self._fingerprint
 
+    def regions_in(self, newest: RoutingDocument | None) -> Regions:
+        """Returns the regions whose upstreams may get the request now.
+
+        The homes at its admission bind it to its end. A document that came into
+        force since then may only add to them.
+
+        Args:
+            newest: Document in force, or None.
+        """
+        if newest is not self._regions_document:
+            self._regions_document = newest
+            self._regions = allowed_regions(self.route, self.client_account)
+            if newest is not None and newest is not self.document:
+                self._regions = intersect(
+                    self._regions,
+                    allowed_regions_in(newest, self.route, self.client_account),
+                )
+        return self._regions
+
     @property
     def leaves_at(self) -> float:
         """When the caller of a stream disconnects if it got no event."""
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -88,7 +88,12 @@
         Raises:
             RefusalError: The request gets a refusal instead.
         """
-        check_pool(self._state, exchange.pool, exchange.request_id)
+        check_pool(
+            self._state,
+            exchange.pool,
+            exchange.request_id,
+            regions=exchange.regions_in(self._state.document),
+        )
         async with self._crash_watch.admit(
             exchange, (), exchange.fingerprint
         ) as watched:
@@ -205,7 +210,9 @@
     ) -> tuple[ListedUpstream | None, Permit | None]:
         """Returns the upstream to try next, with its permit if it needs one."""
         usable = self._state.usable_upstreams(
-            exchange.pool, exchange.request_id
+            exchange.pool,
+            exchange.request_id,
+            exchange.regions_in(self._state.document),
         )
         untried = [u for u in usable if u.name not in tried]
         run_s = self.selector.mean_s(usable)
@@ -234,7 +241,10 @@
             and any(
                 upstream.name not in tried
                 and self._permits.opens_at(upstream) <= now
-                for upstream in self._state.usable_upstreams(exchange.pool)
+                for upstream in self._state.usable_upstreams(
+                    exchange.pool,
+                    regions=exchange.regions_in(self._state.document),
+                )
             )
             and self._state.attempt_window(exchange.pool).try_acquire(
                 now, 1 + len(self._peers.table.reachable(now))
@@ -264,9 +274,13 @@
             await exchange.finish(last_answer.body)
             return
         if verdict is Verdict.NOT_RUN:
-            if self._state.pool_opens_in_s(exchange.pool) != 0.0:
+            regions = exchange.regions_in(self._state.document)
+            if (
+                self._state.pool_opens_in_s(exchange.pool, regions=regions)
+                != 0.0
+            ):
                 raise make_unavailable_refusal(
-                    self._state, exchange.pool, exchange.request_id
+                    self._state, exchange.pool, exchange.request_id, regions
                 )
             raise RefusalError(
                 reason.NO_UPSTREAM,
@@ -278,7 +292,9 @@
 
     def _retry_after_s(self, exchange: Exchange) -> float:
         """Returns when the pool may take a request that it refused."""
-        opens_in_s = self._state.pool_opens_in_s(exchange.pool)
+        opens_in_s = self._state.pool_opens_in_s(
+            exchange.pool, regions=exchange.regions_in(self._state.document)
+        )
         if opens_in_s:
             return spread_return_s(opens_in_s, exchange.request_id)
         return RETRY_AFTER_S
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -1,10 +1,11 @@
 """State of a request while its stages are executed."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 
 from applespring.core.chain import Chain
+from applespring.core.homes import Regions
 from applespring.core.route import RoutingDocument
 from applespring.relay.protocol import CallerRequest
 
@@ -38,6 +39,9 @@
         repeated: Whether all stages were executed a second time.
         fingerprint: Fingerprint of the request.
         is_trial: Whether the request is a trial of what is quarantined.
+        read_regions: Returns the regions that the homes of the request allow
+            now.
+        regions: Regions for which its pieces were submitted.
     """
 
     __slots__ = (
@@ -57,6 +61,8 @@
         "repeated",
         "fingerprint",
         "is_trial",
+        "read_regions",
+        "regions",
     )
 
     def __init__(
@@ -71,6 +77,7 @@
         run_s: float,
         fingerprint: str = "",
         is_trial: bool = False,
+        read_regions: Callable[[], Regions] = lambda: None,
     ) -> None:
         self.req = req
         self.chain = chain
@@ -88,6 +95,8 @@
         self.repeated = False
         self.fingerprint = fingerprint
         self.is_trial = is_trial
+        self.read_regions = read_regions
+        self.regions = read_regions()
 
     def input_bytes_by_domain(self, stages: Iterable[int]) -> dict[str, float]:
         """Returns the bytes of results of these stages by failure domain."""
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -77,6 +77,7 @@
 MOVED = "moved"
 OVERLOADED = "overloaded"
 UNKNOWN_POOL = "unknown_pool"
+NO_HOME = "no_upstream_in_homes"
 QUARANTINED = "quarantined"
 
 
@@ -203,7 +204,9 @@
             spec = doc.pools.get(pool) if doc else None
             if spec is None or spec.batch is None or self._tasks is None:
                 return None
-            queue = self._queues[pool] = BatchQueue(spec.batch)
+            queue = self._queues[pool] = BatchQueue(
+                spec.batch, self._state.domain_regions
+            )
             self._wake_events[pool] = anyio.Event()
             self._update_upstreams(pool, queue)
             reporting: list[ListedUpstream] = []
@@ -244,7 +247,10 @@
             msg.fingerprint in ledger.quarantined_fingerprints
         ):
             return message.StageAck(accepted=False, reason=QUARANTINED)
-        opens_in_s = queue.opens_in_s(now)
+        regions = frozenset(h.name for h in msg.homes) or None
+        if regions is not None and not queue.has_upstream_in(regions):
+            return message.StageAck(accepted=False, reason=NO_HOME)
+        opens_in_s = queue.opens_in_s(now, regions)
         if not msg.begun and (
             opens_in_s > 0.0 and opens_in_s + queue.full_call_s > msg.aim_s
         ):
@@ -255,13 +261,16 @@
                 retry_after_s=spread_return_s(opens_in_s, msg.request),
                 retry_after_known=True,
             )
-        if not msg.begun and not queue.admits(msg.deadline_s, now):
-            wait_s = min(queue.wait_s(now), msg.deadline_s)
+        if not msg.begun and not queue.admits(msg.deadline_s, now, regions):
+            wait_s = min(queue.wait_s(now, regions=regions), msg.deadline_s)
             return message.StageAck(
                 accepted=False,
                 reason=OVERLOADED,
                 retry_after_s=max(RETRY_AFTER_MIN_S, 0.5 * wait_s),
             )
+        preferred = msg.failure_domain
+        if not self._state.domain_regions.allows(preferred, regions):
+            preferred = ""
         origin = _Origin(msg.origin_address, msg.ticket)
         inputs = [i.handle for i in msg.inputs]
         piece_deadline_s = msg.deadline_s
@@ -279,7 +288,7 @@
                 key=order.key,
                 inputs=inputs,
                 origin=origin,
-                failure_domain=msg.failure_domain,
+                failure_domain=preferred,
                 priority=msg.priority,
                 target_at=now + msg.aim_s,
                 deadline_at=now + piece_deadline_s,
@@ -288,6 +297,7 @@
                 arrived_at=now,
                 fingerprint=msg.fingerprint,
                 is_trial=msg.is_trial,
+                regions=regions,
             )
             for order in msg.pieces
         ]
@@ -459,6 +469,9 @@
                 self._tasks.start_soon(
                     self._send_failures, overdue, PieceReply.LATE
                 )
+            homeless = queue.take_homeless()
+            if homeless:
+                self._tasks.start_soon(self._send_failures, homeless, NO_HOME)
             withdrawn = queue.take_quarantined(
                 self._crash_watch.ledger.quarantined_fingerprints
             )
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -16,11 +16,13 @@
     MessageError,
     RefusalError,
 )
+from applespring.core.homes import is_within
 from applespring.core.notices import spread_return_s
 from applespring.core.queue_waits import excess_s, retry_after_s
 from applespring.core.verdict import Verdict
 from applespring.peer import message
 from applespring.peer.transport import PeerLostError, PeerUnreachableError
+from applespring.relay.availability import make_unavailable_refusal
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import PieceReply
 from applespring.relay.stage_run import StageRun, StageSubmission
@@ -101,17 +103,20 @@
             RefusalError: A stage cannot be executed; the request has not run.
         """
         await self._peers.wait_joined()
+        self._check_homes(run)
         self._check_queue_waits(run)
         completed = False
         try:
             while not run.chain.done:
+                if not is_within(run.regions, run.read_regions()):
+                    await self._move_to_homes(run)
                 await self._submit_due(run)
                 with anyio.move_on_after(SCHEDULER_CHECK_INTERVAL_S):
                     await run.results_arrived.wait()
                 run.results_arrived = anyio.Event()
                 await self._resubmit(run, self._collect_missing(run))
                 for stage, handles in run.chain.take_unneeded().items():
-                    self.release(run.chain.steps[stage].pool, handles)
+                    self._release(run, run.chain.steps[stage].pool, handles)
             completed = True
         finally:
             for number in run.submission_numbers:
@@ -152,6 +157,40 @@
         run.result_bytes_by_domain.clear()
         await self.execute(run)
 
+    def _check_homes(self, run: StageRun) -> None:
+        """Refuses a request if a stage has no upstream in its homes.
+
+        Raises:
+            RefusalError: That is so; the request has not run.
+        """
+        run.regions = run.read_regions()
+        if run.regions is None:
+            return
+        for step in run.chain.steps.values():
+            if not self._state.staying_upstreams(step.pool, run.regions):
+                raise make_unavailable_refusal(
+                    self._state, step.pool, run.req.request_id, run.regions
+                )
+
+    async def _move_to_homes(self, run: StageRun) -> None:
+        """Submits pieces again that a newer document binds to other homes.
+
+        Raises:
+            RefusalError: A stage has no upstream there, or no scheduler accepts
+                the pieces.
+        """
+        missing: dict[int, set[int]] = {}
+        for number in list(run.submission_numbers):
+            submission = self._submissions.pop(number, None)
+            run.submission_numbers.discard(number)
+            if submission is not None and submission.missing:
+                missing.setdefault(submission.stage, set()).update(
+                    submission.missing
+                )
+                self._withdraw(submission)
+        self._check_homes(run)
+        await self._resubmit(run, missing)
+
     async def _submit_due(self, run: StageRun) -> None:
         for index in run.chain.due():
             run.chain.start(index)
@@ -258,13 +297,13 @@
             return
         cancel = message.StageCancel(request=run.req.request_id)
         for pool in {step.pool for step in run.chain.steps.values()}:
-            scheduler = self._state.rank_schedulers(pool)[0]
+            scheduler = self._state.rank_schedulers(pool, run.regions)[0]
             self._tasks.start_soon(self._send, scheduler, cancel)
 
     def release_remaining(self, run: StageRun) -> None:
         """Releases all results of a request that are not released yet."""
         for stage, handles in run.chain.take_remaining().items():
-            self.release(run.chain.steps[stage].pool, handles)
+            self._release(run, run.chain.steps[stage].pool, handles)
 
     @contextmanager
     def release_after_fetch(self, run: StageRun) -> Iterator[None]:
@@ -288,9 +327,11 @@
         finally:
             scope.cancel()
 
-    def release(self, pool: str, handles: Sequence[str]) -> None:
-        """Asks the scheduler of a pool to release results."""
-        schedulers = self._state.rank_schedulers(pool)
+    def _release(
+        self, run: StageRun, pool: str, handles: Sequence[str]
+    ) -> None:
+        """Asks the scheduler of a request's pieces to release results."""
+        schedulers = self._state.rank_schedulers(pool, run.regions)
         if self._tasks is None or not handles or not schedulers:
             return
         msg = message.StageRelease(
@@ -380,7 +421,8 @@
         step = run.chain.steps[index]
         msg = self._make_submission(run, index, segments)
         detail = "no instance schedules the pool"
-        candidates = self._state.rank_schedulers(step.pool)[:SCHEDULERS_MAX]
+        candidates = self._state.rank_schedulers(step.pool, run.regions)
+        candidates = candidates[:SCHEDULERS_MAX]
         if self._peers.name not in candidates:
             candidates.append(self._peers.name)
         for name in candidates:
@@ -466,6 +508,10 @@
             ),
             fingerprint=run.fingerprint,
             is_trial=run.is_trial,
+            homes=tuple(
+                message.HomeRegion(name=region)
+                for region in sorted(run.regions or ())
+            ),
         )
 
     def _open_submission(
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 
+from loguru import logger
+
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
 from applespring.core.first_event import FirstEventEstimate
+from applespring.core.homes import DomainRegions, Regions
 from applespring.core.idle_limit import IdleLimit
 from applespring.core.notices import UpstreamNotices
 from applespring.core.peer_table import PeerTable
@@ -31,6 +34,7 @@
             entries; 0 before the first.
         engines: Load and health of engines.
         reachability: Answered and unanswered calls by failure domain.
+        domain_regions: Region of each failure domain.
         peer_table: Last known state of the other instances.
         queue_waits: Latest queue waits of the stage pools.
         leaving: Whether this instance is shutting down.
@@ -52,6 +56,7 @@
         "queue_waits",
         "reachability",
         "peer_table",
+        "domain_regions",
         "leaving",
         "closed",
         "requests",
@@ -78,6 +83,9 @@
         self.queue_waits = QueueWaits()
         self.reachability = DomainReachability()
         self.peer_table = PeerTable(settings.name)
+        self.domain_regions = DomainRegions(
+            {settings.failure_domain: settings.region, **settings.regions}
+        )
         self.leaving = False
         self.closed = False
         self.requests = 0
@@ -131,7 +139,7 @@
         return self._return_times.setdefault(pool, ReturnTimes())
 
     def usable_upstreams(
-        self, pool: str, request: str = ""
+        self, pool: str, request: str = "", regions: Regions = None
     ) -> list[ListedUpstream]:
         """Returns the upstreams of a pool that may get a request now.
 
@@ -141,9 +149,10 @@
         Args:
             pool: Name of the pool.
             request: Id of the request, or "" if it is not known yet.
+            regions: Regions that its homes allow.
         """
         now = self.clock()
-        staying = self.staying_upstreams(pool)
+        staying = self.staying_upstreams(pool, regions)
         if not self.notices:
             return staying
         usable = [
@@ -158,7 +167,7 @@
         ] or usable
 
     def pool_opens_in_s(
-        self, pool: str, *, limits: bool = True
+        self, pool: str, *, limits: bool = True, regions: Regions = None
     ) -> float | None:
         """Returns when the first upstream of a pool takes requests again.
 
@@ -166,19 +175,22 @@
             pool: Name of the pool.
             limits: Whether one with a rate limit counts as taking none until
                 there is a permit.
+            regions: Regions whose upstreams count.
 
         Returns:
             Seconds from now, 0 if one takes them now, or None if none of them
             is known to.
         """
         return self.notices.opens_in_s(
-            (u.identity for u in self.catalog.ready(pool)),
+            (u.identity for u in self._ready_in(pool, regions)),
             self.clock(),
             limits=limits,
         )
 
-    def pool_rate_limit(self, pool: str) -> float | None:
-        """Returns what all upstreams of a pool take a second together.
+    def pool_rate_limit(
+        self, pool: str, regions: Regions = None
+    ) -> float | None:
+        """Returns what the upstreams of a pool take a second together.
 
         Returns:
             The sum of their rate limits, or None if one has none or there are
@@ -186,7 +198,7 @@
         """
         rates = [
             self.notices.limits.per_s(u.identity)
-            for u in self.staying_upstreams(pool)
+            for u in self.staying_upstreams(pool, regions)
         ]
         return None if None in rates or not rates else sum(rates)
 
@@ -199,7 +211,9 @@
             if pauses.until(u.identity) > now
         }
 
-    def staying_upstreams(self, pool: str) -> list[ListedUpstream]:
+    def staying_upstreams(
+        self, pool: str, regions: Regions = None
+    ) -> list[ListedUpstream]:
         """Returns the upstreams of a pool that accept work and are reachable.
 
         Paused ones are among them. The local failure domain never counts as
@@ -208,13 +222,31 @@
         """
         unreachable = self.peer_table.unreachable_domains(self.clock())
         unreachable.discard(self.settings.failure_domain)
+        ready = self._ready_in(pool, regions)
         return self.reachability.filter_reachable(
-            [u for u in self.catalog.ready(pool) if not self._leaves(u)]
+            [u for u in ready if not self._leaves(u)]
             if self.notices
-            else self.catalog.ready(pool),
+            else ready,
             unreachable,
         )
 
+    def _ready_in(self, pool: str, regions: Regions) -> list[ListedUpstream]:
+        ready = self.catalog.ready(pool)
+        if regions is None:
+            return ready
+        return [u for u in ready if self._allows(u.failure_domain, regions)]
+
+    def _allows(self, failure_domain: str, regions: Regions) -> bool:
+        """Returns whether a domain is in the regions; logs unknown ones."""
+        allowed = self.domain_regions.allows(failure_domain, regions)
+        for domain in self.domain_regions.take_unknown():
+            logger.bind(event="region_unknown", failure_domain=domain).error(
+                "the settings name no region of failure domain {!r}; requests "
+                "with homes are not sent there",
+                domain,
+            )
+        return allowed
+
     def _leaves(self, upstream: ListedUpstream) -> bool:
         return self.notices.leaving.is_leaving(*upstream.identity)
 
@@ -231,11 +263,18 @@
         """Returns whether this start of an upstream is listed."""
         return self.catalog.is_listed(identity)
 
-    def rank_schedulers(self, pool: str) -> list[str]:
+    def rank_schedulers(self, pool: str, regions: Regions = None) -> list[str]:
         """Returns the instances that may schedule a pool, best first.
 
         This instance is the only one if it knows no other.
+
+        Args:
+            pool: Name of the pool.
+            regions: Regions whose instances may get the pieces. This instance
+                has them already.
         """
+        if regions is not None:
+            return self._rank_schedulers_in(pool, regions)
         ranked = self.peer_table.rank_schedulers(
             pool,
             self.clock(),
@@ -243,6 +282,18 @@
         )
         return ranked or [self.settings.name]
 
+    def _rank_schedulers_in(self, pool: str, regions: Regions) -> list[str]:
+        may_schedule = not self.leaving and self._allows(
+            self.settings.failure_domain, regions
+        )
+        ranked = self.peer_table.rank_schedulers(
+            pool,
+            self.clock(),
+            self_link_mbps=self.settings.link_mbps if may_schedule else None,
+            allows=lambda domain: self._allows(domain, regions),
+        )
+        return ranked or [self.settings.name]
+
     @property
     def document_version(self) -> int:
         """Version of the document in force, 0 before the first."""
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -14,6 +14,7 @@
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.events import EventSplitter, EventTooLongError
 from applespring.core.first_event import FirstEventEstimate
+from applespring.core.homes import Regions
 from applespring.core.queue_waits import critical_path_s
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
@@ -104,6 +105,7 @@
             exchange.pool,
             exchange.request_id,
             within_s=critical_path_s(run.chain, run.call_s, {}, 0.0),
+            regions=run.regions,
         )
         async with self._crash_watch.admit(
             exchange, _shared_parts(exchange), exchange.fingerprint
@@ -121,6 +123,17 @@
             leaves_at=exchange.refuse_at,
             run_s=self._state.first_event(exchange.pool).run_s,
             fingerprint=exchange.fingerprint,
+            read_regions=partial(self._regions, exchange),
+        )
+
+    def _regions(self, exchange: Exchange) -> Regions:
+        return exchange.regions_in(self._state.document)
+
+    def _usable(
+        self, exchange: Exchange, request: str = ""
+    ) -> list[ListedUpstream]:
+        return self._state.usable_upstreams(
+            exchange.pool, request, self._regions(exchange)
         )
 
     async def _execute(
@@ -138,7 +151,7 @@
         try:
             if run.chain.steps:
                 home = self._state.engines.home(
-                    self._state.usable_upstreams(exchange.pool),
+                    self._usable(exchange),
                     _prefix_name(exchange),
                     self._state.clock(),
                 )
@@ -172,7 +185,7 @@
                 await self._restore_results(exchange, run, attempts)
             now = clock()
             remaining_s = exchange.deadline_at - now
-            ready = self._state.usable_upstreams(exchange.pool, req.request_id)
+            ready = self._usable(exchange, req.request_id)
             untried = [u for u in ready if u.name not in tried] or ready
             upstream, permit = await self._choose(
                 exchange, run, watched, untried, prefix_name, parts
@@ -181,7 +194,10 @@
             remaining_s = exchange.deadline_at - now
             if upstream is None:
                 refusal = make_unavailable_refusal(
-                    self._state, exchange.pool, req.request_id
+                    self._state,
+                    exchange.pool,
+                    req.request_id,
+                    self._regions(exchange),
                 )
                 if attempts:
                     refusal = _make_refusal(
@@ -372,7 +388,7 @@
             ends_at, needed_s = exchange.refuse_at, silent_s
         others = [
             upstream
-            for upstream in self._state.usable_upstreams(exchange.pool)
+            for upstream in self._usable(exchange)
             if upstream.name != engine
             and engines.is_available(upstream.name, now)
             and self._permits.opens_at(upstream) <= now
