--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1,6 +1,7 @@
 """The guards that `tools/run_guards.py` removes, one at a time."""
 
 from guard import Guard
+from home_guards import HOME_GUARDS
 from relay_guards import RELAY_GUARDS
 
 PAYMENT = "fault_matrix_payment"
@@ -203,4 +204,5 @@
         ("policy", "One refused connection ejects"),
     ),
     *RELAY_GUARDS,
+    *HOME_GUARDS,
 )
