--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -8,6 +8,7 @@
 import base64
 import binascii
 import math
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
@@ -89,6 +90,11 @@
         raise MessageError(f"the configuration is malformed: {exc!r}") from exc
 
 
+def decode_pools(doc: Mapping[str, Any]) -> list[PoolSpec]:
+    """Returns all pools of a sound configuration, also those of equal names."""
+    return [_decode_pool(service) for service in doc["services"]]
+
+
 def _decode_homes(entry: dict[str, Any]) -> list[str]:
     """Returns the homes of a route or tenant; empty if it has none.
 
--- a/src/applespring/platform/settings.py
+++ b/src/applespring/platform/settings.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's settings file into the relay's settings."""
 
 import pathlib
+from collections.abc import Mapping
 
 from applespring.core.errors import SettingsError
 from applespring.relay.settings import RelaySettings
@@ -24,6 +25,28 @@
     return values
 
 
+def decode_regions(values: Mapping[str, str]) -> dict[str, str]:
+    """Returns the region of each failure domain that the settings name."""
+    return {
+        name.removeprefix(ZONE_PREFIX): region
+        for name, region in values.items()
+        if name.startswith(ZONE_PREFIX)
+    }
+
+
+def read_regions(path: pathlib.Path) -> dict[str, str]:
+    """Reads the region of each failure domain from a settings file.
+
+    Raises:
+        SettingsError: The file cannot be read.
+    """
+    values = _read_lines(path)
+    regions = decode_regions(values)
+    if values.get("zone") and values.get("region"):
+        regions[values["zone"]] = values["region"]
+    return regions
+
+
 def read_settings(path: pathlib.Path) -> RelaySettings:
     """Reads the settings file.
 
@@ -31,11 +54,14 @@
         SettingsError: The file cannot be read, or a value is missing or
             malformed.
     """
+    return decode_settings(_read_lines(path))
+
+
+def _read_lines(path: pathlib.Path) -> dict[str, str]:
     try:
-        values = parse_lines(path.read_text())
+        return parse_lines(path.read_text())
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError(f"settings file {path}: {exc}") from exc
-    return decode_settings(values)
 
 
 def decode_settings(values: dict[str, str]) -> RelaySettings:
@@ -91,11 +117,7 @@
         retry_extra=number("bounds.budgetExtraRetries", 50.0),
         link_mbps=number("limits.linkMbps", 1000.0),
         region=values.get("region", ""),
-        regions={
-            name.removeprefix(ZONE_PREFIX): region
-            for name, region in values.items()
-            if name.startswith(ZONE_PREFIX)
-        },
+        regions=decode_regions(values),
         cold_overshoot=number("bounds.coldOvershoot", 0.0)
         if values.get("bounds.coldOvershoot")
         else None,
