Add applespring-check review

Cause: operators had no check of a configuration before it is sent that shows errors, entries that never match, contradictory limits and what differs from the version in force, for both kinds of documents.

--- a/features/steps/check_published_steps.py
+++ b/features/steps/check_published_steps.py
@@ -71,3 +71,8 @@
 @then('its output has "{words}"')
 def then_output(context, words):
     assert words in context.stdout, context.stdout
+
+
+@then("its errors are")
+def then_errors(context):
+    assert context.stderr == context.text + "\n", context.stderr
--- a/src/applespring/check/commands.py
+++ b/src/applespring/check/commands.py
@@ -164,10 +164,10 @@
         SettingsError: The file cannot be read.
     """
     raw = read_file(file)
-    return load_document(raw, revision or _infer_revision(raw), file)
+    return load_document(raw, revision or infer_revision(raw), file)
 
 
-def _infer_revision(raw: bytes) -> int:
+def infer_revision(raw: bytes) -> int:
     """Returns the revision after the document's `based_on`, by default 1."""
     try:
         based_on = tomllib.loads(raw.decode()).get("based_on")
--- a/src/applespring/check/main.py
+++ b/src/applespring/check/main.py
@@ -5,6 +5,7 @@
 
 from applespring.check.commands import check, explain, format_file
 from applespring.check.published import published
+from applespring.check.review import review
 from applespring.cli import run_program
 
 
@@ -25,6 +26,7 @@
             "explain": explain,
             "format": format_file,
             "published": published,
+            "review": review,
         },
         argv=argv,
         environ=environ,
