Find null where the decoder rejects it

Cause: the check took null for a field that is not given, which the decoder does in some fields only.

Change: fields in which the decoder rejects null say so.

--- a/features/check_review.feature
+++ b/features/check_review.feature
@@ -54,6 +54,7 @@
           7
         ],
         "services": [{"name": "engines"}, {"maxConnections": "many"}],
+        "limits": {"maxBodyBytes": null},
         "tenants": [{"name": "town", "apiKeys": ["k1", 7]}]
       }
       """
@@ -66,11 +67,12 @@
       new.json: routes[0].kind: is "stream"; allowed: safe, unsafe, streaming
       new.json: routes[0].timeoutMs: is "12 s"; allowed: a number above 0
       new.json: routes[1].allowedRegions: is "west"; allowed: a list, each a text
-      new.json: routes[2].name: is missing; allowed: a text
-      new.json: routes[2].service: is missing; allowed: a text
+      new.json: routes[2].name: is missing or null; allowed: a text
+      new.json: routes[2].service: is missing or null; allowed: a text
       new.json: routes[3]: is 7; allowed: an object
-      new.json: services[1].name: is missing; allowed: a text
+      new.json: services[1].name: is missing or null; allowed: a text
       new.json: services[1].maxConnections: is "many"; allowed: an integer
+      new.json: limits.maxBodyBytes: is missing or null; allowed: an integer
       new.json: tenants[0].apiKeys[1]: is a value; allowed: a text
       new.json: routes[1].targetLatencyMs: route "book": the target of 2 s is after the timeout of 1 s
       """
--- a/src/applespring/platform/document_check.py
+++ b/src/applespring/platform/document_check.py
@@ -50,11 +50,12 @@
 
     Attributes:
         kind: Its values, or the fields of the table or tables that it holds.
-        required: Whether it has to be given. Others may also be null.
+        required: Whether it has to be given.
         many: Whether it holds a list of `kind`.
+        nullable: Whether null stands for a field that is not given.
     """
 
-    __slots__ = ("kind", "required", "many")
+    __slots__ = ("kind", "required", "many", "nullable")
 
     def __init__(
         self,
@@ -62,10 +63,12 @@
         *,
         required: bool = False,
         many: bool = False,
+        nullable: bool = True,
     ) -> None:
         self.kind = kind
         self.required = required
         self.many = many
+        self.nullable = nullable
 
 
 Table = Mapping[str, Member]
@@ -116,11 +119,11 @@
     "prefix": Member(TEXT, required=True),
     "kind": Member(ROUTE_KIND, required=True),
     "timeoutMs": Member(POSITIVE, required=True),
-    "targetLatencyMs": Member(POSITIVE),
-    "priority": Member(INTEGER),
+    "targetLatencyMs": Member(POSITIVE, nullable=False),
+    "priority": Member(INTEGER, nullable=False),
     "service": Member(TEXT),
     "trafficSplit": Member(TARGET, many=True),
-    "maxAttempts": Member(INTEGER),
+    "maxAttempts": Member(INTEGER, nullable=False),
     "stages": Member(STAGE, many=True),
     "public": Member(FLAG),
     "stickySessions": Member(FLAG),
@@ -131,9 +134,12 @@
 SERVICE: Table = {
     "name": Member(TEXT, required=True),
     "healthPath": Member(TEXT),
-    "maxConnections": Member(INTEGER),
+    "maxConnections": Member(INTEGER, nullable=False),
     "engine": Member(
-        {"slots": Member(INTEGER), "kvCapacityTokens": Member(NOT_NEGATIVE)}
+        {
+            "slots": Member(INTEGER, nullable=False),
+            "kvCapacityTokens": Member(NOT_NEGATIVE, nullable=False),
+        }
     ),
     "segments": Member(
         {
@@ -156,10 +162,10 @@
     "allowedRegions": Member(TEXT, many=True),
 }
 LIMITS: Table = {
-    "maxHeaderBytes": Member(INTEGER),
-    "maxBodyBytes": Member(INTEGER),
-    "headerTimeoutMs": Member(POSITIVE),
-    "idleTimeoutMs": Member(POSITIVE),
+    "maxHeaderBytes": Member(INTEGER, nullable=False),
+    "maxBodyBytes": Member(INTEGER, nullable=False),
+    "headerTimeoutMs": Member(POSITIVE, nullable=False),
+    "idleTimeoutMs": Member(POSITIVE, nullable=False),
 }
 DOCUMENT: Table = {
     "version": Member(VERSION, required=True),
@@ -307,6 +313,8 @@
                 if member.required:
                     self._reject((*path, name), None, member)
                     result[name] = [] if member.many else member.kind.fallback
+                elif name in raw and not member.nullable:
+                    self._reject((*path, name), None, member)
                 continue
             checked = self._check_member(value, member, (*path, name))
             if checked is not None:
@@ -364,7 +372,7 @@
         if member.many:
             allowed = f"a list, each {allowed}"
         if value is None:
-            self._add(path, f"is missing; allowed: {allowed}")
+            self._add(path, f"is missing or null; allowed: {allowed}")
         else:
             shown = "a value" if _SECRET in path else _show(value)
             self._add(path, f"is {shown}; allowed: {allowed}")
