Choose the pool of a split route by a stable hash

Ruled out: the fingerprint, which is the same for all attempts of a caller, who gives each another id. Equal requests of a split route would all go to one pool.

Change: the point of a request comes from the rendezvous hash of its id.

--- a/src/applespring/core/placement.py
+++ b/src/applespring/core/placement.py
@@ -27,6 +27,15 @@
     return sorted(set(members), key=lambda m: (-_weight(subject, m), m))
 
 
+def split_point(request: str) -> float:
+    """Returns the point of a request in 0 up to but not including 1.
+
+    It decides between the pools of a route, so it is the same in every
+    instance, unlike `hash`.
+    """
+    return (_weight("split", request) >> 11) / (1 << 53)
+
+
 def rank_schedulers(pool: str, links: Mapping[str, float]) -> list[str]:
     """Returns the instances that may schedule a pool, best first.
 
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -7,6 +7,7 @@
 
 from applespring.core import reason
 from applespring.core.errors import MessageError, RefusalError
+from applespring.core.placement import split_point
 from applespring.core.route import ClientAccount, RouteKind, RoutingDocument
 from applespring.core.verdict import Verdict
 from applespring.relay.connections import ConnectionTimes
@@ -203,12 +204,11 @@
         total_weight = sum(weight for _, weight in route.targets)
         if not total_weight:
             raise RefusalError(reason.NO_UPSTREAM, Verdict.NOT_RUN)
-        point = (hash(req.request_id) & 0xFFFFFF) / 0x1000000
         return Exchange(
             req,
             doc,
             route,
-            route.choose_pool(point),
+            route.choose_pool(split_point(req.request_id)),
             client_account,
             arrived_at,
             send,
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -747,4 +747,11 @@
         "and False",
         (ERA, "The copy is not believed at once"),
     ),
+    Guard(
+        "relay: same pool of a split route in every instance",
+        "relay/application.py",
+        "route.choose_pool(split_point(req.request_id))",
+        "route.choose_pool((hash(req.request_id) & 0xFFFFFF) / 0x1000000)",
+        ("relay_split", "Every instance chooses"),
+    ),
 )
