Test that pieces do not wait for homes that are gone

Cause: no scenario played an allowed upstream that leaves while pieces wait for it.

Change: the scenario and its guard.

--- a/features/relay_homes.feature
+++ b/features/relay_homes.feature
@@ -97,6 +97,17 @@
     Then no call is made later than 0.5 s after that
     And they are refused as not run
 
+  Scenario: The last upstream in the homes leaves while pieces wait
+    Guards against requests that wait until their deadline for an upstream that
+    is gone, or whose pieces are then called elsewhere.
+    Given instances and upstreams in two regions
+    And routes have the homes "west" and the account ""
+    And each call of a stage takes 0.6 s
+    When 4 staged requests are sent and then the stage upstreams in west are removed
+    Then no call is made later than 0.5 s after that
+    And they are refused as not run
+    And they are refused within 2 s of that
+
   Scenario: The region of a failure domain is not known
     Guards against requests with homes that are sent where nobody knows whether
     it is one, and against a log line for each of them.
--- a/features/steps/relay_home_steps.py
+++ b/features/steps/relay_home_steps.py
@@ -157,16 +157,17 @@
     run_world(context, actions)
 
 
-@when('{count:d} staged requests are sent and then the homes become "{homes}"')
-@when('{count:d} staged requests are sent and then the homes become ""')
-def when_homes_change(context, count, homes=""):
+def send_then(context, count, change):
+    """Sends staged requests and changes the world while their pieces wait."""
+
     async def actions(world, tasks):
         for number in range(count):
             request = f"r{number}"
             context.requests.append(request)
             tasks.start_soon(world.send, "i0", "staged", request, "free")
         await anyio.sleep(0.3)
-        world.set_route_homes(homes.split())
+        change(world)
+        context.changed_at = anyio.current_time()
         await anyio.sleep(0.5)
         context.calls_before = len(world.calls)
         await anyio.sleep(SETTLE_S)
@@ -174,6 +175,30 @@
     run_world(context, actions)
 
 
+@when('{count:d} staged requests are sent and then the homes become "{homes}"')
+@when('{count:d} staged requests are sent and then the homes become ""')
+def when_homes_change(context, count, homes=""):
+    send_then(
+        context, count, lambda world: world.set_route_homes(homes.split())
+    )
+
+
+@when(
+    "{count:d} staged requests are sent and then the stage upstreams in "
+    "{region} are removed"
+)
+def when_removed(context, count, region):
+    def remove(world):
+        world.revision += 1
+        for name, upstream in list(world.listed.items()):
+            in_region = REGIONS[upstream.failure_domain] == region
+            if in_region and upstream.pool == "stage":
+                del world.listed[name]
+                world.removed.append(name)
+
+    send_then(context, count, remove)
+
+
 @when(
     "the same requests are sent without regions, with regions, and with homes "
     "that are all regions"
@@ -285,6 +310,13 @@
         assert problem["verdict"] == "not_run", problem
 
 
+@then("they are refused within {seconds:g} s of that")
+def then_refused_soon(context, seconds):
+    for request in context.requests:
+        reply = context.world.replies[request]
+        assert reply.ended_at <= context.changed_at + seconds, reply.ended_at
+
+
 @then('the detail says "{text}"')
 def then_detail(context, text):
     for request in context.requests:
--- a/tools/home_guards.py
+++ b/tools/home_guards.py
@@ -80,4 +80,11 @@
         "return region is None or region in regions",
         (HOMES, "The region of a failure domain"),
     ),
+    Guard(
+        "homes: pieces whose last upstream has left",
+        "core/batch.py",
+        "if p.regions is not None and not self.has_upstream_in(p.regions)",
+        "if False",
+        (HOMES, "The last upstream in the homes leaves"),
+    ),
 )
