--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -15,6 +15,13 @@
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.piece import Call, Piece
+from applespring.core.queueing.account_usage import AccountUsage
+from applespring.core.queueing.service_order import (
+    DEFAULT_ORDER,
+    ORDERS,
+    QueueView,
+    Urgency,
+)
 from applespring.core.route import BatchSpec
 from applespring.core.stage_upstream import FAILED_PAUSE_S, StageUpstream
 
@@ -42,9 +49,6 @@
 # Late pieces get the capacity that new arrivals leave over. The estimate of
 # their wait takes it to be at least this share of the total capacity.
 LATE_CAPACITY_SHARE_MIN = 0.4
-# Sort key of a piece: its class (tier, priority) and its position in the class
-# (target or deadline, arrival). Lower keys are called first.
-_Urgency = tuple[tuple[int, int], tuple[float, float]]
 # Request id and index of the stage.
 _StageId = tuple[str, int]
 
@@ -64,10 +68,20 @@
         "_arrival_times",
         "_backlog_since",
         "_called",
+        "_rank",
+        "_usage",
     )
 
-    def __init__(self, spec: BatchSpec) -> None:
+    def __init__(self, spec: BatchSpec, order: str = DEFAULT_ORDER) -> None:
+        """Creates a queue without upstreams.
+
+        Args:
+            spec: Batch size, timing and result memory of an upstream.
+            order: Name of the order of service in `ORDERS`.
+        """
         self.spec = spec
+        self._rank = ORDERS[order]
+        self._usage = AccountUsage()
         self._pieces: list[Piece] = []
         self._upstreams: dict[str, StageUpstream] = {}
         self._call_numbers = itertools.count(1)
@@ -199,9 +213,16 @@
         ]
         if not available:
             return calls
-        done_at = now + self._expected_call_s()
-        ranked = [(self._urgency(p, done_at), p) for p in self._pieces]
-        ranked.sort(key=lambda pair: pair[0])
+        ranked = self._rank(
+            self._pieces,
+            QueueView(
+                now,
+                self._expected_call_s(),
+                self.spec.batch,
+                self.capacity_pieces_per_s(now),
+                self._usage,
+            ),
+        )
         stages: dict[_StageId, list[Piece]] = {}
         for piece in self._pieces:
             stages.setdefault((piece.request, piece.stage), []).append(piece)
@@ -244,25 +265,10 @@
         while self._called and self._called[0][0] <= now - BACKLOG_WINDOW_S:
             self._called.popleft()
 
-    def _urgency(self, piece: Piece, done_at: float) -> _Urgency:
-        """Returns the sort key of a piece that is done by `done_at`.
-
-        Tiers, most urgent first: started requests that can be on time and
-        opened stages (`Piece.opened`), on time or not; other requests that can
-        be on time; late requests that are started; other late requests.
-        """
-        if piece.opened or done_at <= piece.target_at:
-            tier = 0 if piece.opened or piece.started else 1
-            return (tier, piece.priority), (piece.target_at, piece.arrived_at)
-        # Late requests get the remaining capacity, started ones first since
-        # their results expire.
-        tier = 2 if piece.started else 3
-        return (tier, piece.priority), (piece.deadline_at, piece.arrived_at)
-
     def _fill_call(
         self,
         stage_upstream: StageUpstream,
-        ranked: Sequence[tuple[_Urgency, Piece]],
+        ranked: Sequence[tuple[Urgency, Piece]],
         stages: Mapping[_StageId, Sequence[Piece]],
         now: float,
         idle_domains: Container[str],
@@ -321,6 +327,7 @@
         self._pieces = [p for p in self._pieces if id(p) not in taken_ids]
         for piece in taken:
             piece.attempts += 1
+            self._usage.add(piece.account, 1.0, now)
         expected = stage_upstream.slowdown * self._nominal_call_s(len(taken))
         call = Call(
             next(self._call_numbers),
@@ -655,7 +662,7 @@
 
 
 def _order_for_domain(
-    domain: str, ranked: Sequence[tuple[_Urgency, Piece]]
+    domain: str, ranked: Sequence[tuple[Urgency, Piece]]
 ) -> Iterator[Piece]:
     """Yields ranked pieces; within a class, those of other domains last.
 
--- a/src/applespring/core/piece.py
+++ b/src/applespring/core/piece.py
@@ -35,6 +35,7 @@
         isolated: Whether it shares calls only with pieces of its request, of
             which one is made at a time, since an upstream ended under it.
         is_trial: Whether its request is a trial of what is quarantined.
+        account: Name of the client account of its request, or "".
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "fingerprint",
         "isolated",
         "is_trial",
+        "account",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         fingerprint: str = "",
         isolated: bool = False,
         is_trial: bool = False,
+        account: str = "",
     ) -> None:
         self.request = request
         self.stage = stage
@@ -98,6 +101,7 @@
         self.fingerprint = fingerprint
         self.isolated = isolated
         self.is_trial = is_trial
+        self.account = account
 
 
 class Call:
--- /dev/null
+++ b/src/applespring/core/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Who is next: the order in which queued work gets the room of a pool."""
--- /dev/null
+++ b/src/applespring/core/queueing/service_order.py
@@ -0,0 +1,191 @@
+"""Orders in which the pieces of a stage pool are called.
+
+An order is registered by name; the settings of an instance name the one in
+force. Each ranks the queued pieces by urgency, most urgent first. Pieces of the
+same class may change places, for example for a failure domain.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from applespring.core.piece import Piece
+from applespring.core.queueing.account_usage import AccountUsage
+
+# Sort key of a piece: its class and its position in the class. Lower keys are
+# called first.
+Urgency = tuple[tuple[int, int], tuple[float, ...]]
+RankedPieces = list[tuple[Urgency, Piece]]
+# Parts into which the time until the latest target is divided to find out
+# which pieces can be on time together.
+SLOTS = 16
+DEFAULT_ORDER = "priority"
+
+
+class QueueView:
+    """What an order needs to know of its queue.
+
+    Attributes:
+        now: Current time.
+        call_s: Expected time of a call that starts now.
+        batch: Most pieces in a call.
+        pieces_per_s: Expected throughput of the pool.
+        usage: What each account has used of the pool.
+    """
+
+    __slots__ = ("now", "call_s", "batch", "pieces_per_s", "usage")
+
+    def __init__(
+        self,
+        now: float,
+        call_s: float,
+        batch: int,
+        pieces_per_s: float,
+        usage: AccountUsage,
+    ) -> None:
+        self.now = now
+        self.call_s = call_s
+        self.batch = batch
+        self.pieces_per_s = pieces_per_s
+        self.usage = usage
+
+
+Order = Callable[[Sequence[Piece], QueueView], RankedPieces]
+ORDERS: dict[str, Order] = {}
+
+
+def register_order(name: str) -> Callable[[Order], Order]:
+    """Registers an order under the name by which settings select it."""
+
+    def register(order: Order) -> Order:
+        ORDERS[name] = order
+        return order
+
+    return register
+
+
+@register_order(DEFAULT_ORDER)
+def rank_by_priority(pieces: Sequence[Piece], view: QueueView) -> RankedPieces:
+    """Ranks by tier, then by priority, then by target or deadline.
+
+    Tiers, most urgent first: started requests that can be on time and opened
+    stages (`Piece.opened`), on time or not; other requests that can be on time;
+    late requests that are started; other late requests.
+    """
+    done_at = view.now + view.call_s
+
+    def urgency(piece: Piece) -> Urgency:
+        if piece.opened or done_at <= piece.target_at:
+            tier = 0 if piece.opened or piece.started else 1
+            return (tier, piece.priority), (piece.target_at, piece.arrived_at)
+        return _late_urgency(piece, 2)
+
+    return _sort(pieces, urgency)
+
+
+@register_order("deadline")
+def rank_by_deadline(pieces: Sequence[Piece], view: QueueView) -> RankedPieces:
+    """Ranks by target as long as all pieces can be on time together.
+
+    Pieces of an urgent route with time to spare then do not make those late
+    whose target comes sooner. If the pool cannot serve all of them on time, the
+    most urgent by priority keep their place, and of one priority those of the
+    accounts that have used least of the pool. The others get what is left, in
+    the same order.
+
+    Tiers, most urgent first: opened stages; pieces that can be on time
+    together; other pieces that could be on time alone; late requests that are
+    started; other late requests.
+    """
+    done_at = view.now + view.call_s
+    fitting = _find_fitting(pieces, view)
+
+    def urgency(piece: Piece) -> Urgency:
+        spare_s = max(0.0, piece.target_at - done_at)
+        # Pieces whose targets are less than a call apart are equally urgent.
+        step = int(min(spare_s / view.call_s, 1e6))
+        if piece.opened:
+            return (0, step), (piece.target_at, piece.arrived_at)
+        if id(piece) in fitting:
+            return (1, step), (piece.target_at, piece.arrived_at)
+        if done_at <= piece.target_at:
+            used = view.usage.get(piece.account, view.now)
+            return (2, piece.priority), (used, piece.target_at)
+        return _late_urgency(piece, 3)
+
+    return _sort(pieces, urgency)
+
+
+def _late_urgency(piece: Piece, first_tier: int) -> Urgency:
+    # Late requests get the remaining capacity, started ones first since their
+    # results expire.
+    tier = first_tier if piece.started else first_tier + 1
+    return (tier, piece.priority), (piece.deadline_at, piece.arrived_at)
+
+
+def _sort(
+    pieces: Iterable[Piece], urgency: Callable[[Piece], Urgency]
+) -> RankedPieces:
+    ranked = [(urgency(piece), piece) for piece in pieces]
+    ranked.sort(key=lambda pair: pair[0])
+    return ranked
+
+
+def _find_fitting(pieces: Sequence[Piece], view: QueueView) -> set[int]:
+    """Returns the ids of pieces that can be on time together.
+
+    The time until the latest target is divided into slots. By the end of a slot
+    the pool can start a number of pieces; the stages whose latest start lies in
+    it or before take from that number. Stages are added by priority, then by
+    the use of their accounts, then by target, as long as they fit.
+    """
+    latest_start_s = {
+        id(piece): piece.target_at - view.call_s - view.now for piece in pieces
+    }
+    stages: dict[tuple[str, int], list[Piece]] = {}
+    for piece in pieces:
+        if latest_start_s[id(piece)] >= 0.0:
+            stages.setdefault((piece.request, piece.stage), []).append(piece)
+    if not stages:
+        return set()
+    slot_s = max(view.call_s, _longest(latest_start_s, stages) / SLOTS)
+    room = [
+        view.batch + (number + 1) * slot_s * view.pieces_per_s
+        for number in range(SLOTS + 1)
+    ]
+    usage: dict[str, float] = {}
+
+    def precedence(siblings: list[Piece]) -> tuple:
+        piece = siblings[0]
+        if piece.account not in usage:
+            usage[piece.account] = view.usage.get(piece.account, view.now)
+        # Opened stages are called in any case.
+        return (
+            not piece.opened,
+            piece.priority,
+            usage[piece.account],
+            piece.target_at,
+        )
+
+    fitting: set[int] = set()
+    for siblings in sorted(stages.values(), key=precedence):
+        start_s = latest_start_s[id(siblings[0])]
+        slot = min(SLOTS, int(start_s / slot_s))
+        count = len(siblings)
+        if min(room[slot:]) < count and not siblings[0].opened:
+            continue
+        for number in range(slot, SLOTS + 1):
+            room[number] -= count
+        usage[siblings[0].account] += count
+        fitting.update(map(id, siblings))
+    return fitting
+
+
+def _longest(
+    latest_start_s: dict[int, float],
+    stages: dict[tuple[str, int], list[Piece]],
+) -> float:
+    """Returns the longest time to the latest start of a stage.
+
+    A piece without a target has an infinite one and takes the last slot.
+    """
+    times = (latest_start_s[id(s[0])] for s in stages.values())
+    return max((t for t in times if t < 1e9), default=0.0)
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -503,7 +503,8 @@
     another stage of the request has already started, in which case the
     scheduler does not refuse the pieces because of its load. `ticket`
     identifies the submission at `origin`. `is_trial` says that the request is
-    a trial of what is quarantined.
+    a trial of what is quarantined. `account` is the client account of the
+    request.
     """
 
     __slots__ = (
@@ -524,8 +525,9 @@
         "pieces",
         "fingerprint",
         "is_trial",
+        "account",
     )
-    DEFAULTS = {"fingerprint": "", "is_trial": False}
+    DEFAULTS = {"fingerprint": "", "is_trial": False, "account": ""}
     NESTED = {"inputs": InputHandle, "pieces": PieceOrder}
 
 
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -277,6 +277,7 @@
   pieces @14 :List(PieceOrder);
   fingerprint @15 :Text;
   isTrial @16 :Bool;
+  account @17 :Text;
 }
 
 struct InputHandle {
--- a/src/applespring/platform/main.py
+++ b/src/applespring/platform/main.py
@@ -10,18 +10,22 @@
 from applespring.platform.store import Store
 from applespring.platform.wire import PlatformProtocol
 from applespring.relay.compose import run_instance
+from applespring.relay.settings import RelaySettings
 
 
 def serve(
     *,
     config: pathlib.Path,
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO",
+    stage_order: Literal["priority", "deadline"] = "priority",
 ) -> int:
     """Serves callers until SIGTERM, then drains.
 
     Args:
         config: The platform's settings file.
         log_level: Lowest level of log lines.
+        stage_order: Order in which pieces of stages are called: by priority, or
+            by deadline as long as all can be on time.
 
     Returns:
         0 after a drain.
@@ -29,12 +33,17 @@
     Raises:
         SettingsError: The settings file is missing or malformed.
     """
-    settings = read_settings(config)
+
+    def read() -> RelaySettings:
+        settings = read_settings(config)
+        settings.stage_order = stage_order
+        return settings
+
     return run_instance(
-        settings,
+        read(),
         PlatformProtocol(),
         lambda transport, address: PlatformRegistry(Store(transport, address)),
-        lambda: read_settings(config),
+        read,
         log_level,
     )
 
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Mapping, Sequence
 
+from applespring.core.queueing.service_order import DEFAULT_ORDER
+
 
 class RelaySettings:
     """Settings of a relay instance; only `seeds` may change while it runs.
@@ -28,6 +30,8 @@
         cold_overshoot: Multiple of a pool's cold rate that a cold upstream of
             it may get in a second, or None if no bound is in force.
         cold_slack: Requests a second that it may get on top of that.
+        stage_order: Name of the order of service of stage pools, one of
+            `core.queueing.service_order.ORDERS`.
     """
 
     __slots__ = (
@@ -49,6 +53,7 @@
         "regions",
         "cold_overshoot",
         "cold_slack",
+        "stage_order",
     )
 
     def __init__(
@@ -72,6 +77,7 @@
         regions: Mapping[str, str] | None = None,
         cold_overshoot: float | None = None,
         cold_slack: float = 0.0,
+        stage_order: str = DEFAULT_ORDER,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -91,3 +97,4 @@
         self.regions = dict(regions or {})
         self.cold_overshoot = cold_overshoot
         self.cold_slack = cold_slack
+        self.stage_order = stage_order
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -57,6 +57,7 @@
         "repeated",
         "fingerprint",
         "is_trial",
+        "account",
     )
 
     def __init__(
@@ -71,6 +72,7 @@
         run_s: float,
         fingerprint: str = "",
         is_trial: bool = False,
+        account: str = "",
     ) -> None:
         self.req = req
         self.chain = chain
@@ -88,6 +90,7 @@
         self.repeated = False
         self.fingerprint = fingerprint
         self.is_trial = is_trial
+        self.account = account
 
     def input_bytes_by_domain(self, stages: Iterable[int]) -> dict[str, float]:
         """Returns the bytes of results of these stages by failure domain."""
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -203,7 +203,9 @@
             spec = doc.pools.get(pool) if doc else None
             if spec is None or spec.batch is None or self._tasks is None:
                 return None
-            queue = self._queues[pool] = BatchQueue(spec.batch)
+            queue = self._queues[pool] = BatchQueue(
+                spec.batch, self._state.settings.stage_order
+            )
             self._wake_events[pool] = anyio.Event()
             self._update_upstreams(pool, queue)
             reporting: list[ListedUpstream] = []
@@ -288,6 +290,7 @@
                 arrived_at=now,
                 fingerprint=msg.fingerprint,
                 is_trial=msg.is_trial,
+                account=msg.account,
             )
             for order in msg.pieces
         ]
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -466,6 +466,7 @@
             ),
             fingerprint=run.fingerprint,
             is_trial=run.is_trial,
+            account=run.account,
         )
 
     def _open_submission(
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -121,6 +121,7 @@
             leaves_at=exchange.refuse_at,
             run_s=self._state.first_event(exchange.pool).run_s,
             fingerprint=exchange.fingerprint,
+            account=exchange.account_name,
         )
 
     async def _execute(
