Count the starts that upstreams allow, not a flow, in the order by deadline

Cause: in a model of twice the room, four upstreams whose calls end together start 32 pieces each 0.28 s.

Change: the room until a time is what each upstream can start until then.

--- /dev/null
+++ b/features/service_order.feature
@@ -0,0 +1,70 @@
+Feature: Order of service of a stage pool
+  Load patterns: bursts at a stage pool that several routes and client accounts
+  share. Guards against an urgent route with time to spare that makes another
+  one late, against an account that takes the room of all others, and against
+  room that is left unused while pieces wait.
+
+  Background:
+    Given a stage pool of 4 upstreams with 8 pieces a call, 150 ms a call, 16 ms a piece
+
+  Scenario Outline: A route with a short target is on time beside a burst of a more urgent one
+    Load pattern: a burst of large requests (repayment-review at kciu), which
+    have a second to spare, beside a less urgent route that has little.
+    Given the order of service <order>
+    When requests arrive for 8 s
+      | route | priority | per_s | pieces | target_s |
+      | large | 10       | 60    | 1      | 1.3      |
+      | chat  | 11       | 40    | 1      | 0.75     |
+    Then at least <chat> of the pieces of route chat are on time
+    And at least 0.95 of the pieces of route large are on time
+
+    Examples:
+      | order    | chat |
+      | deadline | 0.95 |
+
+  Scenario: Without room for all, the less urgent route yields
+    Given the order of service deadline
+    When requests arrive for 12 s
+      | route  | priority | per_s | pieces | target_s |
+      | urgent | 10       | 80    | 1      | 1.0      |
+      | other  | 12       | 120   | 1      | 1.0      |
+    Then at least 0.95 of the pieces of route urgent are on time
+    And the pool serves at least 0.95 of its room
+
+  Scenario: An account with six times its usual does not displace the others
+    Given the order of service deadline
+    When requests arrive for 12 s
+      | route | account | priority | per_s | pieces | target_s |
+      | chat  | large   | 11       | 120   | 1      | 0.9      |
+      | chat  | a       | 11       | 20    | 1      | 0.9      |
+      | chat  | b       | 11       | 20    | 1      | 0.9      |
+      | chat  | c       | 11       | 20    | 1      | 0.9      |
+    Then at least 0.95 of the pieces of account a are on time
+    And at least 0.95 of the pieces of account b are on time
+    And at least 0.95 of the pieces of account c are on time
+    And the pool serves at least 0.95 of its room
+
+  Scenario: At twice the room every account gets its share
+    Given the order of service deadline
+    When requests arrive for 20 s
+      | route | account | priority | per_s | pieces | target_s |
+      | chat  | a       | 11       | 120   | 1      | 0.9      |
+      | chat  | b       | 11       | 60    | 1      | 0.9      |
+      | chat  | c       | 11       | 50    | 1      | 0.9      |
+    Then each of 3 accounts is served within 0.1 of an equal share of the room
+    And the pool serves at least 0.95 of its room
+
+  Scenario: Large requests are served beside small ones
+    Load pattern: room for half of the demand, a tenth of the requests with ten
+    times as many pieces. Guards against large requests that never fit.
+    Given the order of service deadline
+    When requests arrive for 20 s
+      | route | account | priority | per_s | pieces | target_s |
+      | chat  | a       | 11       | 100   | 1      | 0.9      |
+      | bulk  | a       | 11       | 10    | 10     | 0.9      |
+    Then route bulk is on time at least half as often as all
+
+  Scenario: An opened stage goes first, on time or not
+    Given the order of service deadline
+    When an opened stage, a piece that can be on time and a late one are ranked
+    Then their order is opened, on time, late
--- /dev/null
+++ b/features/steps/service_order_steps.py
@@ -0,0 +1,174 @@
+"""Steps of service_order.feature: a batch queue under load, in virtual time."""
+
+import heapq
+import itertools
+
+from behave import given, then, when
+
+from applespring.core.batch import BatchQueue
+from applespring.core.catalog import ListedUpstream, UpstreamState
+from applespring.core.piece import Piece
+from applespring.core.queueing.account_usage import AccountUsage
+from applespring.core.queueing.service_order import ORDERS, QueueView
+from applespring.core.route import BatchSpec
+
+# Time after its target at which a caller has left.
+PATIENCE_S = 1.0
+RESULT_TTL_S = 4.0
+
+
+@given(
+    "a stage pool of {count:d} upstreams with {batch:d} pieces a call, "
+    "{call_ms:d} ms a call, {piece_ms:d} ms a piece"
+)
+def set_pool(context, count, batch, call_ms, piece_ms):
+    context.spec = BatchSpec(
+        1, batch, call_ms / 1000, piece_ms / 1000, 1e9, RESULT_TTL_S
+    )
+    context.upstreams = [
+        ListedUpstream(
+            name=f"s{n}",
+            born_ms=1,
+            pool="stage",
+            address=f"10.0.0.{n + 1}:80",
+            failure_domain="a",
+            slots=1,
+            state=UpstreamState.READY,
+            revision=1,
+        )
+        for n in range(count)
+    ]
+
+
+@given("the order of service {order}")
+def set_order(context, order):
+    context.queue = BatchQueue(context.spec, order)
+    context.queue.set_upstreams(context.upstreams)
+
+
+@when("requests arrive for {length_s:d} s")
+def play(context, length_s):
+    """Plays arrivals and calls as events, ordered by time."""
+    numbers = itertools.count()
+    events = []
+    context.pieces = []
+    for row in context.table.rows:
+        fields = dict(zip(row.headings, row.cells, strict=True))
+        per_s = float(fields["per_s"])
+        for n in range(int(length_s * per_s)):
+            # The offset keeps the routes from arriving at the same moments.
+            at = (n + 0.5) / per_s
+            heapq.heappush(events, (at, next(numbers), "arrive", fields))
+    queue, now = context.queue, 0.0
+    calls = 0
+    context.called = 0
+    while events:
+        now, _, kind, item = heapq.heappop(events)
+        if kind == "arrive":
+            request = f"{item['route']}-{next(numbers)}"
+            pieces = [
+                Piece(
+                    request=request,
+                    stage=0,
+                    segment=segment,
+                    priority=int(item["priority"]),
+                    account=item.get("account", item["route"]),
+                    target_at=now + float(item["target_s"]),
+                    deadline_at=now + float(item["target_s"]) + PATIENCE_S,
+                    result_bytes=1.0,
+                    arrived_at=now,
+                )
+                for segment in range(int(item["pieces"]))
+            ]
+            for piece in pieces:
+                context.pieces.append((item["route"], piece, []))
+            queue.offer(pieces, now)
+        else:
+            handles = [f"h{next(numbers)}" for _ in item.pieces]
+            queue.succeed(item, handles, now)
+            queue.release(handles)
+            for piece in item.pieces:
+                _done_times(context, piece).append(now)
+        queue.take_overdue(now)
+        for call in queue.next_calls(now):
+            calls += 1
+            if now < length_s:
+                context.called += len(call.pieces)
+            ends_at = now + call.expected_s
+            heapq.heappush(events, (ends_at, next(numbers), "end", call))
+    context.length_s = length_s
+
+
+def _done_times(context, piece):
+    if not hasattr(context, "by_piece") or context.by_piece[0] is not (
+        context.pieces
+    ):
+        context.by_piece = (context.pieces, {})
+    by_id = context.by_piece[1]
+    if id(piece) not in by_id:
+        by_id.update({id(p): done for _, p, done in context.pieces})
+    return by_id[id(piece)]
+
+
+def _share_on_time(entries):
+    on_time = sum(bool(d) and d[0] <= p.target_at for _, p, d in entries)
+    return on_time / len(entries)
+
+
+@then("at least {share:g} of the pieces of route {route} are on time")
+def check_route(context, share, route):
+    got = _share_on_time([e for e in context.pieces if e[0] == route])
+    assert got >= share, f"route {route}: {got:.3f} on time, bound {share}"
+
+
+@then("at least {share:g} of the pieces of account {account} are on time")
+def check_account(context, share, account):
+    got = _share_on_time([e for e in context.pieces if e[1].account == account])
+    assert got >= share, f"account {account}: {got:.3f}, bound {share}"
+
+
+@then("the pool serves at least {share:g} of its room")
+def check_room(context, share):
+    spec = context.spec
+    full_s = spec.call_s + spec.batch * spec.piece_s
+    room = spec.batch * len(context.upstreams) * context.length_s / full_s
+    served = context.called / room
+    assert served >= share, f"{served:.3f} of the room, bound {share}"
+
+
+@then(
+    "each of {count:d} accounts is served within {bound:g} of an equal share "
+    "of the room"
+)
+def check_shares(context, count, bound):
+    served = {}
+    for _, piece, done in context.pieces:
+        served[piece.account] = served.get(piece.account, 0) + bool(done)
+    total = sum(served.values())
+    assert len(served) == count
+    for account, number in served.items():
+        share = number / total
+        assert abs(share - 1 / count) <= bound, f"account {account}: {share}"
+
+
+@then("route {route} is on time at least half as often as all")
+def check_large(context, route):
+    got = _share_on_time([e for e in context.pieces if e[0] == route])
+    total = _share_on_time(context.pieces)
+    assert got >= total / 2, f"route {route}: {got:.3f}, all {total:.3f}"
+
+
+@when("an opened stage, a piece that can be on time and a late one are ranked")
+def rank_three(context):
+    opened = Piece(request="opened", stage=0, segment=0, target_at=-1.0)
+    opened.opened = True
+    on_time = Piece(request="on time", stage=0, segment=0, target_at=5.0)
+    late = Piece(request="late", stage=0, segment=0, target_at=0.1)
+    view = QueueView(0.0, 0.3, 8, [0.0], 1.0, AccountUsage())
+    context.ranked = ORDERS["deadline"]([late, on_time, opened], view)
+
+
+@then("their order is opened, on time, late")
+def check_three(context):
+    names = [piece.request for _, piece in context.ranked]
+    assert names == ["opened", "on time", "late"], names
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -219,7 +219,9 @@
                 now,
                 self._expected_call_s(),
                 self.spec.batch,
-                self.capacity_pieces_per_s(now),
+                self._idle_in_s(now),
+                self.capacity_pieces_per_s(now)
+                / max(self._nominal_pieces_per_s(now), 1e-9),
                 self._usage,
             ),
         )
@@ -254,6 +256,22 @@
         self._record_calls(calls, now)
         return calls
 
+    def _idle_in_s(self, now: float) -> list[float]:
+        """Returns when each slot of an upstream is free, from now.
+
+        A call that takes longer than expected is taken to end at once.
+        """
+        times = []
+        for stage_upstream in self._upstreams.values():
+            callable_s = max(0.0, stage_upstream.callable_at - now)
+            ends = [
+                max(callable_s, call.started_at + call.expected_s - now)
+                for call in stage_upstream.calls.values()
+            ]
+            free = self.spec.slots - len(ends)
+            times += ends + [callable_s] * max(0, free)
+        return times
+
     def _record_calls(self, calls: Iterable[Call], now: float) -> None:
         """Measures the throughput while the pool has a backlog."""
         if not self._pieces:
--- a/src/applespring/core/queueing/service_order.py
+++ b/src/applespring/core/queueing/service_order.py
@@ -27,26 +27,46 @@
         now: Current time.
         call_s: Expected time of a call that starts now.
         batch: Most pieces in a call.
-        pieces_per_s: Expected throughput of the pool.
+        idle_in_s: When each upstream can start its next call, from now.
+        filled_share: Share of full calls that are filled, as measured while
+            result memory is short.
         usage: What each account has used of the pool.
     """
 
-    __slots__ = ("now", "call_s", "batch", "pieces_per_s", "usage")
+    __slots__ = (
+        "now",
+        "call_s",
+        "batch",
+        "idle_in_s",
+        "filled_share",
+        "usage",
+    )
 
     def __init__(
         self,
         now: float,
         call_s: float,
         batch: int,
-        pieces_per_s: float,
+        idle_in_s: Sequence[float],
+        filled_share: float,
         usage: AccountUsage,
     ) -> None:
         self.now = now
         self.call_s = call_s
         self.batch = batch
-        self.pieces_per_s = pieces_per_s
+        self.idle_in_s = tuple(idle_in_s)
+        self.filled_share = filled_share
         self.usage = usage
 
+    def room(self, within_s: float) -> float:
+        """Returns how many pieces can start within a time from now."""
+        calls = sum(
+            1 + int((within_s - idle_s) / self.call_s)
+            for idle_s in self.idle_in_s
+            if idle_s <= within_s
+        )
+        return self.filled_share * self.batch * calls
+
 
 Order = Callable[[Sequence[Piece], QueueView], RankedPieces]
 ORDERS: dict[str, Order] = {}
@@ -132,8 +152,8 @@
 def _find_fitting(pieces: Sequence[Piece], view: QueueView) -> set[int]:
     """Returns the ids of pieces that can be on time together.
 
-    The time until the latest target is divided into slots. By the end of a slot
-    the pool can start a number of pieces; the stages whose latest start lies in
+    The time until the latest target is divided into slots. By the begin of a
+    slot the pool can start a number of pieces; the stages whose latest start lies in
     it or before take from that number. Stages are added by priority, then by
     the use of their accounts, then by target, as long as they fit.
     """
@@ -146,11 +166,8 @@
             stages.setdefault((piece.request, piece.stage), []).append(piece)
     if not stages:
         return set()
-    slot_s = max(view.call_s, _longest(latest_start_s, stages) / SLOTS)
-    room = [
-        view.batch + (number + 1) * slot_s * view.pieces_per_s
-        for number in range(SLOTS + 1)
-    ]
+    slot_s = max(view.call_s, _longest(latest_start_s, stages)) / SLOTS
+    room = [view.room(number * slot_s) for number in range(SLOTS + 1)]
     usage: dict[str, float] = {}
 
     def precedence(siblings: list[Piece]) -> tuple:
