--- a/features/service_order.feature
+++ b/features/service_order.feature
@@ -14,7 +14,7 @@
     When requests arrive for 8 s
       | route | priority | per_s | pieces | target_s |
       | large | 10       | 60    | 1      | 1.3      |
-      | chat  | 11       | 40    | 1      | 0.75     |
+      | chat  | 11       | 40    | 1      | 0.45     |
     Then at least <chat> of the pieces of route chat are on time
     And at least 0.95 of the pieces of route large are on time
 
--- a/src/applespring/core/queueing/service_order.py
+++ b/src/applespring/core/queueing/service_order.py
@@ -153,9 +153,9 @@
     """Returns the ids of pieces that can be on time together.
 
     The time until the latest target is divided into slots. By the begin of a
-    slot the pool can start a number of pieces; the stages whose latest start lies in
-    it or before take from that number. Stages are added by priority, then by
-    the use of their accounts, then by target, as long as they fit.
+    slot the pool can start a number of pieces; the stages whose latest start
+    lies in it or before take from that number. Stages are added by priority,
+    then by the use of their accounts, then by target, as long as they fit.
     """
     latest_start_s = {
         id(piece): piece.target_at - view.call_s - view.now for piece in pieces
