--- a/src/applespring/core/piece.py
+++ b/src/applespring/core/piece.py
@@ -37,6 +37,7 @@
             which one is made at a time, since an upstream ended under it.
         is_trial: Whether its request is a trial of what is quarantined.
         regions: Regions whose upstreams may execute it; None for all.
+        account: Name of the client account of its request, or "".
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "isolated",
         "is_trial",
         "regions",
+        "account",
     )
 
     def __init__(
@@ -82,6 +84,7 @@
         isolated: bool = False,
         is_trial: bool = False,
         regions: Regions = None,
+        account: str = "",
     ) -> None:
         self.request = request
         self.stage = stage
@@ -103,6 +106,7 @@
         self.isolated = isolated
         self.is_trial = is_trial
         self.regions = regions
+        self.account = account
 
 
 class Call:
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -511,6 +511,7 @@
     identifies the submission at `origin`. `is_trial` says that the request is
     a trial of what is quarantined. Only upstreams in `homes` may execute the
     pieces; a sender that knows of no homes, or a request without, names none.
+    `account` is the client account of the request.
     """
 
     __slots__ = (
@@ -532,8 +533,14 @@
         "fingerprint",
         "is_trial",
         "homes",
+        "account",
     )
-    DEFAULTS = {"fingerprint": "", "is_trial": False, "homes": ()}
+    DEFAULTS = {
+        "fingerprint": "",
+        "is_trial": False,
+        "homes": (),
+        "account": "",
+    }
     NESTED = {
         "inputs": InputHandle,
         "pieces": PieceOrder,
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -278,6 +278,7 @@
   fingerprint @15 :Text;
   isTrial @16 :Bool;
   homes @17 :List(HomeRegion);
+  account @18 :Text;
 }
 
 struct HomeRegion {
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -63,6 +63,7 @@
         "is_trial",
         "read_regions",
         "regions",
+        "account",
     )
 
     def __init__(
@@ -78,6 +79,7 @@
         fingerprint: str = "",
         is_trial: bool = False,
         read_regions: Callable[[], Regions] = lambda: None,
+        account: str = "",
     ) -> None:
         self.req = req
         self.chain = chain
@@ -97,6 +99,7 @@
         self.is_trial = is_trial
         self.read_regions = read_regions
         self.regions = read_regions()
+        self.account = account
 
     def input_bytes_by_domain(self, stages: Iterable[int]) -> dict[str, float]:
         """Returns the bytes of results of these stages by failure domain."""
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -205,7 +205,9 @@
             if spec is None or spec.batch is None or self._tasks is None:
                 return None
             queue = self._queues[pool] = BatchQueue(
-                spec.batch, self._state.domain_regions
+                spec.batch,
+                self._state.domain_regions,
+                self._state.settings.stage_order,
             )
             self._wake_events[pool] = anyio.Event()
             self._update_upstreams(pool, queue)
@@ -298,6 +300,7 @@
                 fingerprint=msg.fingerprint,
                 is_trial=msg.is_trial,
                 regions=regions,
+                account=msg.account,
             )
             for order in msg.pieces
         ]
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -512,6 +512,7 @@
                 message.HomeRegion(name=region)
                 for region in sorted(run.regions or ())
             ),
+            account=run.account,
         )
 
     def _open_submission(
