Keep requests away from evacuated failure domains

Ruled out: one number for "complete up to" and "changed at" in heartbeats; every change of an upstream's entry would have made all others fetch. A heartbeat of each instance to all after an order: the square of the fleet.

RelayState leaves their upstreams out wherever it lists upstreams, the client withholds a call that would be written, stage queues are woken, and pools without any other upstream refuse at once without Retry-After. Heartbeats name the last change; an instance behind it fetches all orders from a peer.

--- a/src/applespring/core/notices.py
+++ b/src/applespring/core/notices.py
@@ -31,10 +31,12 @@
 
     LEAVING: it has said that it leaves.
     PAUSED: it has asked for a pause that has not ended.
+    EVACUATED: an operator has evacuated its failure domain.
     """
 
     LEAVING = "leaving"
     PAUSED = "paused"
+    EVACUATED = "evacuated"
 
 
 class UpstreamNotices:
--- a/src/applespring/core/peer_table.py
+++ b/src/applespring/core/peer_table.py
@@ -39,6 +39,8 @@
         document_version: Version of the routing document it has in force.
         link_mbps: Speed of its network link.
         entries_revision: Revision up to which it has the upstreams' entries.
+        evacuations_revision: Revision of the last change of the evacuated
+            failure domains that it knows.
         received_at: When a newer sequence number of it last arrived, directly
             or through another instance, or when it last answered a request.
         direct_received_at: When a datagram or an answer from the instance
@@ -57,6 +59,7 @@
         "document_version",
         "link_mbps",
         "entries_revision",
+        "evacuations_revision",
         "received_at",
         "direct_received_at",
         "suspect_until",
@@ -73,6 +76,7 @@
         document_version: int = 0,
         link_mbps: float = 0.0,
         entries_revision: int = 0,
+        evacuations_revision: int = 0,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -83,6 +87,7 @@
         self.document_version = document_version
         self.link_mbps = link_mbps
         self.entries_revision = entries_revision
+        self.evacuations_revision = evacuations_revision
         self.received_at = -math.inf
         self.direct_received_at = -math.inf
         self.suspect_until = -math.inf
@@ -129,6 +134,9 @@
             held.entries_revision = max(
                 held.entries_revision, row.entries_revision
             )
+            held.evacuations_revision = max(
+                held.evacuations_revision, row.evacuations_revision
+            )
         if direct:
             held.direct_received_at = now
         return False
--- a/src/applespring/platform/registry.py
+++ b/src/applespring/platform/registry.py
@@ -19,6 +19,8 @@
 # The empty prefix. The store contains little apart from the configuration and
 # the entries, and one watch of all keys costs half as much as two watches.
 ALL_KEYS = ""
+# Longest name of a failure domain in an order to evacuate it.
+DOMAIN_CHARS_MAX = 255
 
 
 class PlatformRegistry(Registry):
@@ -104,9 +106,19 @@
         if not isinstance(key, str):
             continue
         domain = key.removeprefix(document.EVACUATION_PREFIX)
-        if domain and domain != key:
-            revision = join_era(era, int(item.get("revision", 0)))
-            yield EvacuationChange(domain, not item.get("deleted"), revision)
+        if not domain or domain == key:
+            continue
+        if len(domain) > DOMAIN_CHARS_MAX:
+            logger.bind(event="evacuation_rejected", key=key[:80]).error(
+                "order to evacuate {!r}... is ignored: the name has {} "
+                "characters, the bound is {}",
+                domain[:40],
+                len(domain),
+                DOMAIN_CHARS_MAX,
+            )
+            continue
+        revision = join_era(era, int(item.get("revision", 0)))
+        yield EvacuationChange(domain, not item.get("deleted"), revision)
 
 
 def _find_document(items: Iterable[dict]) -> bytes | None:
--- a/src/applespring/relay/availability.py
+++ b/src/applespring/relay/availability.py
@@ -1,5 +1,7 @@
 """Refusal of requests whose pool takes none."""
 
+from collections.abc import Iterable
+
 from applespring.core import reason
 from applespring.core.errors import RefusalError
 from applespring.core.notices import spread_return_s
@@ -37,6 +39,8 @@
     Its Retry-After is when the first upstream takes requests again, if all that
     do not leave are paused or have no permit left.
     """
+    if state.is_pool_evacuated(pool):
+        return _make_evacuation_refusal(state, pool)
     opens_in_s = state.pool_opens_in_s(pool)
     detail = f"pool {pool} has no upstream that accepts new work"
     if opens_in_s:
@@ -55,6 +59,27 @@
     )
 
 
+def check_evacuations(state: RelayState, pools: Iterable[str]) -> None:
+    """Checks that no pool has all of its upstreams in evacuated domains.
+
+    Raises:
+        RefusalError: One has; the request has not run.
+    """
+    for pool in pools:
+        if state.is_pool_evacuated(pool):
+            raise _make_evacuation_refusal(state, pool)
+
+
+def _make_evacuation_refusal(state: RelayState, pool: str) -> RefusalError:
+    """Returns a refusal without Retry-After, since nothing tells the end."""
+    return RefusalError(
+        reason.NO_UPSTREAM,
+        Verdict.NOT_RUN,
+        f"all upstreams of pool {pool} are in evacuated failure domains: "
+        f"{', '.join(state.evacuations.domains)}",
+    )
+
+
 def make_return_s(
     state: RelayState, pool: str, request: str, wait_s: float
 ) -> float:
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -14,6 +14,7 @@
 from applespring.quarantine.crash_watch import CrashWatch
 from applespring.relay.application import RelayApplication
 from applespring.relay.client import UpstreamClient
+from applespring.relay.evacuation import EvacuationRecorder
 from applespring.relay.exchange import RETRY_AFTER_SHARE
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.notice_recorder import NoticeRecorder
@@ -134,17 +135,21 @@
         self.application = RelayApplication(
             self.state, protocol, plain, streams, self.metrics
         )
+        evacuations = EvacuationRecorder(
+            self.state, self.peers, self.scheduler, self.metrics
+        )
         self.watcher = Watcher(
             self.state,
             registry,
             self.peers,
             plain,
             self.scheduler,
+            evacuations,
             self.metrics,
             random.Random(f"watch {settings.name} {incarnation}"),
         )
         self._peer_sync = PeerSync(
-            self.state, self.peers, self.watcher, self.metrics
+            self.state, self.peers, self.watcher, evacuations, self.metrics
         )
 
     async def run(
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -111,5 +111,11 @@
         )
 
     def find(self, upstream: ListedUpstream) -> Notice | None:
-        """Returns why an upstream gets no requests now, or None."""
+        """Returns why an upstream gets no requests now, or None.
+
+        The caller of an evacuated one is about to send it something.
+        """
+        if self._state.is_evacuated(upstream):
+            self._metrics.state_changes.inc("evacuation_withheld")
+            return Notice.EVACUATED
         return self._state.notices.find(upstream.identity, self._state.clock())
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -4,6 +4,9 @@
 of upstreams are fetched only while the registry cannot be read: peers do not
 pass on removals, so stale entries remain until the next full read of the
 registry.
+
+Orders to evacuate failure domains are fetched at any time too, all of them with
+the revision up to which they are known, so that their end is learned as well.
 """
 
 import anyio
@@ -13,6 +16,7 @@
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.core.peer_table import Peer
 from applespring.peer import message
+from applespring.relay.evacuation import EvacuationRecorder
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.state import RelayState
@@ -34,11 +38,13 @@
         state: RelayState,
         peers: Peers,
         watcher: Watcher,
+        evacuations: EvacuationRecorder,
         metrics: RelayMetrics,
     ) -> None:
         self._state = state
         self._peers = peers
         self._watcher = watcher
+        self._evacuations = evacuations
         self._metrics = metrics
         # Since when a peer has held a later revision, and the local revision at
         # that time; -1 if no peer holds one.
@@ -46,18 +52,51 @@
         self._behind_revision = -1
         peers.register_handler(message.FetchConfig, self._on_fetch_document)
         peers.register_handler(message.FetchUpstreams, self._on_fetch_upstreams)
+        peers.register_handler(
+            message.FetchEvacuations, self._on_fetch_evacuations
+        )
 
     async def run(self) -> None:
         """Fetches from peers until cancelled."""
         while True:
             await anyio.sleep(FETCH_INTERVAL_S)
             reachable = self._peers.table.reachable(self._state.clock())
+            # Before the upstreams, so that none of an evacuated domain is used
+            # by an instance that has just started.
+            await self._fetch_evacuations(reachable)
             await self._fetch_document(reachable)
             if self._watcher.registry_unreachable:
                 await self._fetch_upstreams(reachable)
             else:
                 self._check_watch(reachable)
 
+    async def _fetch_evacuations(self, reachable: list[Peer]) -> None:
+        """Fetches all orders from a peer that may know of a change.
+
+        The end of an order leaves no trace at a peer that has started since.
+        An instance that holds orders and can't read the registry therefore
+        also asks a peer with later entries.
+        """
+        held = self._state.evacuations
+        is_unsure = bool(held) and self._watcher.registry_unreachable
+        newer = [
+            peer
+            for peer in reachable
+            if peer.evacuations_revision > held.complete_at
+            or (is_unsure and peer.entries_revision > held.complete_at)
+        ]
+        if not newer:
+            return
+        # The one heard from last is the most likely to answer.
+        peer = max(newer, key=lambda peer: peer.received_at)
+        reply = await self._request(
+            peer, message.FetchEvacuations(revision=held.complete_at)
+        )
+        if isinstance(reply, message.EvacuationList):
+            self._evacuations.record_peer(
+                [d.name for d in reply.domains], reply.revision, peer.name
+            )
+
     async def _fetch_document(self, reachable: list[Peer]) -> None:
         version = self._state.document_version
         for peer in reachable:
@@ -144,6 +183,19 @@
             document=self._state.document_data,
         )
 
+    async def _on_fetch_evacuations(
+        self, msg: message.FetchEvacuations
+    ) -> message.Message:
+        del msg
+        held = self._state.evacuations
+        return message.EvacuationList(
+            revision=held.complete_at,
+            domains=[
+                message.EvacuatedDomain(name=name)
+                for name in held.list_registered()
+            ],
+        )
+
     async def _on_fetch_upstreams(
         self, msg: message.FetchUpstreams
     ) -> message.Message:
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -53,6 +53,9 @@
     def entries_revision(self) -> int:
         """Returns the revision up to which upstream entries are held."""
 
+    def evacuations_revision(self) -> int:
+        """Returns the revision of the last known change of evacuations."""
+
     def loads(self) -> Iterable[message.UpstreamLoad]:
         """Returns the local load at each upstream, largest first."""
 
@@ -103,6 +106,8 @@
         self._rng = rng
         self._sequence = 0
         self._heartbeat_count = 0
+        # Set to send the next heartbeat before its time.
+        self._heartbeat_due = anyio.Event()
         self._handlers: dict[type[message.Message], Handler] = {}
         self._gossip_source: GossipSource | None = None
         self._crash_receiver: Callable[[message.Gossip], None] | None = None
@@ -196,11 +201,13 @@
             while True:
                 await self._send_heartbeat()
                 large = self.table.exceeds_full_mesh
-                await anyio.sleep(
+                with anyio.move_on_after(
                     LARGE_FLEET_HEARTBEAT_INTERVAL_S
                     if large
                     else HEARTBEAT_INTERVAL_S
-                )
+                ):
+                    await self._heartbeat_due.wait()
+                self._heartbeat_due = anyio.Event()
 
     async def wait_joined(self) -> None:
         """Waits until the other instances are known, for `JOIN_WAIT_S` at most.
@@ -255,6 +262,14 @@
         """
         await self._send_heartbeat(to_all=True)
 
+    def hasten_heartbeat(self) -> None:
+        """Has the next heartbeat sent at once, to the usual receivers.
+
+        Called after a change that all learn together: a heartbeat of each of
+        them to all others would be too many.
+        """
+        self._heartbeat_due.set()
+
     async def request(
         self, address: str, msg: message.Message
     ) -> message.Message:
@@ -302,6 +317,7 @@
             document_version=source.document_version() if source else 0,
             link_mbps=self._link_mbps,
             entries_revision=source.entries_revision() if source else 0,
+            evacuations_revision=source.evacuations_revision() if source else 0,
         )
 
     def _choose_addresses(self, to_all: bool) -> list[str]:
@@ -418,6 +434,7 @@
             row.document_version,
             row.link_mbps,
             row.entries_revision,
+            row.evacuations_revision,
         )
         if self.table.record_heartbeat(peer, now, direct=direct):
             logger.bind(
@@ -459,4 +476,5 @@
         document_version=peer.document_version,
         link_mbps=peer.link_mbps,
         entries_revision=peer.entries_revision,
+        evacuations_revision=peer.evacuations_revision,
     )
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 
 import anyio
 import httpx
@@ -78,6 +78,8 @@
 OVERLOADED = "overloaded"
 UNKNOWN_POOL = "unknown_pool"
 QUARANTINED = "quarantined"
+# All upstreams of the pool are in evacuated failure domains.
+EVACUATED = "evacuated"
 
 
 class _Origin:
@@ -143,6 +145,24 @@
                     self._state.queue_waits.put(pool, *waits, now)
                 await anyio.sleep(POLL_INTERVAL_S)
 
+    def apply_evacuations(self, ended: Container[str]) -> None:
+        """Applies a change of the evacuated failure domains at once.
+
+        Args:
+            ended: Domains that are not evacuated any more. Results that were
+                not released meanwhile may fill the memory of their upstreams.
+        """
+        for pool, queue in self._queues.items():
+            self._update_upstreams(pool, queue)
+            self._wake_events[pool].set()
+            if self._tasks is None or not self._reports_memory(queue):
+                continue
+            for upstream in self._state.usable_upstreams(pool):
+                if upstream.failure_domain in ended:
+                    self._tasks.start_soon(
+                        self._check_free_memory, pool, queue, upstream
+                    )
+
     def queue_lengths(self) -> dict[str, int]:
         """Returns the number of waiting pieces by pool."""
         return {pool: len(queue) for pool, queue in self._queues.items()}
@@ -207,8 +227,7 @@
             self._wake_events[pool] = anyio.Event()
             self._update_upstreams(pool, queue)
             reporting: list[ListedUpstream] = []
-            resolution = self._protocol.report_resolution_bytes
-            if spec.batch.result_memory_bytes > 2 * resolution:
+            if self._reports_memory(queue):
                 # Results of a previous scheduler of the pool may fill it.
                 reporting = self._state.usable_upstreams(pool)
             self._tasks.start_soon(self._schedule_pool, pool, queue, reporting)
@@ -217,6 +236,11 @@
             )
         return queue
 
+    def _reports_memory(self, queue: BatchQueue) -> bool:
+        """Returns whether the memory is larger than the reports' resolution."""
+        resolution = self._protocol.report_resolution_bytes
+        return queue.spec.result_memory_bytes > 2 * resolution
+
     def _update_upstreams(self, pool: str, queue: BatchQueue) -> None:
         upstreams = self._state.staying_upstreams(pool)
         closed_until = self._state.paused_until(pool)
@@ -239,6 +263,8 @@
         if self._state.leaving:
             return message.StageAck(accepted=False, reason=MOVED)
         self._update_upstreams(msg.pool, queue)
+        if self._state.is_pool_evacuated(msg.pool):
+            return message.StageAck(accepted=False, reason=EVACUATED)
         ledger = self._crash_watch.ledger
         if not msg.is_trial and (
             msg.fingerprint in ledger.quarantined_fingerprints
@@ -453,6 +479,10 @@
             self._wake_events[pool] = anyio.Event()
             now = self._state.clock()
             self._update_upstreams(pool, queue)
+            if len(queue) and self._state.is_pool_evacuated(pool):
+                self._tasks.start_soon(
+                    self._send_failures, queue.take_all(), EVACUATED
+                )
             overdue = queue.take_overdue(now)
             if overdue:
                 # Not awaited: a silent submitter would hold up all calls.
@@ -738,6 +768,13 @@
             await self._refresh_free_memory(pool, queue, upstream)
         self._wake_events[pool].set()
 
+    async def _check_free_memory(
+        self, pool: str, queue: BatchQueue, upstream: ListedUpstream
+    ) -> None:
+        """Requests reports of an upstream whose results are not on record."""
+        await self._refresh_free_memory(pool, queue, upstream)
+        await self._follow_free_memory(pool, queue, upstream)
+
     async def _refresh_free_memory(
         self, pool: str, queue: BatchQueue, upstream: ListedUpstream
     ) -> None:
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -24,7 +24,11 @@
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import PieceReply
 from applespring.relay.stage_run import StageRun, StageSubmission
-from applespring.relay.stage_scheduler import OVERLOADED, QUARANTINED
+from applespring.relay.stage_scheduler import (
+    EVACUATED,
+    OVERLOADED,
+    QUARANTINED,
+)
 from applespring.relay.state import RelayState
 
 # Interval at which the schedulers of submitted pieces are checked.
@@ -183,6 +187,8 @@
                 )
             if failure == PieceReply.QUARANTINED:
                 raise _make_quarantine_refusal(stage)
+            if failure == EVACUATED:
+                raise _make_evacuation_refusal(stage)
             missing.setdefault(stage, set()).add(segment)
             if failure == PieceReply.INPUT_LOST:
                 for predecessor in run.chain.steps[stage].after:
@@ -425,6 +431,9 @@
             if reply.reason == QUARANTINED:
                 self._submissions.pop(msg.ticket, None)
                 raise _make_quarantine_refusal(index)
+            if reply.reason == EVACUATED:
+                self._submissions.pop(msg.ticket, None)
+                raise _make_evacuation_refusal(index)
             detail = f"instance {name}: {reply.reason}"
         self._submissions.pop(msg.ticket, None)
         raise RefusalError(
@@ -522,3 +531,12 @@
         Verdict.NOT_RUN,
         f"upstreams of stage {stage} crashed on pieces of this request",
     )
+
+
+def _make_evacuation_refusal(stage: int) -> RefusalError:
+    """Returns a refusal without Retry-After, since nothing tells the end."""
+    return RefusalError(
+        reason.NO_UPSTREAM,
+        Verdict.NOT_RUN,
+        f"all upstreams of stage {stage} are in evacuated failure domains",
+    )
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -4,6 +4,7 @@
 
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
+from applespring.core.evacuations import EvacuationTable
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.idle_limit import IdleLimit
 from applespring.core.notices import UpstreamNotices
@@ -29,6 +30,7 @@
         registry_read_at: When the registry last answered, or -1.
         entries_revision: Revision up to which the catalog has the upstreams'
             entries; 0 before the first.
+        evacuations: Failure domains whose upstreams get nothing.
         engines: Load and health of engines.
         reachability: Answered and unanswered calls by failure domain.
         peer_table: Last known state of the other instances.
@@ -48,6 +50,7 @@
         "notices",
         "registry_read_at",
         "entries_revision",
+        "evacuations",
         "engines",
         "queue_waits",
         "reachability",
@@ -74,6 +77,7 @@
         self.notices = UpstreamNotices()
         self.registry_read_at = -1.0
         self.entries_revision = 0
+        self.evacuations = EvacuationTable()
         self.engines = EngineSelector()
         self.queue_waits = QueueWaits()
         self.reachability = DomainReachability()
@@ -172,7 +176,7 @@
             is known to.
         """
         return self.notices.opens_in_s(
-            (u.identity for u in self.catalog.ready(pool)),
+            (u.identity for u in self._ready_upstreams(pool)),
             self.clock(),
             limits=limits,
         )
@@ -195,7 +199,7 @@
         now, pauses = self.clock(), self.notices.pauses
         return {
             u.name: pauses.until(u.identity)
-            for u in self.catalog.ready(pool)
+            for u in self._ready_upstreams(pool)
             if pauses.until(u.identity) > now
         }
 
@@ -204,27 +208,51 @@
 
         Paused ones are among them. The local failure domain never counts as
         unreachable. An upstream that has said that it leaves accepts no work,
-        whatever the registry lists.
+        whatever the registry lists, and neither does one in an evacuated
+        failure domain, the local one included.
         """
+        ready = self._ready_upstreams(pool)
         unreachable = self.peer_table.unreachable_domains(self.clock())
         unreachable.discard(self.settings.failure_domain)
         return self.reachability.filter_reachable(
-            [u for u in self.catalog.ready(pool) if not self._leaves(u)]
+            [u for u in ready if not self._leaves(u)]
             if self.notices
-            else self.catalog.ready(pool),
+            else ready,
             unreachable,
         )
 
+    def _ready_upstreams(self, pool: str) -> list[ListedUpstream]:
+        """Returns the listed upstreams outside of evacuated domains."""
+        ready = self.catalog.ready(pool)
+        if not self.evacuations:
+            return ready
+        return [u for u in ready if not self.is_evacuated(u)]
+
+    def is_evacuated(self, upstream: ListedUpstream) -> bool:
+        """Returns whether an upstream's failure domain is evacuated."""
+        return self.evacuations.covers(upstream.failure_domain)
+
+    def is_pool_evacuated(self, pool: str) -> bool:
+        """Returns whether evacuations alone leave a pool no upstream."""
+        if not self.evacuations:
+            return False
+        staying = [u for u in self.catalog.ready(pool) if not self._leaves(u)]
+        return bool(staying) and all(self.is_evacuated(u) for u in staying)
+
     def _leaves(self, upstream: ListedUpstream) -> bool:
         return self.notices.leaving.is_leaving(*upstream.identity)
 
     def is_ready(self, name: str) -> bool:
-        """Returns whether an upstream is listed and accepts new work."""
+        """Returns whether an upstream is listed and accepts new work.
+
+        One in an evacuated failure domain may be stopped at any time.
+        """
         found = self.catalog.get(name)
         return (
             found is not None
             and self.catalog.is_ready(name)
             and not self._leaves(found)
+            and not self.is_evacuated(found)
         )
 
     def is_listed(self, identity: tuple[str, int]) -> bool:
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -25,7 +25,11 @@
     record_attempt,
     watch_attempt,
 )
-from applespring.relay.availability import check_pool, make_unavailable_refusal
+from applespring.relay.availability import (
+    check_evacuations,
+    check_pool,
+    make_unavailable_refusal,
+)
 from applespring.relay.client import Answer, UpstreamClient
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
@@ -105,6 +109,9 @@
             exchange.request_id,
             within_s=critical_path_s(run.chain, run.call_s, {}, 0.0),
         )
+        check_evacuations(
+            self._state, {step.pool for step in run.chain.steps.values()}
+        )
         async with self._crash_watch.admit(
             exchange, _shared_parts(exchange), exchange.fingerprint
         ) as watched:
@@ -198,7 +205,12 @@
             tried.append(upstream.name)
             source_engine = self._state.engines.prefix_source(
                 # A fetch is work for its engine too.
-                [u for u in ready if not self._permits.is_limited(u)],
+                [
+                    u
+                    for u in ready
+                    if not self._permits.is_limited(u)
+                    and not self._state.is_evacuated(u)
+                ],
                 upstream,
                 subject=prefix_name,
                 parts=parts,
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -13,6 +13,7 @@
 from applespring.core.era import era_of, revision_of
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.peer import message
+from applespring.relay.evacuation import EvacuationRecorder
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.plain import PlainForwarder
@@ -61,6 +62,7 @@
         peers: Peers,
         plain: PlainForwarder,
         scheduler: StageScheduler,
+        evacuations: EvacuationRecorder,
         metrics: RelayMetrics,
         rng: random.Random,
     ) -> None:
@@ -69,6 +71,7 @@
         self._peers = peers
         self._plain = plain
         self._scheduler = scheduler
+        self._evacuations = evacuations
         self._metrics = metrics
         self._rng = rng
         self._contact_lost = False
@@ -150,10 +153,14 @@
         listed = [c.upstream for c in update.changes if c.upstream is not None]
         self.apply_upstreams(listed)
         self._state.catalog.replace(listed, self._state.clock())
+        self._evacuations.record_read(update.evacuations, update.revision)
         while True:
             update = await self._wait_for_changes(update.revision)
             self._record_contact(update)
             self._apply_changes(update.changes)
+            self._evacuations.record_changes(
+                update.evacuations, update.revision
+            )
             # Changes during the pause come with the next answer.
             large = self._peers.table.exceeds_full_mesh
             await anyio.sleep(
@@ -302,6 +309,7 @@
     async def _expire_upstreams(self) -> None:
         while True:
             await anyio.sleep(EXPIRY_INTERVAL_S)
+            self._evacuations.settle()
             for name in self._state.catalog.expire(self._state.clock()):
                 logger.bind(event="upstream_lapsed", upstream=name).info(
                     "upstream {} was not listed again after a registry outage",
@@ -323,6 +331,10 @@
         """See `GossipSource.entries_revision`."""
         return self._state.entries_revision
 
+    def evacuations_revision(self) -> int:
+        """See `GossipSource.evacuations_revision`."""
+        return self._state.evacuations.changed_at
+
     def loads(self) -> list[message.UpstreamLoad]:
         """See `GossipSource.loads`."""
         loads = self._state.engines.local_loads()
