--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -6,6 +6,7 @@
 
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
+from applespring.core.evacuations import EvacuationTable
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.homes import DomainRegions, Regions
 from applespring.core.idle_limit import IdleLimit
@@ -33,6 +34,7 @@
         registry_read_at: When the registry last answered, or -1.
         entries_revision: Revision up to which the catalog has the upstreams'
             entries; 0 before the first.
+        evacuations: Failure domains whose upstreams get nothing.
         engines: Load and health of engines.
         reachability: Answered and unanswered calls by failure domain.
         domain_regions: Region of each failure domain.
@@ -53,6 +55,7 @@
         "notices",
         "registry_read_at",
         "entries_revision",
+        "evacuations",
         "engines",
         "queue_waits",
         "reachability",
@@ -80,6 +83,7 @@
         self.notices = UpstreamNotices()
         self.registry_read_at = -1.0
         self.entries_revision = 0
+        self.evacuations = EvacuationTable()
         self.engines = EngineSelector()
         self.queue_waits = QueueWaits()
         self.reachability = DomainReachability()
@@ -218,7 +222,7 @@
         now, pauses = self.clock(), self.notices.pauses
         return {
             u.name: pauses.until(u.identity)
-            for u in self.catalog.ready(pool)
+            for u in self._ready_in(pool)
             if pauses.until(u.identity) > now
         }
 
@@ -229,7 +233,8 @@
 
         Paused ones are among them. The local failure domain never counts as
         unreachable. An upstream that has said that it leaves accepts no work,
-        whatever the registry lists.
+        whatever the registry lists, and neither does one in an evacuated
+        failure domain, the local one included.
         """
         unreachable = self.peer_table.unreachable_domains(self.clock())
         unreachable.discard(self.settings.failure_domain)
@@ -241,8 +246,13 @@
             unreachable,
         )
 
-    def _ready_in(self, pool: str, regions: Regions) -> list[ListedUpstream]:
+    def _ready_in(
+        self, pool: str, regions: Regions = None
+    ) -> list[ListedUpstream]:
+        """Returns the listed upstreams that evacuations and homes leave."""
         ready = self.catalog.ready(pool)
+        if self.evacuations:
+            ready = [u for u in ready if not self.is_evacuated(u)]
         if regions is None:
             return ready
         return [u for u in ready if self._allows(u.failure_domain, regions)]
@@ -258,16 +268,41 @@
             )
         return allowed
 
+    def is_evacuated(self, upstream: ListedUpstream) -> bool:
+        """Returns whether an upstream's failure domain is evacuated."""
+        return self.evacuations.covers(upstream.failure_domain)
+
+    def is_pool_evacuated(self, pool: str, regions: Regions = None) -> bool:
+        """Returns whether evacuations alone leave a pool no upstream.
+
+        Args:
+            pool: Name of the pool.
+            regions: Regions that count; None for all.
+        """
+        if not self.evacuations:
+            return False
+        staying = [
+            u
+            for u in self.catalog.ready(pool)
+            if not self._leaves(u)
+            and (regions is None or self._allows(u.failure_domain, regions))
+        ]
+        return bool(staying) and all(self.is_evacuated(u) for u in staying)
+
     def _leaves(self, upstream: ListedUpstream) -> bool:
         return self.notices.leaving.is_leaving(*upstream.identity)
 
     def is_ready(self, name: str) -> bool:
-        """Returns whether an upstream is listed and accepts new work."""
+        """Returns whether an upstream is listed and accepts new work.
+
+        One in an evacuated failure domain may be stopped at any time.
+        """
         found = self.catalog.get(name)
         return (
             found is not None
             and self.catalog.is_ready(name)
             and not self._leaves(found)
+            and not self.is_evacuated(found)
         )
 
     def is_listed(self, identity: tuple[str, int]) -> bool:
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1,5 +1,6 @@
 """The guards that `tools/run_guards.py` removes, one at a time."""
 
+from evacuation_guards import EVACUATION_GUARDS
 from guard import Guard
 from home_guards import HOME_GUARDS
 from relay_guards import RELAY_GUARDS
@@ -205,4 +206,5 @@
     ),
     *RELAY_GUARDS,
     *HOME_GUARDS,
+    *EVACUATION_GUARDS,
 )
