Estimate what streams cost engines, and learn their speed

Cause: a stream went to the engine with the least unread tokens, a fixed 4 ms a running request and one reading speed for a pool. Engines of one pool differ in speed, which nobody tells. Change: core/engines estimates a stream before it is sent (tokens to read, events of the answer by the figure that has told them best, memory), keeps the work that each engine has left (sent less seen done, and told by peers), and learns the pool's times and each engine's slowness from first events and the time between events. UpstreamLoad tells work_s and a new field, slowness, as the sender has observed it. With RelaySettings.choice "learned" engines are chosen by the expected first event, and a request is refused before its stages if no engine can send one before its caller leaves. "fixed" is the default. Length-Hint is decoded; a malformed one counts as none. Ruled out: fitting the pool's times without the slowness of each engine (faster ones get more to read: 11 us a token learned instead of 20).

--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -9,6 +9,9 @@
 from collections.abc import Mapping, Sequence
 
 from applespring.core.catalog import ListedUpstream
+from applespring.core.choice.even import choice_count, draw
+from applespring.core.engines.learned import LearnedEngines
+from applespring.core.engines.stream_cost import StreamCost
 from applespring.core.pause import FailurePause
 from applespring.core.placement import rank
 
@@ -33,6 +36,8 @@
 # An engine that has requests but made no progress on any of them for this time
 # is avoided.
 NO_PROGRESS_S = 1.5
+# Multiple of the mean error by which an estimate may be too high.
+ERROR_MULTIPLE = 3.0
 # Pause after a failure, doubled with each further failure in a row.
 FAILED_PAUSE_S = 0.5
 FAILED_PAUSE_MAX_S = 8.0
@@ -60,11 +65,17 @@
 
 
 class EngineSelector:
-    """Tracks load, health and cached prompt parts of engines."""
+    """Tracks load, health and cached prompt parts of engines.
 
-    __slots__ = ("_engines", "_peer_loads")
+    Attributes:
+        learned: Learned costs and speeds, by which engines are then chosen, or
+            None.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("learned", "_engines", "_peer_loads")
+
+    def __init__(self, learned: LearnedEngines | None = None) -> None:
+        self.learned = learned
         self._engines: dict[str, _EngineLoad] = {}
         self._peer_loads: dict[
             str, tuple[float, dict[str, tuple[int, int]]]
@@ -98,6 +109,8 @@
 
     def remove(self, name: str) -> None:
         """Discards the state of a removed engine unless it has requests."""
+        if self.learned is not None:
+            self.learned.forget(name)
         engine = self._engines.get(name)
         if engine is not None and not engine.requests:
             del self._engines[name]
@@ -209,10 +222,14 @@
         inputs: Mapping[str, float],
         tokens_per_s: float,
         now: float,
+        cost: StreamCost | None = None,
+        instances: int = 1,
+        seed: int = 0,
     ) -> ListedUpstream | None:
         """Returns the engine with the least cost for a request, or None.
 
-        If no engine is available, all are considered.
+        If no engine is available, all are considered. With learned costs, a
+        part of them is compared with the home engine, see `choice.even`.
 
         Args:
             upstreams: Engines that accept new work.
@@ -222,16 +239,92 @@
             inputs: Bytes of stage results by failure domain.
             tokens_per_s: Prompt tokens that an engine reads in a second.
             now: Current time.
+            cost: Estimated cost of the request if it is to be chosen by learned
+                costs.
+            instances: Number of instances that send requests to the engines.
+            seed: Number that differs by instance and request.
         """
         available = [u for u in upstreams if self.is_available(u.name, now)]
         home = self.home(upstreams, subject, now)
+        if self.learned is not None and cost is not None:
+            available = available or list(upstreams)
+            compared = draw(
+                available, choice_count(len(available), instances), seed
+            )
+            if home is not None and home not in compared:
+                compared.append(home)
+            costs = self._learned_costs(compared, home, parts, cost, now)
+            return min(
+                compared,
+                key=lambda u: costs[u.name] + _cross_domain_s(u, inputs),
+                default=None,
+            )
         best, best_cost = None, math.inf
         for upstream in available or upstreams:
-            cost = self._cost(upstream, home, parts, inputs, tokens_per_s, now)
-            if cost < best_cost:
-                best, best_cost = upstream, cost
+            fixed_cost = self._cost(
+                upstream, home, parts, inputs, tokens_per_s, now
+            )
+            if fixed_cost < best_cost:
+                best, best_cost = upstream, fixed_cost
         return best
 
+    def earliest_first_event_s(
+        self,
+        upstreams: Sequence[ListedUpstream],
+        *,
+        subject: str,
+        parts: Sequence[tuple[str, int]],
+        cost: StreamCost,
+        now: float,
+    ) -> float:
+        """Returns the least time to a first event at any engine.
+
+        It is a low estimate: that of `LearnedEngines` less its usual error, and
+        0 until that is measured.
+
+        Args:
+            upstreams: Engines that accept new work.
+            subject: Name of the shared prefix.
+            parts: See `choose`.
+            cost: Estimated cost of the request.
+            now: Current time.
+        """
+        speed = self.learned.speed(cost.pool)
+        if not speed.is_measured or not upstreams:
+            return 0.0
+        home = self.home(upstreams, subject, now)
+        totals = self.learned.totals(cost.pool, now)
+        earliest_s = min(
+            self.learned.first_event_s(
+                upstream,
+                self._count_unread(upstream, home, parts, now)[0],
+                cost,
+                totals,
+                now,
+            )
+            for upstream in upstreams
+        )
+        return earliest_s / (1.0 + ERROR_MULTIPLE * speed.error)
+
+    def _learned_costs(
+        self,
+        upstreams: Sequence[ListedUpstream],
+        home: ListedUpstream | None,
+        parts: Sequence[tuple[str, int]],
+        cost: StreamCost,
+        now: float,
+    ) -> dict[str, float]:
+        """Returns learned costs of a request by engine, without its inputs."""
+        totals = self.learned.totals(cost.pool, now)
+        costs = {}
+        for upstream in upstreams:
+            unread, missed = self._count_unread(upstream, home, parts, now)
+            costs[upstream.name] = (
+                self.learned.first_event_s(upstream, unread, cost, totals, now)
+                + missed * CACHE_MISS_S_PER_TOKEN
+            )
+        return costs
+
     def prefix_source(
         self,
         upstreams: Sequence[ListedUpstream],
@@ -272,6 +365,9 @@
             u.name: self.unread_prompt_tokens(u.name, parts, now)
             for u in available
         }
+        if self.learned is not None:
+            # A fetch is work for its engine, and as slow as the engine.
+            available = self.learned.leave_out_busy(available, now)
         holder = min(available, key=lambda u: unread[u.name], default=None)
         if holder is not None and unread[holder.name] <= fetch_unread_max:
             return holder
@@ -303,27 +399,35 @@
         tokens_per_s: float,
         now: float,
     ) -> float:
-        name = upstream.name
-        unshared_tokens = parts[-1][1] if parts else 0
-        if home is not None and name == home.name:
-            # It has the prefix cached, since other instances send it here too.
-            unread = unshared_tokens
-        else:
-            unread = self.unread_prompt_tokens(name, parts, now)
-        missed_tokens = max(0, unread - unshared_tokens)
-        requests, engine_unread = self._load(name, now)
-        cross_domain_bytes = sum(
-            size
-            for domain, size in inputs.items()
-            if domain != upstream.failure_domain
-        )
+        unread, missed_tokens = self._count_unread(upstream, home, parts, now)
+        requests, engine_unread = self._load(upstream.name, now)
         return (
             (engine_unread + unread) / tokens_per_s
             + missed_tokens * CACHE_MISS_S_PER_TOKEN
             + requests * RUNNING_REQUEST_S
-            + cross_domain_bytes * CROSS_DOMAIN_S_PER_BYTE
+            + _cross_domain_s(upstream, inputs)
         )
 
+    def _count_unread(
+        self,
+        upstream: ListedUpstream,
+        home: ListedUpstream | None,
+        parts: Sequence[tuple[str, int]],
+        now: float,
+    ) -> tuple[int, int]:
+        """Returns how many tokens an engine would read of a prompt.
+
+        Returns:
+            The tokens that it reads, and the shared ones among them.
+        """
+        unshared_tokens = parts[-1][1] if parts else 0
+        if home is not None and upstream.name == home.name:
+            # It has the prefix cached, since other instances send it here too.
+            unread = unshared_tokens
+        else:
+            unread = self.unread_prompt_tokens(upstream.name, parts, now)
+        return unread, max(0, unread - unshared_tokens)
+
     def _load(self, name: str, now: float) -> tuple[int, int]:
         engine = self._engines.get(name)
         requests = engine.requests if engine else 0
@@ -371,3 +475,15 @@
         if engine is None:
             engine = self._engines[name] = _EngineLoad(now)
         return engine
+
+
+def _cross_domain_s(
+    upstream: ListedUpstream, inputs: Mapping[str, float]
+) -> float:
+    """Returns the cost of moving results to an engine's failure domain."""
+    size = sum(
+        size
+        for domain, size in inputs.items()
+        if domain != upstream.failure_domain
+    )
+    return size * CROSS_DOMAIN_S_PER_BYTE
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -290,11 +290,13 @@
 class UpstreamLoad(Message):
     """Requests and tokens that the sender has in flight at one upstream.
 
-    `work_s` is the expected time that they keep the upstream occupied.
+    `work_s` is the expected time that they keep the upstream occupied, and
+    `slowness` the factor by which the sender has observed it to be slower than
+    its pool, 0 if it has not done so lately.
     """
 
-    __slots__ = ("upstream", "requests", "tokens", "work_s")
-    DEFAULTS = {"work_s": 0.0}
+    __slots__ = ("upstream", "requests", "tokens", "work_s", "slowness")
+    DEFAULTS = {"work_s": 0.0, "slowness": 0.0}
 
 
 class PoolWait(Message):
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -183,6 +183,7 @@
   requests @1 :UInt32;
   tokens @2 :UInt32;
   workS @3 :Float32;
+  slowness @4 :Float32;
 }
 
 struct Gossip {
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -56,6 +56,8 @@
 _DROPPED_REPLY_HEADERS = _HOP_BY_HOP_HEADERS | {b"date", b"server"}
 _JSON_HEADERS = [(b"Content-Type", b"application/json")]
 _PRIORITY_MAX = 9
+# Digits of a length hint, beyond which it is no estimate.
+_HINT_DIGITS = 9
 _BYTES_PER_MB = 1_000_000
 _PIECE_FAILURES = frozenset(
     [
@@ -100,6 +102,7 @@
                 api_key=text(b"x-api-key"),
                 tokens_in=tokens[0] if tokens else 0,
                 tokens_out=tokens[1] if len(tokens) > 1 else 0,
+                tokens_hint=_decode_hint(text(b"length-hint")),
                 prompt_parts=_decode_prompt_parts(text(b"prompt-prefix")),
                 # `segments` has the number of pieces of each stage.
                 piece_counts=counts,
@@ -267,6 +270,12 @@
     )
 
 
+def _decode_hint(text: str) -> int:
+    """Returns a caller's estimate in tokens, 0 if it gave no usable one."""
+    digits = text.isascii() and text.isdecimal() and len(text) <= _HINT_DIGITS
+    return int(text) if digits else 0
+
+
 def _decode_prompt_parts(text: str) -> list[PromptPart]:
     parts = []
     for entry in text.split(","):
--- a/src/applespring/relay/metrics.py
+++ b/src/applespring/relay/metrics.py
@@ -35,6 +35,9 @@
         request_s: Time from arrival to the end of an answer, by route.
         first_event_s: Time from arrival to the first event of a stream, by
             route.
+        engine_first_event_s: Time from sending a stream to its first event, as
+            estimated and as seen, by pool.
+        engine_choices: Choices of engines by learned costs, by pool and reason.
         attempts: Attempts at upstreams, by pool and outcome.
         stage_calls: Stage calls, by pool and outcome.
         stage_call_s: Duration of stage calls, by pool.
@@ -48,6 +51,8 @@
         "requests",
         "request_s",
         "first_event_s",
+        "engine_first_event_s",
+        "engine_choices",
         "attempts",
         "stage_calls",
         "stage_call_s",
@@ -74,6 +79,17 @@
             ("route",),
             REQUEST_BUCKETS_S,
         )
+        self.engine_first_event_s = HistogramFamily(
+            prefix + "engine_first_event_seconds",
+            "Seconds from sending to the first event of an engine",
+            ("pool", "figure"),
+            REQUEST_BUCKETS_S,
+        )
+        self.engine_choices = CounterFamily(
+            prefix + "engine_choices_total",
+            "Choices of engines by learned costs",
+            ("pool", "reason"),
+        )
         self.attempts = CounterFamily(
             prefix + "attempts_total",
             "Attempts at upstreams",
--- a/src/applespring/relay/protocol.py
+++ b/src/applespring/relay/protocol.py
@@ -38,6 +38,7 @@
         api_key: API key, or "".
         tokens_in: Length of the prompt in tokens.
         tokens_out: Longest answer in tokens.
+        tokens_hint: The caller's estimate of it, 0 if it gave none.
         prompt_parts: Parts of the prompt, in order.
         piece_counts: Number of pieces of each stage.
         piece_key: Key of the data that the first stages read; their pieces
@@ -56,6 +57,7 @@
         "api_key",
         "tokens_in",
         "tokens_out",
+        "tokens_hint",
         "prompt_parts",
         "piece_counts",
         "piece_key",
@@ -75,6 +77,7 @@
         api_key: str = "",
         tokens_in: int = 0,
         tokens_out: int = 0,
+        tokens_hint: int = 0,
         prompt_parts: Sequence[PromptPart] = (),
         piece_counts: Sequence[int] = (),
         piece_key: str = "",
@@ -90,6 +93,7 @@
         self.api_key = api_key
         self.tokens_in = tokens_in
         self.tokens_out = tokens_out
+        self.tokens_hint = tokens_hint
         self.prompt_parts = tuple(prompt_parts)
         self.piece_counts = tuple(piece_counts)
         self.piece_key = piece_key
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -4,6 +4,7 @@
 
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
+from applespring.core.engines.learned import LearnedEngines
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.idle_limit import IdleLimit
 from applespring.core.notices import UpstreamNotices
@@ -74,7 +75,9 @@
         self.notices = UpstreamNotices()
         self.registry_read_at = -1.0
         self.entries_revision = 0
-        self.engines = EngineSelector()
+        self.engines = EngineSelector(
+            LearnedEngines() if settings.choice == "learned" else None
+        )
         self.queue_waits = QueueWaits()
         self.reachability = DomainReachability()
         self.peer_table = PeerTable(settings.name)
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -10,10 +10,10 @@
 from applespring.core import reason
 from applespring.core.catalog import ListedUpstream
 from applespring.core.chain import Chain
-from applespring.core.engine_selector import EngineSelector
+from applespring.core.choice.even import request_seed
+from applespring.core.engines.attempt import EngineAttempt
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.events import EventSplitter, EventTooLongError
-from applespring.core.first_event import FirstEventEstimate
 from applespring.core.queue_waits import critical_path_s
 from applespring.core.verdict import Verdict
 from applespring.core.window import AttemptWindow
@@ -27,6 +27,12 @@
 )
 from applespring.relay.availability import check_pool, make_unavailable_refusal
 from applespring.relay.client import Answer, UpstreamClient
+from applespring.relay.engine_costs import (
+    check_first_event,
+    make_cost,
+    record_choice,
+    record_first_event,
+)
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
@@ -105,6 +111,7 @@
             exchange.request_id,
             within_s=critical_path_s(run.chain, run.call_s, {}, 0.0),
         )
+        check_first_event(self._state, exchange, _prefix_name(exchange))
         async with self._crash_watch.admit(
             exchange, _shared_parts(exchange), exchange.fingerprint
         ) as watched:
@@ -196,6 +203,9 @@
                     f"request; {len(tried)} were tried",
                 )
             tried.append(upstream.name)
+            record_choice(
+                self._state, self._metrics, exchange, upstream, prefix_name
+            )
             source_engine = self._state.engines.prefix_source(
                 # A fetch is work for its engine too.
                 [u for u in ready if not self._permits.is_limited(u)],
@@ -305,6 +315,9 @@
     ) -> tuple[ListedUpstream | None, Permit | None]:
         """Returns the engine to try next, with its permit if it needs one."""
         estimate = self._state.first_event(exchange.pool)
+        cost = make_cost(self._state, exchange)
+        instances = self._instance_count() if cost is not None else 1
+        seed = request_seed(self._state.settings.name, exchange.request_id)
 
         def select(
             upstreams: Sequence[ListedUpstream],
@@ -319,6 +332,9 @@
                 inputs=run.final_input_bytes_by_domain(),
                 tokens_per_s=estimate.tokens_per_s,
                 now=now,
+                cost=cost,
+                instances=instances,
+                seed=seed,
             )
 
         # A stream that has begun is late only when its caller leaves.
@@ -521,7 +537,15 @@
             upstream.name, [p for p, _ in parts], unread_tokens, started_at
         )
         pool = exchange.document.pools.get(exchange.pool)
-        unread_prompt = _UnreadPrompt(unread_tokens, started_at)
+        at_engine = EngineAttempt(
+            engines,
+            self._state.first_event(exchange.pool),
+            upstream,
+            unread_tokens,
+            make_cost(self._state, exchange),
+            started_at,
+        )
+        is_whole = not splitter.last_id
         exchange.sent = True
         result_release = nullcontext()
         if not exchange.route.resumable:
@@ -587,7 +611,7 @@
                         answer,
                         attempt,
                         splitter,
-                        unread_prompt,
+                        at_engine,
                     )
                     attempt.outcome = "done"
         finally:
@@ -602,16 +626,13 @@
                 attempt.failed = True
             if is_silent and not attempt.answered:
                 # The first event would have taken longer than this.
-                unread_prompt.record_first_event(
-                    self._state.first_event(exchange.pool), now
-                )
-            unread_prompt.discard(engines, upstream.name, now)
-            engines.end_request(
-                upstream.name,
+                at_engine.record_first_event(now)
+            at_engine.end(
                 now,
                 failed=attempt.failed,
                 answered=attempt.answered
                 or not (cancelled or attempt.turned_away),
+                complete=is_whole and attempt.outcome == "done",
             )
 
     async def _handle_failure(
@@ -663,7 +684,7 @@
         answer: Answer,
         attempt: Attempt,
         splitter: EventSplitter,
-        unread_prompt: "_UnreadPrompt",
+        at_engine: EngineAttempt,
     ) -> None:
         """Sends on complete events as they arrive, up to the end.
 
@@ -671,10 +692,10 @@
             StageError: The stream ended inside an event, or with its connection
                 before the first one, or an event is too long.
         """
-        clock, engines = self._state.clock, self._state.engines
+        clock = self._state.clock
         answer_recorded = False
         async for chunk in answer.chunks():
-            now = clock()
+            now, count = clock(), splitter.count
             try:
                 complete_events = splitter.feed(chunk)
             except EventTooLongError as exc:
@@ -688,13 +709,10 @@
                 # Bytes of no event are no progress; they may have no end.
                 continue
             attempt.record_progress(now)
-            unread_prompt.record_first_event(
-                self._state.first_event(exchange.pool), now
-            )
-            unread_prompt.record_read(engines, upstream.name, now)
-            engines.record_progress(upstream.name, now)
+            at_engine.record_events(splitter.count - count, now)
             if attempt.first_event_at < 0.0:
                 attempt.first_event_at = now
+                record_first_event(self._metrics, exchange, at_engine)
             elif (
                 not answer_recorded and now - attempt.first_event_at >= BEGUN_S
             ):
@@ -708,6 +726,7 @@
                 exchange.first_event_at = now
             await exchange.send_chunk(complete_events)
             attempt.record_progress(clock())
+            at_engine.record_sent_on(clock())
             attempt.sending = False
         if splitter.partial:
             raise StageError(
@@ -735,38 +754,6 @@
         await exchange.finish()
 
 
-class _UnreadPrompt:
-    """Prompt tokens of one request that its engine has not read yet."""
-
-    __slots__ = ("_unread_tokens", "_sent_at", "_measured")
-
-    def __init__(self, unread_tokens: int, sent_at: float) -> None:
-        self._unread_tokens = unread_tokens
-        self._sent_at = sent_at
-        self._measured = False
-
-    def record_first_event(
-        self, estimate: FirstEventEstimate, now: float
-    ) -> None:
-        """Measures the time to the first event; further calls do nothing."""
-        if not self._measured:
-            self._measured = True
-            estimate.record(self._unread_tokens, now - self._sent_at)
-
-    def record_read(
-        self, engines: EngineSelector, name: str, now: float
-    ) -> None:
-        """Records that the engine read the prompt; further calls do nothing."""
-        if self._unread_tokens:
-            engines.record_prompt_read(name, self._unread_tokens, now)
-            self._unread_tokens = 0
-
-    def discard(self, engines: EngineSelector, name: str, now: float) -> None:
-        """Records that the engine will not read the prompt any more."""
-        engines.discard_unread_prompt(name, self._unread_tokens, now)
-        self._unread_tokens = 0
-
-
 def _make_refusal(
     refusal_reason: reason.Reason,
     attempts: int,
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -325,6 +325,23 @@
 
     def loads(self) -> list[message.UpstreamLoad]:
         """See `GossipSource.loads`."""
+        learned = self._state.engines.learned
+        if learned is not None:
+            return [
+                message.UpstreamLoad(
+                    upstream=name,
+                    requests=requests,
+                    tokens=tokens,
+                    work_s=work_s,
+                    slowness=slowness,
+                )
+                for name, (
+                    requests,
+                    tokens,
+                    work_s,
+                    slowness,
+                ) in learned.list_loads(self._state.clock()).items()
+            ]
         loads = self._state.engines.local_loads()
         ranked = sorted(loads.items(), key=lambda item: -item[1][1])
         return [
@@ -359,6 +376,20 @@
             },
             now,
         )
+        if self._state.engines.learned is not None:
+            self._state.engines.learned.record_peer(
+                sender,
+                {
+                    load.upstream: (
+                        load.requests,
+                        load.tokens,
+                        load.work_s,
+                        load.slowness,
+                    )
+                    for load in gossip.loads
+                },
+                now,
+            )
         for wait in gossip.waits:
             self._state.queue_waits.put(
                 wait.pool, wait.on_time_s, wait.whole_s, wait.opens_in_s, now
