--- a/src/applespring/core/engine_selector.py
+++ b/src/applespring/core/engine_selector.py
@@ -36,6 +36,8 @@
 # An engine that has requests but made no progress on any of them for this time
 # is avoided.
 NO_PROGRESS_S = 1.5
+# Engines that are compared for a request by learned costs, beside its home.
+COMPARED_MAX = 24
 # Multiple of the mean error by which an estimate may be too high.
 ERROR_MULTIPLE = 3.0
 # Pause after a failure, doubled with each further failure in a row.
@@ -248,9 +250,8 @@
         home = self.home(upstreams, subject, now)
         if self.learned is not None and cost is not None:
             available = available or list(upstreams)
-            compared = draw(
-                available, choice_count(len(available), instances), seed
-            )
+            count = choice_count(len(available), instances)
+            compared = draw(available, min(count, COMPARED_MAX), seed)
             if home is not None and home not in compared:
                 compared.append(home)
             costs = self._learned_costs(compared, home, parts, cost, now)
--- a/src/applespring/core/engines/learned.py
+++ b/src/applespring/core/engines/learned.py
@@ -30,7 +30,7 @@
 OBSERVED_MAX_AGE_S = 1.0
 # An engine that is slower than this multiple of the others, or reads for longer
 # than this what it was sent, is not asked for a cached prefix.
-SOURCE_SLOWNESS_MAX = 2.5
+SOURCE_SLOWNESS_MAX = 2.0
 SOURCE_UNREAD_MAX_S = 1.0
 # Engines whose slowness is held as others have told it, as many as in
 # `SlownessTable`; the one that was first told is forgotten.
@@ -42,22 +42,31 @@
 
 
 class _EngineWork:
-    """Streams of this instance at one engine, and their sums."""
+    """Streams of this instance at one engine, and their sums.
 
-    __slots__ = ("streams", "unread_tokens", "memory_tokens", "reading_since")
+    Attributes:
+        streams: The streams, in the order of sending.
+        unread_tokens: Prompt tokens that are still to be read.
+        memory_tokens: Memory that they occupy at their end.
+        remaining: Number of streams, each weighed by its share to come.
+        reading_since: Since when the engine reads the oldest unread prompt.
+    """
+
+    __slots__ = (
+        "streams",
+        "unread_tokens",
+        "memory_tokens",
+        "remaining",
+        "reading_since",
+    )
 
     def __init__(self) -> None:
         self.streams: dict[SentStream, None] = {}
-        # Since when the engine reads the oldest unread prompt.
+        self.remaining = 0.0
         self.reading_since = 0.0
         self.unread_tokens = 0
         self.memory_tokens = 0
 
-    @property
-    def remaining(self) -> float:
-        """Number of streams, each weighed by its share that is to come."""
-        return sum(stream.remaining_share for stream in self.streams)
-
     def left_tokens(self, now: float, token_s: float) -> float:
         """Returns the unread tokens less what was read of the oldest prompt.
 
@@ -106,7 +115,10 @@
 
     def speed(self, pool: str) -> PoolSpeed:
         """Returns the speed of a pool's engines, created at first use."""
-        return self._speeds.setdefault(pool, PoolSpeed())
+        speed = self._speeds.get(pool)
+        if speed is None:
+            speed = self._speeds[pool] = PoolSpeed()
+        return speed
 
     def slowness(self, identity: tuple[str, int], now: float) -> float:
         """Returns the factor by which an engine is slower than its pool.
@@ -330,6 +342,7 @@
         work.streams[stream] = None
         work.unread_tokens += unread
         work.memory_tokens += cost.memory_tokens
+        work.remaining += stream.remaining_share
         if speed.is_measured:
             stream.outstanding = self._own.start(
                 upstream.identity,
@@ -347,7 +360,11 @@
             now: Current time.
         """
         speed = self.speed(stream.cost.pool)
+        work = self._engines.get(stream.engine)
+        share = stream.remaining_share
         stream.events += count
+        if work is not None:
+            work.remaining += stream.remaining_share - share
         if stream.first_event_at < 0.0:
             stream.first_event_at = now
             self._discard_unread(stream, now)
@@ -369,7 +386,6 @@
         took_s = now - stream.gap_from
         if took_s < GAP_MEASURED_S:
             return
-        work = self._engines.get(stream.engine)
         running = len(work.streams) if work else 1
         event_s = took_s / stream.gap_events
         if speed.is_gap_measured:
@@ -404,6 +420,7 @@
         self._discard_unread(stream, now)
         del work.streams[stream]
         work.memory_tokens -= stream.cost.memory_tokens
+        work.remaining -= stream.remaining_share
         if not work.streams:
             del self._engines[stream.engine]
         if stream.outstanding is not None:
--- a/src/applespring/core/engines/pool_speed.py
+++ b/src/applespring/core/engines/pool_speed.py
@@ -92,7 +92,9 @@
             unread_tokens: Prompt tokens that the engine reads until then.
             running: Other requests that it runs.
         """
-        return self._first.estimate((1.0, unread_tokens, running))
+        # Written out, since it is computed for each engine of a choice.
+        fixed_s, read_s, running_s = self._first.coefficients
+        return fixed_s + unread_tokens * read_s + running * running_s
 
     def event_s(self, running: float) -> float:
         """Returns the expected time between two events of a stream.
@@ -100,7 +102,8 @@
         Args:
             running: Other requests that the engine runs.
         """
-        return self._gap.estimate((1.0, running))
+        fixed_s, running_s = self._gap.coefficients
+        return fixed_s + running * running_s
 
     def record_first_event(
         self, unread_tokens: float, running: float, took_s: float
--- a/src/applespring/core/engines/regression.py
+++ b/src/applespring/core/engines/regression.py
@@ -52,14 +52,6 @@
         self._moments = [[0.0] * size for _ in range(size)]
         self._products = [0.0] * size
 
-    def estimate(self, terms: Sequence[float]) -> float:
-        """Returns the expected result.
-
-        Args:
-            terms: Values of the terms, in the order of the coefficients.
-        """
-        return sum(c * t for c, t in zip(self.coefficients, terms, strict=True))
-
     def record(
         self, terms: Sequence[float], result: float, weight: float
     ) -> None:
