--- a/features/engine_cost.feature
+++ b/features/engine_cost.feature
@@ -70,6 +70,22 @@
     When dear gets requests of 8 times the tokens and slow takes 4 times as long for 1 s
     Then a prefix is fetched from dear, but not from slow
 
+  Scenario Outline: A request that no engine can begin in time is refused at once
+    Guards against work on stages of a request whose caller leaves before an
+    engine has read its prompt, and against a refusal while one is free.
+    Given a relay with the engines a, b
+    And the engine sends the events 1 to 3 and ends
+    And engines are chosen by <choice> cost, and a has <a> and b <b> tokens to read
+    When a caller sends a stream request
+    Then it is answered <status>
+    And <count> upstreams got the request
+
+    Examples:
+      | choice  | a       | b       | status | count |
+      | learned | 9000000 | 9000000 | 503    | 0     |
+      | learned | 9000000 | 0       | 200    | 1     |
+      | fixed   | 9000000 | 9000000 | 200    | 1     |
+
   Scenario Outline: First events come earlier than by the fixed choice
     Load pattern: requests that look alike, of 1 to 10 times the least cost, at
     engines of speeds 0.6, 1 and 1.6, of which one slows by 4 for 5 s.
--- a/features/steps/engine_cost_steps.py
+++ b/features/steps/engine_cost_steps.py
@@ -19,9 +19,9 @@
 SEED = 1
 
 
-def make_cost(tokens, **fields):
+def make_cost(tokens, pool="llm", **fields):
     return StreamCost(
-        "llm",
+        pool,
         "r",
         tokens_in=tokens,
         tokens_max=0,
@@ -332,6 +332,29 @@
     assert extra_s(context, 0.1) == 0.0
 
 
+@given(
+    "engines are chosen by {choice} cost, and a has {a:d} and b {b:d} tokens "
+    "to read"
+)
+def given_unread(context, choice, a, b):
+    context.world.settings["choice"] = choice
+
+    def prepare():
+        state = context.world.instances["one"].state
+        learned = state.engines.learned
+        if learned is None:
+            return
+        for _ in range(200):
+            learned.speed("engines").record_first_event(1000, 0, 0.05)
+        for name, tokens in (("a", a), ("b", b)):
+            engine = make_upstream(name, "engines")
+            learned.start(
+                engine, tokens, make_cost(tokens, "engines"), state.clock()
+            )
+
+    context.preparations.append(prepare)
+
+
 @given("{count:d} engines and requests for {load:g} of their capacity")
 def given_engines(context, count, load):
     context.play = lambda choice, instances, seconds: QueueModel(
