--- a/src/applespring/core/engines/learned.py
+++ b/src/applespring/core/engines/learned.py
@@ -138,6 +138,18 @@
         total = PRIOR_SAMPLES * own + weight * heard.sample_mean()
         return total / (PRIOR_SAMPLES + weight)
 
+    def slowness_range(self, now: float) -> tuple[float, float]:
+        """Returns the slowness of the fastest and of the slowest engine.
+
+        Of those that this instance has observed lately; 1 if there are none.
+        """
+        found = [
+            self._own.slowness(identity, now)
+            for identity, observed_at in self._observed.values()
+            if now - observed_at <= OBSERVED_MAX_AGE_S
+        ]
+        return min(found, default=1.0), max(found, default=1.0)
+
     def totals(self, pool: str, now: float) -> dict[str, EngineTotals]:
         """Returns what other instances have at each engine; see `PeerWork`."""
         speed = self.speed(pool)
--- a/src/applespring/core/engines/peer_work.py
+++ b/src/applespring/core/engines/peer_work.py
@@ -82,14 +82,17 @@
         """
         totals: dict[str, EngineTotals] = {}
         for sender, rows in list(self._senders.items()):
-            heard = False
+            heard, counted_at = False, math.nan
             for name, (requests, tokens, work_s, told_at) in rows.items():
                 age_s = max(0.0, now - told_at)
                 if age_s > NEWS_MAX_AGE_S:
                     continue
                 heard = True
-                unread = math.exp(-age_s / read_after_s)
-                running = math.exp(-age_s / ends_after_s)
+                if told_at != counted_at:
+                    # Rows of one message have the same age.
+                    counted_at = told_at
+                    unread = math.exp(-age_s / read_after_s)
+                    running = math.exp(-age_s / ends_after_s)
                 total = totals.get(name)
                 if total is None:
                     total = totals[name] = EngineTotals()
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -167,6 +167,12 @@
         }
         for pool, length in self.scheduler.queue_lengths().items():
             gauges[(f"queue_{pool}",)] = float(length)
+        learned = self.state.engines.learned
+        if learned is not None:
+            (
+                gauges[("engine_slowness_least",)],
+                gauges[("engine_slowness_most",)],
+            ) = learned.slowness_range(now)
         self._components.metrics.gauges.replace(gauges)
         return 200, self._components.metrics.render()
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1,5 +1,6 @@
 """The guards that `tools/run_guards.py` removes, one at a time."""
 
+from engine_guards import ENGINE_GUARDS
 from guard import Guard
 from relay_guards import RELAY_GUARDS
 
@@ -203,4 +204,5 @@
         ("policy", "One refused connection ejects"),
     ),
     *RELAY_GUARDS,
+    *ENGINE_GUARDS,
 )
