--- a/features/engine_cost.feature
+++ b/features/engine_cost.feature
@@ -22,6 +22,19 @@
       | constant     | right at the median     | 1.0   |
       | constant     | none                    | 1.05  |
 
+  Scenario Outline: A length hint that is no number is no reason for a refusal
+    Guards against a request that is refused because of an estimate.
+    When a request has the length hint "<text>"
+    Then its hint is <hint> tokens
+
+    Examples:
+      | text                  | hint |
+      | 120                   | 120  |
+      | -5                    | 0    |
+      | many                  | 0    |
+      | 1e9                   | 0    |
+      | 999999999999999999999 | 0    |
+
   Scenario: Estimated lengths are bounded in number
     Guards against memory that grows with every route of a configuration.
     When answers of 2000 routes are recorded
--- a/features/steps/engine_cost_steps.py
+++ b/features/steps/engine_cost_steps.py
@@ -9,6 +9,7 @@
 from applespring.core.engines.answer_lengths import AnswerLength, AnswerLengths
 from applespring.core.engines.learned import LearnedEngines
 from applespring.core.engines.stream_cost import StreamCost
+from applespring.platform.wire import PlatformProtocol
 from features.fixtures.engine_queues import TOKENS_PER_S, QueueModel
 from features.fixtures.relay import make_upstream
 
@@ -113,6 +114,17 @@
     assert error <= share * mean_error, (error, mean_error)
 
 
+@when('a request has the length hint "{text}"')
+def when_hint(context, text):
+    headers = [(b"Request-Id", b"1"), (b"Length-Hint", text.encode())]
+    context.req = PlatformProtocol().decode_request("POST", b"/", headers)
+
+
+@then("its hint is {hint:d} tokens")
+def then_hint(context, hint):
+    assert context.req.tokens_hint == hint
+
+
 @when("answers of {count:d} routes are recorded")
 def when_routes(context, count):
     context.lengths = AnswerLengths()
--- a/src/applespring/core/engines/attempt.py
+++ b/src/applespring/core/engines/attempt.py
@@ -39,6 +39,7 @@
         unread_tokens: int,
         cost: StreamCost | None,
         now: float,
+        fetched_tokens: int = 0,
     ) -> None:
         """Records that the stream is sent.
 
@@ -50,6 +51,9 @@
             cost: Estimated cost of the stream, or None if costs are not
                 learned.
             now: Current time.
+            fetched_tokens: Those of them that it gets from another engine.
+                What was cached there may be less, so they count as unread in
+                the engine's load.
         """
         self.expected_s = -1.0
         self.first_event_s = -1.0
@@ -62,12 +66,13 @@
         self._stream = None
         self._events_at = now
         if engines.learned is not None and cost is not None:
+            read_tokens = unread_tokens - fetched_tokens
             totals = engines.learned.totals(cost.pool, now)
             self.expected_s = engines.learned.first_event_s(
-                upstream, unread_tokens, cost, totals, now
+                upstream, read_tokens, cost, totals, now
             )
             self._stream = engines.learned.start(
-                upstream, unread_tokens, cost, now
+                upstream, read_tokens, cost, now
             )
 
     def record_first_event(self, now: float) -> None:
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -537,6 +537,9 @@
             upstream.name, [p for p, _ in parts], unread_tokens, started_at
         )
         pool = exchange.document.pools.get(exchange.pool)
+        fetched_tokens = 0
+        if source_engine is not None:
+            fetched_tokens = max(0, unread_tokens - parts[-1][1])
         at_engine = EngineAttempt(
             engines,
             self._state.first_event(exchange.pool),
@@ -544,6 +547,7 @@
             unread_tokens,
             make_cost(self._state, exchange),
             started_at,
+            fetched_tokens,
         )
         is_whole = not splitter.last_id
         exchange.sent = True
