--- a/src/applespring/core/choice/slowness.py
+++ b/src/applespring/core/choice/slowness.py
@@ -39,6 +39,11 @@
 OUTSTANDING_MAX = 256
 # Requests in progress that are compared with their expected time: the oldest.
 OVERDUE_LOOKED_AT = 4
+# Differences of less than this many standard errors do not count: the least of
+# many estimates would be the one with the largest error.
+ERRORS_SHRUNK = 2.0
+# Variance of the ratios until enough samples show it.
+VARIANCE_PRIOR = 0.25
 # An upstream counts in `SlownessTable.spread` from this weight of samples on.
 SPREAD_WEIGHT_MIN = 3.0
 
@@ -75,7 +80,7 @@
     def __init__(self) -> None:
         self.lasting = DecayedMean(1.0, LASTING_HALF_LIFE_S)
         self.momentary = DecayedMean(1.0, MOMENTARY_HALF_LIFE_S)
-        self.squares = DecayedMean(1.0, LASTING_HALF_LIFE_S)
+        self.squares = DecayedMean(VARIANCE_PRIOR, LASTING_HALF_LIFE_S)
         self.outstanding: dict[Outstanding, None] = {}
         self.reported = 1.0
         self.reported_at = -math.inf
@@ -85,13 +90,42 @@
         age_s = max(0.0, now - self.reported_at)
         return self.reported ** (0.5 ** (age_s / REPORT_HALF_LIFE_S))
 
+    def settled(self, now: float) -> float:
+        """Returns the lasting term without what its samples may not show."""
+        return _shrink(
+            self.lasting.mean(now), 1.0, self._error(self.lasting, now)
+        )
+
+    def learned(self, now: float, late: float) -> float:
+        """Returns both terms together.
+
+        Args:
+            now: Current time in seconds.
+            late: Time of a request in progress by its expected time.
+        """
+        momentary = self.momentary
+        settled = momentary.prior_s = self.settled(now)
+        mean, weight = momentary.mean(now), momentary.weight(now)
+        if late > mean:
+            # It counts as a sample of at least that time, in place of one of
+            # the prior's.
+            weight += 1.0
+            replaced = settled if weight <= PRIOR_SAMPLES else mean
+            mean += (late - replaced) / max(weight, PRIOR_SAMPLES)
+        error = math.sqrt(self.squares.mean(now) / max(weight, PRIOR_SAMPLES))
+        return _shrink(mean, settled, error)
+
+    def _error(self, mean: DecayedMean, now: float) -> float:
+        """Returns the standard error of a mean of ratios."""
+        weight = max(PRIOR_SAMPLES, mean.weight(now))
+        return math.sqrt(self.squares.mean(now) / weight)
+
     def add(self, ratio: float, now: float) -> None:
         ratio = _bounded(ratio)
         mean = self.lasting.mean(now)
         step = min(max(ratio, mean / LASTING_STEP_MAX), mean * LASTING_STEP_MAX)
         self.lasting.add(step, now)
-        self.squares.add(step * step, now)
-        self.momentary.prior_s = self.lasting.mean(now)
+        self.squares.add((step - mean) * (step - mean), now)
         self.momentary.add(ratio, now)
 
 
@@ -189,18 +223,9 @@
         upstream = self._upstreams.get(identity)
         if upstream is None:
             return 1.0
-        momentary = upstream.momentary
-        momentary.prior_s = upstream.lasting.mean(now)
-        learned = momentary.mean(now)
         factor = upstream.report_factor(now)
         late = self.overdue(identity, now) / factor
-        if late > learned:
-            # A request that has not ended counts as a sample of at least the
-            # time that it has taken, in place of one of the prior's.
-            weight = momentary.weight(now) + 1.0
-            replaced = momentary.prior_s if weight <= PRIOR_SAMPLES else learned
-            learned += (late - replaced) / max(weight, PRIOR_SAMPLES)
-        return learned * factor
+        return upstream.learned(now, late) * factor
 
     def spread(self, identities: Iterable[Identity], now: float) -> float:
         """Returns how much upstreams differ in speed.
@@ -223,8 +248,7 @@
                 continue
             mean = upstream.lasting.sample_mean()
             means.append(mean)
-            variance = upstream.squares.sample_mean() - mean * mean
-            errors.append(max(0.0, variance) / (weight - 1.0))
+            errors.append(upstream.squares.sample_mean() / (weight - 1.0))
         count = len(means)
         if count < 2:
             return 0.0
@@ -252,3 +276,14 @@
 
 def _bounded(ratio: float) -> float:
     return min(RATIO_MAX, max(RATIO_MIN, ratio))
+
+
+def _shrink(value: float, towards: float, error: float) -> float:
+    """Returns a value moved by `ERRORS_SHRUNK` errors, at most to another.
+
+    Soft thresholding (Donoho and Johnstone, 1994).
+    """
+    by = ERRORS_SHRUNK * error
+    if value > towards:
+        return max(towards, value - by)
+    return min(towards, value + by)
