Decode what upstreams say of their load

The header Server-Load (running, waiting, slots and how long work takes at the moment) was not read. A malformed one is ignored and named in the log line of rejected notices.

--- a/features/choice_slowness.feature
+++ b/features/choice_slowness.feature
@@ -51,3 +51,28 @@
   Scenario: Upstreams are bounded in number
     When 5000 upstreams answer a request
     Then at most 2048 of them are remembered
+
+  Scenario Outline: Values of a load
+    Guards against a malformed load that ends a read or counts as a slow
+    upstream, and against a later figure that is taken for an error.
+    When an answer names the load "<value>"
+    Then the load is <load>, with <rejected> values rejected
+
+    Examples:
+      | value              | load           | rejected |
+      | 3,2,6,150          | 3, 2, 6 at 150 | 0        |
+      | 3, 2, 6, 99.5      | 3, 2, 6 at 99.5 | 0       |
+      | 3,2,6              | 3, 2, 6        | 0        |
+      | 3,2,6,150,7        | 3, 2, 6 at 150 | 0        |
+      | 3,2                | unknown        | 1        |
+      | a,2,6,150          | unknown        | 1        |
+      | -1,2,6,150         | unknown        | 1        |
+      | 3,2,6,0            | unknown        | 1        |
+      | 3,2,6,nan          | unknown        | 1        |
+      | 3,2,6,1e9          | unknown        | 1        |
+      | 3,2,99999999999,90 | unknown        | 1        |
+      | 3,2,6,             | unknown        | 1        |
+
+  Scenario: No load is no fault
+    When an answer names no load
+    Then the load is unknown, with 0 values rejected
--- a/features/steps/choice_slowness_steps.py
+++ b/features/steps/choice_slowness_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from applespring.core.choice.slowness import SlownessTable
+from applespring.platform.wire import PlatformProtocol
 
 UPSTREAM = ("a", 1)
 WARM_S = 10.0
@@ -130,3 +131,24 @@
 @then("at most {count:d} of them are remembered")
 def then_bounded(context, count):
     assert len(context.slowness) <= count
+
+
+@when('an answer names the load "{value}"')
+def when_load(context, value):
+    headers = [(b"Server-Load", value.encode())]
+    context.report = PlatformProtocol().decode_reply(200, headers).self_report
+
+
+@when("an answer names no load")
+def when_no_load(context):
+    context.report = PlatformProtocol().decode_reply(200, []).self_report
+
+
+@then("the load is {expected}, with {rejected:d} values rejected")
+def then_load(context, expected, rejected):
+    load, found = context.report.load, "unknown"
+    if load is not None:
+        found = f"{load.running}, {load.waiting}, {load.slots}"
+        if load.slowness_percent is not None:
+            found += f" at {load.slowness_percent:g}"
+    assert (found, len(context.report.rejected)) == (expected, rejected), found
--- a/src/applespring/core/self_report.py
+++ b/src/applespring/core/self_report.py
@@ -14,9 +14,39 @@
 PAUSE_STATUSES = frozenset([429, 503])
 # Highest rate limit that is kept apart from none; a higher one counts as this.
 RATE_LIMIT_MAX_PER_S = 1e6
+# Largest number of requests or slots that a load is believed to have.
+LOAD_COUNT_MAX = 1_000_000
+# Largest slowness, in percent, that a load is believed to have.
+SLOWNESS_MAX = 100_000.0
 _DECIMAL = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 
 
+class LoadReport:
+    """What an upstream says of its load.
+
+    Attributes:
+        running: Requests that it executes.
+        waiting: Requests that wait there.
+        slots: Requests that it executes at the same time.
+        slowness_percent: How long work takes on its machine at this moment,
+            100 as usual, or None if it does not say.
+    """
+
+    __slots__ = ("running", "waiting", "slots", "slowness_percent")
+
+    def __init__(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        slowness_percent: float | None = None,
+    ) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.slowness_percent = slowness_percent
+
+
 class SelfReport:
     """What one answer says of its upstream.
 
@@ -29,6 +59,7 @@
         rate_limit_known: Whether it shows the limit in force; False if a
             malformed value leaves that open.
         refuses: Whether its status is one of `PAUSE_STATUSES`.
+        load: Its load, or None if it does not say.
         rejected: A sentence on each value that is out of range or malformed.
     """
 
@@ -38,6 +69,7 @@
         "rate_limit",
         "rate_limit_known",
         "refuses",
+        "load",
         "rejected",
     )
 
@@ -49,6 +81,7 @@
         rate_limit: float | None = None,
         rate_limit_known: bool = False,
         refuses: bool = False,
+        load: LoadReport | None = None,
         rejected: Sequence[str] = (),
     ) -> None:
         self.leaving = leaving
@@ -56,6 +89,7 @@
         self.rate_limit = rate_limit
         self.rate_limit_known = rate_limit_known or rate_limit is not None
         self.refuses = refuses
+        self.load = load
         self.rejected = tuple(rejected)
 
     @property
@@ -68,7 +102,7 @@
         )
 
     def __bool__(self) -> bool:
-        """Whether it says anything."""
+        """Whether it says anything beside its load."""
         return (
             self.leaving
             or self.pause_s is not None
@@ -83,18 +117,22 @@
     leaving: bool,
     retry_after: str | None,
     rate_limits: Sequence[str] = (),
+    load: str | None = None,
 ) -> SelfReport:
     """Returns what an answer says of its upstream.
 
     A Retry-After counts only with `PAUSE_STATUSES`. One that is no decimal
     number of seconds is ignored, also a date, since clocks differ. One above
-    `PAUSE_MAX_S` is shortened. Of several rate limits the lowest counts.
+    `PAUSE_MAX_S` is shortened. Of several rate limits the lowest counts. A
+    load with a malformed figure is ignored.
 
     Args:
         status: HTTP status.
         leaving: Whether a header says that the upstream leaves.
         retry_after: Value of the Retry-After header, or None.
         rate_limits: Values of the headers that name a rate limit.
+        load: Running and waiting requests and slots, separated by commas, and
+            the slowness in percent if it is known; or None.
     """
     rejected: list[str] = []
     pause_s = None
@@ -107,6 +145,7 @@
         rate_limit=rate_limit,
         rate_limit_known=rate_limit is not None or not rate_limits,
         refuses=status in PAUSE_STATUSES,
+        load=None if load is None else _decode_load(load, rejected),
         rejected=rejected,
     )
 
@@ -145,3 +184,29 @@
             f"{max(limits):g} a second; the lowest counts"
         )
     return min(limits, default=None)
+
+
+def _decode_load(text: str, rejected: list[str]) -> LoadReport | None:
+    figures = [figure.strip() for figure in text.split(",")]
+    counts, rest = figures[:3], figures[3:4]
+    if len(counts) < 3 or not all(
+        re.fullmatch(r"\d{1,7}", count, re.ASCII)
+        and int(count) <= LOAD_COUNT_MAX
+        for count in counts
+    ):
+        rejected.append(
+            f"load {text[:40]!r} has no three counts from 0 to {LOAD_COUNT_MAX}"
+        )
+        return None
+    if not rest:
+        return LoadReport(*map(int, counts))
+    if not (
+        _DECIMAL.fullmatch(rest[0])
+        and 0.0 < (percent := float(rest[0])) <= SLOWNESS_MAX
+    ):
+        rejected.append(
+            f"slowness {rest[0][:40]!r} of a load is no number above 0 and up "
+            f"to {SLOWNESS_MAX:g}"
+        )
+        return None
+    return LoadReport(*map(int, counts), percent)
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -264,6 +264,9 @@
         ]
         if b"server-limit" in by_name
         else (),
+        load=by_name[b"server-load"].decode("latin-1")
+        if b"server-load" in by_name
+        else None,
     )
 
 
