Add the switch between fixed and learned choice of plain upstreams

With learned, instances tell the work of at most 3 plain upstreams in a heartbeat, an upstream's own speed counts, and the log line of an attempt has cost_s and expected_s.

--- a/src/applespring/core/choice/plain.py
+++ b/src/applespring/core/choice/plain.py
@@ -13,6 +13,7 @@
     FAILED_PAUSE_MAX_S,
     FAILED_PAUSE_S,
 )
+from applespring.core.self_report import LoadReport
 
 # Cost until the first answer of a pool. It is a unit only: until then all its
 # upstreams are compared by the same cost.
@@ -241,10 +242,40 @@
             if load.sent
         }
 
-    def expected_s(self, features: RequestFeatures, now: float) -> float | None:
-        """Returns the expected cost of a request, or None if none is known."""
+    def record_peer_work(
+        self, sender: str, work_s: Mapping[str, float], now: float
+    ) -> None:
+        """Records the work in seconds that another instance has told."""
+        self.peers.record(sender, work_s, now)
+
+    def record_load(
+        self, upstream: ListedUpstream, load: LoadReport, now: float
+    ) -> None:
+        """Records what an upstream says of its load.
+
+        Only its speed counts: its requests are those of the instances, whose
+        work is known by request.
+        """
+        if load.slowness_percent is not None:
+            self.slowness.report(upstream.identity, load.slowness_percent, now)
+
+    def mean_s(
+        self,
+        upstreams: Sequence[ListedUpstream],
+        features: RequestFeatures,
+        now: float,
+    ) -> float:
+        """Returns the expected time of a request at the fastest of these.
+
+        0 if no cost is known yet.
+        """
         estimate = self.costs.estimate(features, now)
-        return estimate.mean_s if estimate else None
+        if estimate is None:
+            return 0.0
+        return estimate.mean_s * min(
+            (self.slowness.slowness(u.identity, now) for u in upstreams),
+            default=1.0,
+        )
 
     def remove(self, name: str) -> None:
         """Discards the state of a removed upstream unless it has requests."""
--- a/src/applespring/platform/main.py
+++ b/src/applespring/platform/main.py
@@ -10,18 +10,23 @@
 from applespring.platform.store import Store
 from applespring.platform.wire import PlatformProtocol
 from applespring.relay.compose import run_instance
+from applespring.relay.settings import RelaySettings
 
 
 def serve(
     *,
     config: pathlib.Path,
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO",
+    upstream_choice: Literal["fixed", "learned"] = "fixed",
 ) -> int:
     """Serves callers until SIGTERM, then drains.
 
     Args:
         config: The platform's settings file.
         log_level: Lowest level of log lines.
+        upstream_choice: How an upstream is chosen among those that may get a
+            request: by their mean call times ("fixed"), or by what the request
+            is likely to cost and what each still has to do ("learned").
 
     Returns:
         0 after a drain.
@@ -29,12 +34,17 @@
     Raises:
         SettingsError: The settings file is missing or malformed.
     """
-    settings = read_settings(config)
+
+    def read() -> RelaySettings:
+        settings = read_settings(config)
+        settings.choice = upstream_choice
+        return settings
+
     return run_instance(
-        settings,
+        read(),
         PlatformProtocol(),
         lambda transport, address: PlatformRegistry(Store(transport, address)),
-        lambda: read_settings(config),
+        read,
         log_level,
     )
 
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskStatus
 
 from applespring.core.catalog import ListedUpstream
+from applespring.core.plain_choice import make_plain_choice
 from applespring.peer import message
 from applespring.peer.transport import Transport
 from applespring.permits.broker import PermitBroker
@@ -80,10 +81,16 @@
         self.peers.set_limit_exchange(
             self._permits.list_limits, self._permits.receive
         )
+        plain_choice = make_plain_choice(settings.choice, settings.name)
         self._client = UpstreamClient(
             protocol,
             self.state.reachability,
-            NoticeRecorder(self.state, self.metrics, self._permits.announce),
+            NoticeRecorder(
+                self.state,
+                self.metrics,
+                self._permits.announce,
+                plain_choice.record_load,
+            ),
             self._permits,
             clock,
             make_pool,
@@ -120,6 +127,7 @@
             self.peers,
             self.crash_watch,
             self.metrics,
+            plain_choice,
         )
         streams = StreamForwarder(
             self.state,
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -7,7 +7,7 @@
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.notices import Notice
-from applespring.core.self_report import SelfReport
+from applespring.core.self_report import LoadReport, SelfReport
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.state import RelayState
 
@@ -18,18 +18,27 @@
 class NoticeRecorder:
     """Passes each answer's self-report to the notices of the instance."""
 
-    __slots__ = ("_state", "_metrics", "_announce_limits")
+    __slots__ = ("_state", "_metrics", "_announce_limits", "_record_load")
 
     def __init__(
         self,
         state: RelayState,
         metrics: RelayMetrics,
         announce_limits: Callable[[], None],
+        record_load: Callable[[ListedUpstream, LoadReport, float], None],
     ) -> None:
-        """Sets what is called when an answer changes a rate limit."""
+        """Sets the state and the callbacks.
+
+        Args:
+            state: State of the instance.
+            metrics: Metrics that count what answers say.
+            announce_limits: Called when an answer changes a rate limit.
+            record_load: Called with each load that an answer tells, and when.
+        """
         self._state = state
         self._metrics = metrics
         self._announce_limits = announce_limits
+        self._record_load = record_load
 
     def record(
         self,
@@ -51,6 +60,8 @@
             status: HTTP status of the answer.
             sent_at: When the request was sent.
         """
+        if report.load is not None:
+            self._record_load(upstream, report.load, self._state.clock())
         if not report and not self._state.notices.limits:
             return
         log = logger.bind(
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -9,9 +9,11 @@
 
 from applespring.core import reason
 from applespring.core.catalog import ListedUpstream
+from applespring.core.choice.cost import RequestFeatures
+from applespring.core.choice.plain import SentRequest
 from applespring.core.errors import FailureKind, RefusalError, StageError
 from applespring.core.notices import spread_return_s
-from applespring.core.plain_selector import PlainSelector
+from applespring.core.plain_choice import PlainChoice
 from applespring.core.route import PoolSpec
 from applespring.core.verdict import Verdict, combine
 from applespring.permits.broker import Permit, PermitBroker
@@ -72,6 +74,7 @@
         peers: Peers,
         crash_watch: CrashWatch,
         metrics: RelayMetrics,
+        selector: PlainChoice,
     ) -> None:
         self._state = state
         self._client = client
@@ -80,7 +83,7 @@
         self._peers = peers
         self._crash_watch = crash_watch
         self._metrics = metrics
-        self.selector = PlainSelector()
+        self.selector = selector
 
     async def forward(self, exchange: Exchange) -> None:
         """Sends the answer of an upstream to the caller.
@@ -208,7 +211,10 @@
             exchange.pool, exchange.request_id
         )
         untried = [u for u in usable if u.name not in tried]
-        run_s = self.selector.mean_s(usable)
+        features = _features(exchange)
+        now = self._state.clock()
+        run_s = self.selector.mean_s(usable, features, now)
+        instances = 1 + len(self._peers.table.reachable(now))
         return await self._permits.choose(
             untried or usable,
             lambda upstreams: self.selector.choose(
@@ -216,6 +222,8 @@
                 self._state.settings.failure_domain,
                 tried,
                 self._state.clock(),
+                features,
+                instances,
             ),
             min(exchange.target_at - run_s, exchange.refuse_at),
         )
@@ -300,7 +308,7 @@
         clock = self._state.clock
         started_at = clock()
         pool = exchange.document.pools.get(exchange.pool)
-        self.selector.start_request(upstream.name)
+        sent = self.selector.start(upstream, _features(exchange), started_at)
         exchange.sent = True
         headers = self._protocol.encode_request(
             exchange.req,
@@ -318,7 +326,12 @@
                     self._crash_watch, watched, upstream, lambda: False
                 ),
                 record_attempt(
-                    attempt, exchange, upstream, self._state, self._metrics
+                    attempt,
+                    exchange,
+                    upstream,
+                    self._state,
+                    self._metrics,
+                    **_estimates(sent),
                 ),
                 _enforce_timeout(timeout_s, upstream),
             ):
@@ -360,11 +373,30 @@
         finally:
             now = clock()
             if attempt.turned_away:
-                self.selector.cancel_request(upstream.name)
+                self.selector.cancel(sent)
             else:
-                self.selector.end_request(
-                    upstream.name, now, now - started_at, attempt.failed
-                )
+                self.selector.end(sent, now, attempt.failed)
+
+
+def _features(exchange: Exchange) -> RequestFeatures:
+    """Returns what is known of the cost of a request before it is sent."""
+    return RequestFeatures(
+        exchange.req.request_id,
+        exchange.pool,
+        exchange.route.name,
+        exchange.account_name,
+        len(exchange.req.body),
+    )
+
+
+def _estimates(sent: SentRequest) -> dict[str, float]:
+    """Returns the fields of a log line on the expected time of a request."""
+    if sent.cost_s is None or sent.expected_s is None:
+        return {}
+    return {
+        "cost_s": round(sent.cost_s, 4),
+        "expected_s": round(sent.expected_s, 4),
+    }
 
 
 @contextmanager
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -28,6 +28,8 @@
         cold_overshoot: Multiple of a pool's cold rate that a cold upstream of
             it may get in a second, or None if no bound is in force.
         cold_slack: Requests a second that it may get on top of that.
+        choice: How upstreams of equal standing are chosen: "fixed" by mean
+            call times, "learned" by expected cost and remaining work.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         "regions",
         "cold_overshoot",
         "cold_slack",
+        "choice",
     )
 
     def __init__(
@@ -72,6 +75,7 @@
         regions: Mapping[str, str] | None = None,
         cold_overshoot: float | None = None,
         cold_slack: float = 0.0,
+        choice: str = "fixed",
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -91,3 +95,4 @@
         self.regions = dict(regions or {})
         self.cold_overshoot = cold_overshoot
         self.cold_slack = cold_slack
+        self.choice = choice
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -49,6 +49,8 @@
 # Longest queue wait that is reported; that of a pool without upstreams is
 # infinite.
 REPORTED_WAIT_MAX_S = 60.0
+# Loads of plain pools in a heartbeat; engines have the other places.
+PLAIN_LOADS_MAX = 3
 
 
 class Watcher:
@@ -328,8 +330,24 @@
         loads = self._state.engines.local_loads()
         ranked = sorted(loads.items(), key=lambda item: -item[1][1])
         return [
-            message.UpstreamLoad(upstream=name, requests=count, tokens=tokens)
-            for name, (count, tokens) in ranked
+            *self._plain_loads(),
+            *(
+                message.UpstreamLoad(
+                    upstream=name, requests=count, tokens=tokens
+                )
+                for name, (count, tokens) in ranked
+            ),
+        ]
+
+    def _plain_loads(self) -> list[message.UpstreamLoad]:
+        """Returns the largest loads of plain pools, if they are told."""
+        work = self._plain.selector.local_work(self._state.clock())
+        ranked = sorted(work.items(), key=lambda item: -item[1][1])
+        return [
+            message.UpstreamLoad(
+                upstream=name, requests=count, tokens=0, work_s=work_s
+            )
+            for name, (count, work_s) in ranked[:PLAIN_LOADS_MAX]
         ]
 
     def queue_waits(self) -> list[message.PoolWait]:
@@ -359,6 +377,15 @@
             },
             now,
         )
+        self._plain.selector.record_peer_work(
+            sender,
+            {
+                load.upstream: load.work_s
+                for load in gossip.loads
+                if load.work_s > 0.0
+            },
+            now,
+        )
         for wait in gossip.waits:
             self._state.queue_waits.put(
                 wait.pool, wait.on_time_s, wait.whole_s, wait.opens_in_s, now
