--- a/src/applespring/core/engines/learned.py
+++ b/src/applespring/core/engines/learned.py
@@ -20,9 +20,9 @@
 from applespring.core.engines.stream_cost import SentStream, StreamCost
 from applespring.core.latency import PRIOR_SAMPLES, DecayedMean
 
-# Rows of a message that go to the engines with the most work; the other rows go
-# to the remaining engines in turn.
-MOST_ROWS = 5
+# Rows of a full message that go to engines in turn; the others go to those with
+# the most work.
+ROWS_IN_TURN = 3
 # Events of a stream are measured together for at least this time, so that a
 # measurement costs little beside forwarding them.
 GAP_MEASURED_S = 0.1
@@ -177,14 +177,18 @@
             del self._heard[next(iter(self._heard))]
 
     def list_loads(
-        self, now: float
+        self, now: float, rows_max: int = ROWS_MAX
     ) -> dict[str, tuple[int, int, float, float]]:
         """Returns what this instance tells others of its requests.
 
+        Args:
+            now: Current time.
+            rows_max: Most engines to return, more than `ROWS_IN_TURN`.
+
         Returns:
             Requests, unread prompt tokens, seconds of work and observed
-            slowness (0 if none) by engine, at most `ROWS_MAX`: those with the
-            most work first, the others in turn.
+            slowness (0 if none) by engine: those with the most work first, the
+            others in turn.
         """
         loads = {}
         self._observed = {
@@ -203,17 +207,18 @@
                 self._work_s(work, now) if work else 0.0,
                 slowness,
             )
-        if len(loads) <= ROWS_MAX:
+        if len(loads) <= rows_max:
             return loads
+        most_rows = rows_max - ROWS_IN_TURN
         ranked = sorted(loads, key=lambda name: (-loads[name][2], name))
-        others = sorted(ranked[MOST_ROWS:])
+        others = sorted(ranked[most_rows:])
         self._messages += 1
-        first = self._messages * (ROWS_MAX - MOST_ROWS)
+        first = self._messages * ROWS_IN_TURN
         in_turn = [
             others[(first + offset) % len(others)]
-            for offset in range(ROWS_MAX - MOST_ROWS)
+            for offset in range(ROWS_IN_TURN)
         ]
-        return {name: loads[name] for name in (*ranked[:MOST_ROWS], *in_turn)}
+        return {name: loads[name] for name in (*ranked[:most_rows], *in_turn)}
 
     def _work_s(self, work: _EngineWork, now: float) -> float:
         first = next(iter(work.streams))
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -28,8 +28,8 @@
         cold_overshoot: Multiple of a pool's cold rate that a cold upstream of
             it may get in a second, or None if no bound is in force.
         cold_slack: Requests a second that it may get on top of that.
-        choice: How upstreams are chosen: "fixed", or "learned" by what requests
-            cost and how fast upstreams are.
+        choice: How upstreams of equal standing are chosen: "fixed" by mean
+            call times, "learned" by expected cost and remaining work.
     """
 
     __slots__ = (
