--- a/src/applespring/platform/main.py
+++ b/src/applespring/platform/main.py
@@ -18,6 +18,7 @@
     config: pathlib.Path,
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO",
     stage_order: Literal["priority", "deadline"] = "priority",
+    upstream_choice: Literal["fixed", "learned"] = "fixed",
 ) -> int:
     """Serves callers until SIGTERM, then drains.
 
@@ -26,6 +27,9 @@
         log_level: Lowest level of log lines.
         stage_order: Order in which pieces of stages are called: by priority, or
             by deadline as long as all can be on time.
+        upstream_choice: How an upstream is chosen among those that may get a
+            request: by their mean call times ("fixed"), or by what the request
+            is likely to cost and what each still has to do ("learned").
 
     Returns:
         0 after a drain.
@@ -37,6 +41,7 @@
     def read() -> RelaySettings:
         settings = read_settings(config)
         settings.stage_order = stage_order
+        settings.choice = upstream_choice
         return settings
 
     return run_instance(
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -32,6 +32,8 @@
         cold_slack: Requests a second that it may get on top of that.
         stage_order: Name of the order of service of stage pools, one of
             `core.queueing.service_order.ORDERS`.
+        choice: How upstreams of equal standing are chosen: "fixed" by mean
+            call times, "learned" by expected cost and remaining work.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "cold_overshoot",
         "cold_slack",
         "stage_order",
+        "choice",
     )
 
     def __init__(
@@ -78,6 +81,7 @@
         cold_overshoot: float | None = None,
         cold_slack: float = 0.0,
         stage_order: str = DEFAULT_ORDER,
+        choice: str = "fixed",
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -98,3 +102,4 @@
         self.cold_overshoot = cold_overshoot
         self.cold_slack = cold_slack
         self.stage_order = stage_order
+        self.choice = choice
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -6,6 +6,7 @@
 
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
+from applespring.core.engines.learned import LearnedEngines
 from applespring.core.evacuations import EvacuationTable
 from applespring.core.first_event import FirstEventEstimate
 from applespring.core.homes import DomainRegions, Regions
@@ -84,7 +85,9 @@
         self.registry_read_at = -1.0
         self.entries_revision = 0
         self.evacuations = EvacuationTable()
-        self.engines = EngineSelector()
+        self.engines = EngineSelector(
+            LearnedEngines() if settings.choice == "learned" else None
+        )
         self.queue_waits = QueueWaits()
         self.reachability = DomainReachability()
         self.peer_table = PeerTable(settings.name)
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -10,12 +10,13 @@
 from loguru import logger
 
 from applespring.core.catalog import ListedUpstream
+from applespring.core.engines.learned import LearnedEngines
 from applespring.core.era import era_of, revision_of
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.peer import message
 from applespring.relay.evacuation import EvacuationRecorder
 from applespring.relay.metrics import RelayMetrics
-from applespring.relay.peers import Peers
+from applespring.relay.peers import LOADS_MAX, Peers
 from applespring.relay.plain import PlainForwarder
 from applespring.relay.registry import (
     EntryChange,
@@ -50,6 +51,8 @@
 # Longest queue wait that is reported; that of a pool without upstreams is
 # infinite.
 REPORTED_WAIT_MAX_S = 60.0
+# Loads of plain pools in a heartbeat; engines have the other places.
+PLAIN_LOADS_MAX = 3
 
 
 class Watcher:
@@ -337,11 +340,47 @@
 
     def loads(self) -> list[message.UpstreamLoad]:
         """See `GossipSource.loads`."""
+        plain = self._plain_loads()
+        learned = self._state.engines.learned
+        if learned is not None:
+            return [*plain, *self._learned_loads(learned, len(plain))]
         loads = self._state.engines.local_loads()
         ranked = sorted(loads.items(), key=lambda item: -item[1][1])
         return [
-            message.UpstreamLoad(upstream=name, requests=count, tokens=tokens)
-            for name, (count, tokens) in ranked
+            *plain,
+            *(
+                message.UpstreamLoad(
+                    upstream=name, requests=count, tokens=tokens
+                )
+                for name, (count, tokens) in ranked
+            ),
+        ]
+
+    def _learned_loads(
+        self, learned: LearnedEngines, other_rows: int
+    ) -> list[message.UpstreamLoad]:
+        """Returns the loads of engines that have room beside other rows."""
+        loads = learned.list_loads(self._state.clock(), LOADS_MAX - other_rows)
+        return [
+            message.UpstreamLoad(
+                upstream=name,
+                requests=requests,
+                tokens=tokens,
+                work_s=work_s,
+                slowness=slowness,
+            )
+            for name, (requests, tokens, work_s, slowness) in loads.items()
+        ]
+
+    def _plain_loads(self) -> list[message.UpstreamLoad]:
+        """Returns the largest loads of plain pools, if they are told."""
+        work = self._plain.selector.local_work(self._state.clock())
+        ranked = sorted(work.items(), key=lambda item: -item[1][1])
+        return [
+            message.UpstreamLoad(
+                upstream=name, requests=count, tokens=0, work_s=work_s
+            )
+            for name, (count, work_s) in ranked[:PLAIN_LOADS_MAX]
         ]
 
     def queue_waits(self) -> list[message.PoolWait]:
@@ -371,6 +410,29 @@
             },
             now,
         )
+        if self._state.engines.learned is not None:
+            self._state.engines.learned.record_peer(
+                sender,
+                {
+                    load.upstream: (
+                        load.requests,
+                        load.tokens,
+                        load.work_s,
+                        load.slowness,
+                    )
+                    for load in gossip.loads
+                },
+                now,
+            )
+        self._plain.selector.record_peer_work(
+            sender,
+            {
+                load.upstream: load.work_s
+                for load in gossip.loads
+                if load.work_s > 0.0
+            },
+            now,
+        )
         for wait in gossip.waits:
             self._state.queue_waits.put(
                 wait.pool, wait.on_time_s, wait.whole_s, wait.opens_in_s, now
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1,5 +1,6 @@
 """The guards that `tools/run_guards.py` removes, one at a time."""
 
+from engine_guards import ENGINE_GUARDS
 from evacuation_guards import EVACUATION_GUARDS
 from guard import Guard
 from home_guards import HOME_GUARDS
@@ -207,4 +208,5 @@
     *RELAY_GUARDS,
     *HOME_GUARDS,
     *EVACUATION_GUARDS,
+    *ENGINE_GUARDS,
 )
