--- a/src/applespring/core/choice/plain.py
+++ b/src/applespring/core/choice/plain.py
@@ -1,10 +1,11 @@
 """Choice of an upstream of a plain pool by the expected end of the request."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.choice import even
 from applespring.core.choice.cost import CostTable, RequestFeatures
+from applespring.core.choice.evenness import Evenness
 from applespring.core.choice.remaining import PeerWork
 from applespring.core.choice.slowness import Outstanding, SlownessTable
 from applespring.core.pause import FailurePause
@@ -93,9 +94,27 @@
     Upstreams paused after failures get requests only if there are no others.
     """
 
-    __slots__ = ("slowness", "costs", "peers", "_instance", "_loads")
+    __slots__ = (
+        "slowness",
+        "costs",
+        "peers",
+        "evenness",
+        "_instance",
+        "_count",
+        "_loads",
+    )
+
+    def __init__(
+        self, instance: str, count: Callable[[str, str], None]
+    ) -> None:
+        """Starts without knowledge.
 
-    def __init__(self, instance: str) -> None:
+        Args:
+            instance: Name of this instance.
+            count: Counts a choice, by pool and reason.
+        """
+        self.evenness = Evenness()
+        self._count = count
         self.slowness = SlownessTable()
         self.costs = CostTable()
         self.peers = PeerWork()
@@ -121,6 +140,8 @@
             features: What is known of the request.
             instances: Number of reachable instances, this one included.
         """
+        if not upstreams:
+            return None
         tried = set(tried)
         left = [u for u in upstreams if u.name not in tried] or upstreams
         loads = self._loads
@@ -129,6 +150,13 @@
             for u in left
             if u.name not in loads or loads[u.name].pause.until <= now
         ] or left
+        if tried:
+            reason = "retry"
+        elif len(left) < len(upstreams):
+            reason = "others_failed"
+        else:
+            reason = "least_end" if len(left) > 1 else "only"
+        self._count(features.pool, reason)
         estimate = self.costs.estimate(features, now)
         cost_s = estimate.mean_s if estimate else UNKNOWN_COST_S
         peers = self.peers
@@ -175,6 +203,7 @@
                 upstream.identity, sent.expected_s, now
             )
         load.sent[sent] = None
+        self.evenness.record(upstream.pool, upstream.name, now)
         return sent
 
     def _wait_s(
@@ -259,6 +288,10 @@
         if load.slowness_percent is not None:
             self.slowness.report(upstream.identity, load.slowness_percent, now)
 
+    def peaks(self, now: float) -> dict[str, float]:
+        """Returns the largest recent share of an upstream, see `Evenness`."""
+        return self.evenness.peaks(now)
+
     def mean_s(
         self,
         upstreams: Sequence[ListedUpstream],
@@ -279,6 +312,7 @@
 
     def remove(self, name: str) -> None:
         """Discards the state of a removed upstream unless it has requests."""
+        self.evenness.remove(name)
         load = self._loads.get(name)
         if load is not None and not load.sent:
             del self._loads[name]
--- a/src/applespring/core/plain_choice.py
+++ b/src/applespring/core/plain_choice.py
@@ -88,6 +88,14 @@
         """Records the work in seconds that another instance has told."""
         del sender, work_s, now
 
+    def peaks(self, now: float) -> dict[str, float]:
+        """Returns the largest recent share of an upstream by pool, 1 if even.
+
+        Empty if it is not known.
+        """
+        del now
+        return {}
+
     def record_load(
         self, upstream: ListedUpstream, load: LoadReport, now: float
     ) -> None:
@@ -95,10 +103,13 @@
         del upstream, load, now
 
 
-_CHOICES: dict[str, Callable[[str], PlainChoice]] = {}
+# Counts a choice, by pool and reason.
+Count = Callable[[str, str], None]
+
+_CHOICES: dict[str, Callable[[str, Count], PlainChoice]] = {}
 
 
-_Choice = TypeVar("_Choice", bound=Callable[[str], PlainChoice])
+_Choice = TypeVar("_Choice", bound=Callable[[str, Count], PlainChoice])
 
 
 def plain_choice(name: str) -> Callable[[_Choice], _Choice]:
@@ -111,12 +122,13 @@
     return register
 
 
-def make_plain_choice(name: str, instance: str) -> PlainChoice:
+def make_plain_choice(name: str, instance: str, count: Count) -> PlainChoice:
     """Returns a new choice.
 
     Args:
         name: Name of the choice in the settings.
         instance: Name of this instance.
+        count: Counts a choice.
 
     Raises:
         ValueError: No choice has this name.
@@ -125,15 +137,15 @@
     if found is None:
         known = ", ".join(sorted(_CHOICES))
         raise ValueError(f"unknown choice {name!r}, known: {known}")
-    return found(instance)
+    return found(instance, count)
 
 
 @plain_choice("fixed")
 class FixedPlainChoice(PlainChoice):
     """By mean call times and requests of this instance, see `PlainSelector`."""
 
-    def __init__(self, instance: str) -> None:
-        del instance
+    def __init__(self, instance: str, count: Count) -> None:
+        del instance, count
         self._selector = PlainSelector()
 
     def choose(
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -41,6 +41,7 @@
         peers: Messages from and to the other instances.
         scheduler: Queues of the stage pools that the instance schedules.
         watcher: Reads the registry.
+        plain_choice: Chooses upstreams of plain pools.
         crash_watch: Requests and prompt parts that crash upstreams.
         application: ASGI application for callers.
     """
@@ -81,7 +82,9 @@
         self.peers.set_limit_exchange(
             self._permits.list_limits, self._permits.receive
         )
-        plain_choice = make_plain_choice(settings.choice, settings.name)
+        plain_choice = make_plain_choice(
+            settings.choice, settings.name, self.metrics.choices.inc
+        )
         self._client = UpstreamClient(
             protocol,
             self.state.reachability,
@@ -139,6 +142,7 @@
             self.crash_watch,
             self.metrics,
         )
+        self.plain_choice = plain_choice
         self.application = RelayApplication(
             self.state, protocol, plain, streams, self.metrics
         )
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -167,6 +167,8 @@
         }
         for pool, length in self.scheduler.queue_lengths().items():
             gauges[(f"queue_{pool}",)] = float(length)
+        for pool, peak in self._components.plain_choice.peaks(now).items():
+            gauges[(f"peak_share_{pool}",)] = peak
         self._components.metrics.gauges.replace(gauges)
         return 200, self._components.metrics.render()
 
--- a/src/applespring/relay/metrics.py
+++ b/src/applespring/relay/metrics.py
@@ -39,6 +39,9 @@
         stage_calls: Stage calls, by pool and outcome.
         stage_call_s: Duration of stage calls, by pool.
         permits: Permits for upstreams with a rate limit, by pool and outcome.
+        choices: Learned choices of upstreams, by pool and reason.
+        work_s: Time of requests of plain pools as it was expected and as it
+            was, by pool and kind.
         piece_failures: Pieces without a result, by pool and reason.
         state_changes: Changes of the last known state, by kind.
         gauges: Values read at each scrape, by name.
@@ -52,6 +55,8 @@
         "stage_calls",
         "stage_call_s",
         "permits",
+        "choices",
+        "work_s",
         "piece_failures",
         "state_changes",
         "gauges",
@@ -93,6 +98,16 @@
             "Permits for upstreams with a rate limit",
             ("pool", "outcome"),
         )
+        self.choices = CounterFamily(
+            prefix + "choices_total",
+            "Learned choices of upstreams",
+            ("pool", "reason"),
+        )
+        self.work_s = CounterFamily(
+            prefix + "work_seconds_total",
+            "Seconds of requests, expected and taken",
+            ("pool", "kind"),
+        )
         self.piece_failures = CounterFamily(
             prefix + "piece_failures_total",
             "Pieces that were not produced",
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -228,6 +228,16 @@
             min(exchange.target_at - run_s, exchange.refuse_at),
         )
 
+    def _count_work(
+        self, sent: SentRequest, now: float, attempt: Attempt
+    ) -> None:
+        """Counts the expected and the taken time of an answered request."""
+        if sent.expected_s is None or attempt.failed:
+            return
+        work_s, pool = self._metrics.work_s, sent.features.pool
+        work_s.inc(pool, "expected", by=sent.expected_s)
+        work_s.inc(pool, "taken", by=now - sent.sent_at)
+
     async def _prepare_replacement(
         self, exchange: Exchange, tried: Sequence[str]
     ) -> bool:
@@ -376,6 +386,7 @@
                 self.selector.cancel(sent)
             else:
                 self.selector.end(sent, now, attempt.failed)
+                self._count_work(sent, now, attempt)
 
 
 def _features(exchange: Exchange) -> RequestFeatures:
