--- a/features/choice_plain.feature
+++ b/features/choice_plain.feature
@@ -38,9 +38,24 @@
       | a has been tried        | a        |
       | a and b have been tried | b        |
 
+  Scenario Outline: How many upstreams an instance compares
+    Guards against a choice whose time grows with the pool, and against one that
+    sends the requests of all instances to the same upstream.
+    When one of <instances> instances chooses among <upstreams> upstreams of one domain
+    Then it compares <compared> of them
+
+    Examples:
+      | instances | upstreams | compared |
+      | 1         | 3         | 3        |
+      | 1         | 78        | 4        |
+      | 30        | 78        | 3        |
+      | 300       | 78        | 2        |
+      | 300       | 1         | 1        |
+
   Scenario: The own failure domain comes first while it has room
     Given upstreams a, b and c of which a and b answered 50 requests in 0.1 s
     And only c is in the own failure domain
+    And c has 1 request
     Then c is chosen for all of 100 requests
     And not for all of them while it has 20 requests
 
--- a/features/steps/choice_plain_steps.py
+++ b/features/steps/choice_plain_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from loguru import logger
 
+from applespring.core.choice import even
 from applespring.core.choice.cost import CostTable, RequestFeatures
 from applespring.core.choice.plain import LearnedChoice
 from applespring.core.plain_choice import make_plain_choice
@@ -89,11 +90,40 @@
 @given("only c is in the own failure domain")
 def given_domains(context):
     context.listed = [
-        make_upstream(name, "plain", "koper" if name == "c" else "izola")
+        make_upstream(
+            name, "plain", "koper" if name == "c" else "izola", slots=4
+        )
         for name in "abc"
     ]
 
 
+@given("c has 1 request")
+def given_running(context):
+    context.choice.start(context.listed[2], make_features(0), context.now)
+
+
+@when(
+    "one of {instances:d} instances chooses among {upstreams:d} upstreams of "
+    "one domain"
+)
+def when_compares(context, instances, upstreams):
+    listed = [make_upstream(f"u{n}", "plain") for n in range(upstreams)]
+    context.compared = []
+
+    def cost(upstream):
+        context.compared.append(upstream.name)
+        return 0.0
+
+    even.choose(
+        listed, cost, failure_domain="koper", instances=instances, seed=1
+    )
+
+
+@then("it compares {count:d} of them")
+def then_compares(context, count):
+    assert len(set(context.compared)) == count, context.compared
+
+
 def count_chosen(context, count):
     chosen = collections.Counter()
     for number in range(count):
--- a/src/applespring/core/choice/even.py
+++ b/src/applespring/core/choice/even.py
@@ -14,20 +14,21 @@
 from applespring.core.catalog import ListedUpstream
 
 CHOICES_MIN = 2
+# More choices hardly shorten the queues, and each takes processor time.
+CHOICES_MAX = 4
 
 
 def choice_count(upstreams: int, instances: int) -> int:
     """Returns how many upstreams an instance compares for a request.
 
-    All of them if it is alone, its part of them with others, at least
-    `CHOICES_MIN`.
+    Its part of them, at least `CHOICES_MIN` and at most `CHOICES_MAX`.
 
     Args:
         upstreams: Number of upstreams.
         instances: Number of instances that use them, this one included.
     """
     part = -(-upstreams // max(1, instances))
-    return min(upstreams, max(CHOICES_MIN, part))
+    return min(upstreams, CHOICES_MAX, max(CHOICES_MIN, part))
 
 
 def request_seed(instance: str, request: str) -> int:
--- a/src/applespring/core/choice/remaining.py
+++ b/src/applespring/core/choice/remaining.py
@@ -19,7 +19,7 @@
 SENDERS_MAX = 1024
 # A difference from the mean of less than this many standard deviations of a
 # random one is ignored.
-CHANCE_ERRORS = 3.0
+CHANCE_ERRORS = 4.0
 # Work above the mean is remembered for some exchanges of loads: a slow upstream
 # that gets no requests for one of them has less work, but is as slow.
 PRESSURE_HALF_LIFE_S = 1.0
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -19,8 +19,88 @@
 LIMIT_RULES = "rate_limits"
 ENTRY_LIMITS = "entry_limits"
 ERA = "registry_era"
+CHOICE = "choice_plain"
+CHOICE_MODEL = "choice_model"
+CHOICE_SLOWNESS = "choice_slowness"
 
 RELAY_GUARDS = (
+    Guard(
+        "choice: few upstreams are compared",
+        "core/choice/even.py",
+        "return min(upstreams, CHOICES_MAX, max(CHOICES_MIN, part))",
+        "return upstreams",
+        (CHOICE, "How many upstreams an instance compares"),
+    ),
+    Guard(
+        "choice: another draw for each request",
+        "core/choice/even.py",
+        'data = f"{instance}\\0{request}".encode()',
+        'data = b""',
+        (CHOICE, "Nothing is assumed of a site"),
+    ),
+    Guard(
+        "choice: late answers show a slow upstream",
+        "core/choice/slowness.py",
+        "self.momentary.add(ratio, now)",
+        "pass",
+        (CHOICE_SLOWNESS, "A slowed upstream is seen"),
+    ),
+    Guard(
+        "choice: requests in progress show a slow upstream",
+        "core/choice/slowness.py",
+        "late = self.overdue(identity, now) / factor",
+        "late = 0.0",
+        (CHOICE_SLOWNESS, "Requests that do not end"),
+    ),
+    Guard(
+        "choice: dear requests are expected to take long",
+        "core/choice/slowness.py",
+        "ratio = max(0.0, took_s) / max(EXPECTED_MIN_S, expected_s)",
+        "ratio = max(0.0, took_s) / 0.1",
+        (CHOICE_SLOWNESS, "Dear requests are no sign"),
+    ),
+    Guard(
+        "choice: costs by size and account",
+        "core/choice/cost.py",
+        "(self.pool, self.route, size_class, self.account),",
+        "",
+        (CHOICE, "Costs that a request tells"),
+    ),
+    Guard(
+        "choice: bounded classes of requests",
+        "core/choice/cost.py",
+        "if len(self._classes) > CLASSES_MAX:",
+        "if False:",
+        (CHOICE, "Costs are bounded in number"),
+    ),
+    Guard(
+        "choice: told work shows a slow upstream",
+        "core/choice/plain.py",
+        "peers.pressure(upstream.name, now),",
+        "1.0,",
+        (CHOICE_MODEL, "One of the upstreams is five times slower"),
+    ),
+    Guard(
+        "choice: pause after a failure",
+        "core/choice/plain.py",
+        "            load.pause.fail(now)\n",
+        "",
+        (CHOICE, "What stays before the expected end"),
+    ),
+    Guard(
+        "choice: own failure domain",
+        "core/choice/plain.py",
+        "end_s += CROSS_DOMAIN_WEIGHT * cost_s",
+        "pass",
+        (CHOICE, "The own failure domain comes first"),
+    ),
+    Guard(
+        "choice: malformed loads",
+        "core/self_report.py",
+        "if len(counts) < 3 or not all(",
+        "if not all(",
+        (CHOICE_SLOWNESS, "Values of a load"),
+    ),
     Guard(
         "relay: retry of a request that may have run",
         "relay/plain.py",
