--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -174,6 +174,8 @@
                 gauges[("engine_slowness_least",)],
                 gauges[("engine_slowness_most",)],
             ) = learned.slowness_range(now)
+        for pool, peak in self._components.plain_choice.peaks(now).items():
+            gauges[(f"peak_share_{pool}",)] = peak
         self._components.metrics.gauges.replace(gauges)
         return 200, self._components.metrics.render()
 
