Bound what cold upstreams get by permits

Cause: an upstream that has just started got as many requests as any other, and more, since it had no load.

Change: a rate limit may also begin and end with the state of an upstream. The limit in force is the lower of the rate that an upstream has named and the cold rate of its pool. Where a second is bounded, rate, burst and validity of permits follow from that bound and from the part of the instances that are in reach. Entries, peers, answers, unreachable upstreams and the end of an evacuation show that an upstream is cold.

--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from loguru import logger
 
+from applespring.core.rate_limits import Limit
 from applespring.relay.client import HttpTransport
 from features.fixtures.relay_world import SIGNED, RelayWorld, events
 from features.fixtures.virtual import run_virtual
@@ -203,7 +204,11 @@
         for _ in range(20):
             # Requests that wait have the next permits.
             permits.request(
-                upstream.identity, upstream.pool, 0.25, 100.0, state.clock()
+                upstream.identity,
+                upstream.pool,
+                Limit(0.25),
+                100.0,
+                state.clock(),
             )
 
     context.preparations.append(use_up)
--- a/src/applespring/core/catalog.py
+++ b/src/applespring/core/catalog.py
@@ -46,7 +46,8 @@
         slots: Requests that it executes at the same time.
         state: Whether it accepts new work.
         revision: Revision of the entry in the registry.
-        cold_s: How much longer it stays cold, as of the entry's writing.
+        cold_s: How much longer it stays cold, as of the entry's writing; None
+            if the entry does not say.
     """
 
     __slots__ = (
@@ -72,7 +73,7 @@
         slots: int,
         state: UpstreamState,
         revision: int,
-        cold_s: float = 0.0,
+        cold_s: float | None = None,
     ) -> None:
         self.name = name
         self.born_ms = born_ms
@@ -177,6 +178,7 @@
                 and current.pool == upstream.pool
             ):
                 current.revision = upstream.revision
+                current.cold_s = upstream.cold_s
                 return False
         self._listed[upstream.name] = upstream
         return True
--- a/src/applespring/core/notices.py
+++ b/src/applespring/core/notices.py
@@ -55,7 +55,7 @@
 
     def __bool__(self) -> bool:
         """Whether there may be a notice; without any, all checks pass."""
-        return bool(len(self.leaving) or len(self.pauses) or len(self.limits))
+        return bool(len(self.leaving) or len(self.pauses) or self.limits)
 
     def record(
         self,
@@ -102,7 +102,9 @@
         upstream_count: int,
         now: float,
     ) -> bool:
-        """Returns whether a request may go to an upstream after its pause.
+        """Returns whether a request may go to an upstream.
+
+        After its pause, and after it was cold, only its share of them may.
 
         Args:
             identity: Name and incarnation of the upstream.
@@ -110,10 +112,35 @@
             upstream_count: Number of upstreams of its pool.
             now: Current time.
         """
-        if now - self.pauses.until(identity) >= RETURN_TIME_S:
+        if now - self.pauses.until(
+            identity
+        ) >= RETURN_TIME_S and not self.limits.cold.was_cold(identity, now):
             return True
         return _hash_share(f"{identity[0]}\x1f{request}") * upstream_count < 1.0
 
+    def takes_cold_share(
+        self,
+        identity: tuple[str, int],
+        request: str,
+        warm_count: int,
+        now: float,
+    ) -> bool:
+        """Returns whether a request may go to an upstream that may be cold.
+
+        A cold one is considered by as many requests as a warm one would get.
+        It is used up to its limit as long as the warm ones get more than that.
+
+        Args:
+            identity: Name and incarnation of the upstream.
+            request: Id of the request.
+            warm_count: Number of upstreams of its pool that are not cold.
+            now: Current time.
+        """
+        return (
+            self.limits.cold.find(identity, now) is None
+            or _hash_share(f"{identity[0]}\x1f{request}") * warm_count < 1.0
+        )
+
     def opens_in_s(
         self,
         identities: Iterable[tuple[str, int]],
--- a/src/applespring/core/rate_limits.py
+++ b/src/applespring/core/rate_limits.py
@@ -2,12 +2,15 @@
 
 An upstream names its limit in each answer, for all instances together, for as
 long as the limit holds. Instances tell each other, so that one that got no
-answer of it knows the limit too.
+answer of it knows the limit too. A cold upstream has a limit as well, for as
+long as it is cold (`core/cold_upstreams.py`).
 """
 
 import math
 from collections.abc import Container, Iterator
 
+from applespring.core.cold_upstreams import ColdUpstreams
+
 # Least rate at which a limited upstream gets requests. Only an answer shows
 # that a limit has ended, so that a limit of 0 must not stop all requests.
 RATE_MIN_PER_S = 0.25
@@ -21,6 +24,22 @@
 ENDED_KEPT_S = 30.0
 
 
+class Limit:
+    """What an upstream may get from all instances together.
+
+    Attributes:
+        per_s: Requests a second.
+        second_max: Most requests in any second; infinite if only the rate
+            counts.
+    """
+
+    __slots__ = ("per_s", "second_max")
+
+    def __init__(self, per_s: float, second_max: float = math.inf) -> None:
+        self.per_s = per_s
+        self.second_max = second_max
+
+
 class RateLimit:
     """What is known of the rate limit of one start of an upstream.
 
@@ -44,11 +63,15 @@
     higher one, or the end of the limit, counts only if the request that shows
     it was sent after the last answer that named the lower one, since answers
     may arrive in another order than they were made.
+
+    Attributes:
+        cold: The cold upstreams, which have a limit too.
     """
 
-    __slots__ = ("_limits", "_closed_until")
+    __slots__ = ("cold", "_limits", "_closed_until")
 
     def __init__(self) -> None:
+        self.cold = ColdUpstreams()
         self._limits: dict[tuple[str, int], RateLimit] = {}
         # Until when no permit is to be had for an upstream.
         self._closed_until: dict[tuple[str, int], float] = {}
@@ -56,6 +79,10 @@
     def __len__(self) -> int:
         return len(self._limits)
 
+    def __bool__(self) -> bool:
+        """Whether an upstream may have a limit."""
+        return bool(self._limits or self.cold)
+
     def __iter__(self) -> Iterator[tuple[tuple[str, int], RateLimit]]:
         return iter(self._limits.items())
 
@@ -119,8 +146,21 @@
             self._closed_until.pop(identity, None)
         return changed
 
+    def find(self, identity: tuple[str, int], now: float) -> Limit | None:
+        """Returns the limit in force, None without one.
+
+        It is the lower of the rate that the upstream has named and that of its
+        pool for cold upstreams, if it is cold.
+        """
+        per_s, cold = self.per_s(identity), self.cold.find(identity, now)
+        if cold is None:
+            return None if per_s is None else Limit(per_s)
+        if per_s is None or per_s > cold.per_s:
+            per_s = cold.per_s
+        return Limit(per_s, cold.second_max)
+
     def per_s(self, identity: tuple[str, int]) -> float | None:
-        """Returns the rate that an upstream gets, or None without a limit.
+        """Returns the rate that an upstream has named, None without a limit.
 
         It is at least `RATE_MIN_PER_S`.
         """
@@ -131,15 +171,21 @@
 
     def close(self, identity: tuple[str, int], until: float) -> None:
         """Records that no permit is to be had for an upstream until a time."""
-        if identity in self._limits:
+        if identity in self._limits or self.cold:
             self._closed_until[identity] = until
 
     def closed_until(self, identity: tuple[str, int]) -> float:
         """Returns until when no permit is to be had, -inf if one may be."""
-        if self.per_s(identity) is None:
+        if not self._closed_until or not (
+            self.cold or self.per_s(identity) is not None
+        ):
             return -math.inf
         return self._closed_until.get(identity, -math.inf)
 
+    def reopen(self, identity: tuple[str, int]) -> None:
+        """Records that permits may be had again, after a change."""
+        self._closed_until.pop(identity, None)
+
     def get(self, identity: tuple[str, int]) -> RateLimit | None:
         """Returns what is known of an upstream, or None."""
         return self._limits.get(identity)
@@ -157,6 +203,8 @@
             )
             for identity in order[:excess]:
                 self._remove(identity)
+        if len(self._closed_until) > LIMITS_MAX:
+            self._closed_until.clear()
 
     def _remove(self, identity: tuple[str, int]) -> None:
         del self._limits[identity]
--- a/src/applespring/core/rate_permits.py
+++ b/src/applespring/core/rate_permits.py
@@ -1,4 +1,4 @@
-"""Who may send how much to an upstream that has named a rate limit.
+"""Who may send how much to an upstream that has a rate limit.
 
 The limit holds for all instances together, and they share no counter. One
 instance grants the permits for all limited upstreams of a pool: the first live
@@ -12,12 +12,17 @@
 instances know of the change, and one that was frozen begins anew. While members
 are missing, a granter grants the part of the limit that the members it reaches
 are of all: the other ones may be cut off and have a granter of their own.
+
+Where the requests of any second are bounded too, as those of cold upstreams
+are, the rate, the burst and the time for which a permit holds follow from that
+bound, so that no second has more, whenever within it each permit is used.
 """
 
 import math
 from collections.abc import Collection, Mapping
 
 from applespring.core.placement import rank_schedulers
+from applespring.core.rate_limits import Limit
 
 # Share of a limit that is granted. Permits that are used late must not add up
 # with later ones to more than the limit.
@@ -26,8 +31,14 @@
 # use of a limit is below nine tenths without a burst, since demand comes at
 # random; with it, 4 s have at most the limit and this many requests.
 BURST = 4
-# How long a permit may be used.
+# How long a permit may be used; it is shorter, down to the minimum, where the
+# bound of a second leaves no room for permits that are used late.
 PERMIT_VALID_S = 0.2
+PERMIT_VALID_MIN_S = 0.05
+# Wait of a request for an upstream of whose bound these members get no part.
+NO_PART_WAIT_S = 1.0
+# Rounding errors of a product.
+_ROUNDING = 1e-9
 # An instance whose view of the members is older than this was frozen.
 OBSERVATION_GAP_S = 1.0
 # How long a member counts after it was last seen, unless it has said it leaves.
@@ -48,13 +59,69 @@
         granted: Whether a permit was granted.
         wait_s: Time until the permit begins, or until the next one may be
             granted.
+        valid_s: How long the permit may be used from then on.
     """
 
-    __slots__ = ("granted", "wait_s")
+    __slots__ = ("granted", "wait_s", "valid_s")
 
-    def __init__(self, granted: bool, wait_s: float) -> None:
+    def __init__(
+        self, granted: bool, wait_s: float, valid_s: float = PERMIT_VALID_S
+    ) -> None:
         self.granted = granted
         self.wait_s = wait_s
+        self.valid_s = valid_s
+
+
+class Schedule:
+    """At which times a part of all instances may send to an upstream.
+
+    Attributes:
+        interval_s: Time between two permits, infinite if there are none.
+        burst_s: How far permits may be ahead of it after a time without any.
+        valid_s: How long a permit may be used.
+    """
+
+    __slots__ = ("interval_s", "burst_s", "valid_s")
+
+    def __init__(self, limit: Limit, part: float) -> None:
+        """Plans for a limit.
+
+        Args:
+            limit: The limit.
+            part: Part of all instances that are to use it, above 0 and at most
+                1.
+        """
+        per_s = GRANTED_SHARE * limit.per_s
+        self.valid_s, burst = PERMIT_VALID_S, BURST
+        if limit.second_max < math.inf:
+            self.valid_s = min(
+                PERMIT_VALID_S,
+                max(PERMIT_VALID_MIN_S, limit.second_max / per_s - 1.0),
+            )
+            most = _part_of(int(limit.second_max), part)
+            if most < 1:
+                self.interval_s, self.burst_s = math.inf, 0.0
+                return
+            window_s = 1.0 + self.valid_s
+            per_s = min(part * per_s, most / window_s)
+            # So many permits begin in a window beside a burst.
+            paced = math.ceil(per_s * window_s - _ROUNDING) - 1
+            burst = max(1, min(BURST, most - paced))
+        else:
+            per_s *= part
+        self.interval_s = 1.0 / per_s
+        self.burst_s = (burst - 1) * self.interval_s
+
+
+def _part_of(count: int, part: float) -> int:
+    """Returns how many of some requests a part of the instances may send.
+
+    All parts together send no more: one that is the larger part of all gets
+    what the others can't have.
+    """
+    if part > 0.5:
+        return math.ceil(count * part - _ROUNDING)
+    return math.floor(count * part + _ROUNDING)
 
 
 class Members:
@@ -173,14 +240,15 @@
     def __init__(self, name: str) -> None:
         self.members = Members(name)
         # When the next request may follow without any burst, and the interval
-        # of requests for which that was computed.
-        self._free_at: dict[tuple[str, int], tuple[float, float]] = {}
+        # of requests for which that was computed, by name: another start of an
+        # upstream may get requests that are meant for the one before.
+        self._free_at: dict[str, tuple[float, float]] = {}
 
     def request(
         self,
         identity: tuple[str, int],
         pool: str,
-        per_s: float,
+        limit: Limit,
         wait_max_s: float,
         now: float,
     ) -> PermitDecision:
@@ -189,25 +257,33 @@
         Args:
             identity: Name and incarnation of the upstream.
             pool: Its pool.
-            per_s: Its rate limit, above 0.
+            limit: Its limit, with a rate above 0.
             wait_max_s: Time for which the request can wait.
             now: Current time.
         """
-        opens_in_s = self.opens_in_s(identity, pool, per_s, now)
+        if self.members.granter(pool) != self.members.name:
+            return PermitDecision(False, math.inf)
+        schedule = Schedule(limit, self.members.part)
+        if schedule.interval_s == math.inf:
+            return PermitDecision(False, NO_PART_WAIT_S)
+        name = identity[0]
+        free_at = self._find_free_at(name, pool, schedule, now)
+        opens_in_s = max(0.0, free_at - schedule.burst_s - now)
         if opens_in_s > wait_max_s:
             return PermitDecision(False, opens_in_s)
-        if identity not in self._free_at:
+        if name not in self._free_at:
             self._make_room(now)
-        interval_s = self._interval_s(per_s)
-        free_at = max(now, self._find_free_at(identity, pool, per_s, now))
-        self._free_at[identity] = (free_at + interval_s, interval_s)
-        return PermitDecision(True, opens_in_s)
+        self._free_at[name] = (
+            max(now, free_at) + schedule.interval_s,
+            schedule.interval_s,
+        )
+        return PermitDecision(True, opens_in_s, schedule.valid_s)
 
     def opens_in_s(
         self,
         identity: tuple[str, int],
         pool: str,
-        per_s: float,
+        limit: Limit,
         now: float,
     ) -> float:
         """Returns the time until a permit may be granted.
@@ -216,42 +292,31 @@
         """
         if self.members.granter(pool) != self.members.name:
             return math.inf
-        free_at = self._find_free_at(identity, pool, per_s, now)
-        return max(0.0, free_at - self._burst_s(per_s) - now)
+        schedule = Schedule(limit, self.members.part)
+        if schedule.interval_s == math.inf:
+            return NO_PART_WAIT_S
+        free_at = self._find_free_at(identity[0], pool, schedule, now)
+        return max(0.0, free_at - schedule.burst_s - now)
 
     def _find_free_at(
-        self,
-        identity: tuple[str, int],
-        pool: str,
-        per_s: float,
-        now: float,
+        self, name: str, pool: str, schedule: Schedule, now: float
     ) -> float:
         """Returns when the next request may follow without any burst.
 
         An instance that becomes the granter begins once all know of it, and
         without a burst, since the upstream may have had one before.
         """
-        burst_s = self._burst_s(per_s)
-        free_at, interval_s = self._free_at.get(
-            identity, (now + burst_s, self._interval_s(per_s))
-        )
+        burst_s, interval_s = schedule.burst_s, schedule.interval_s
+        free_at, held_s = self._free_at.get(name, (now + burst_s, interval_s))
         if free_at > now:
             # As many requests are ahead after a change of the limit as before.
-            free_at = (
-                now + (free_at - now) * self._interval_s(per_s) / interval_s
-            )
+            free_at = now + (free_at - now) * interval_s / held_s
         return max(free_at, self.members.settled_at(pool) + burst_s)
 
-    def _burst_s(self, per_s: float) -> float:
-        return (BURST - 1) * self._interval_s(per_s)
-
-    def _interval_s(self, per_s: float) -> float:
-        return 1.0 / (GRANTED_SHARE * self.members.part * per_s)
-
     def _make_room(self, now: float) -> None:
         if len(self._free_at) < SCHEDULES_MAX:
             return
         free = [key for key, (at, _) in self._free_at.items() if at <= now]
         first = min(self._free_at, key=lambda key: self._free_at[key][0])
-        for identity in free or [first]:
-            del self._free_at[identity]
+        for name in free or [first]:
+            del self._free_at[name]
--- a/src/applespring/core/self_report.py
+++ b/src/applespring/core/self_report.py
@@ -4,9 +4,12 @@
 are the same.
 """
 
+import math
 import re
 from collections.abc import Sequence
 
+from applespring.core.cold_upstreams import COLD_MAX_S
+
 # Longest pause that is accepted; a longer one is shortened to it.
 PAUSE_MAX_S = 3600.0
 # Statuses whose Retry-After is a pause that the upstream asks for (RFC 9110,
@@ -26,6 +29,8 @@
             of this instance, or None.
         rate_limit: Requests a second that the upstream takes from all
             instances together, or None.
+        cold_s: How much longer the upstream is cold, or None if it does not
+            say.
         rate_limit_known: Whether it shows the limit in force; False if a
             malformed value leaves that open.
         refuses: Whether its status is one of `PAUSE_STATUSES`.
@@ -37,6 +42,7 @@
         "pause_s",
         "rate_limit",
         "rate_limit_known",
+        "cold_s",
         "refuses",
         "rejected",
     )
@@ -48,6 +54,7 @@
         pause_s: float | None = None,
         rate_limit: float | None = None,
         rate_limit_known: bool = False,
+        cold_s: float | None = None,
         refuses: bool = False,
         rejected: Sequence[str] = (),
     ) -> None:
@@ -55,6 +62,7 @@
         self.pause_s = pause_s
         self.rate_limit = rate_limit
         self.rate_limit_known = rate_limit_known or rate_limit is not None
+        self.cold_s = cold_s
         self.refuses = refuses
         self.rejected = tuple(rejected)
 
@@ -73,6 +81,7 @@
             self.leaving
             or self.pause_s is not None
             or self.rate_limit is not None
+            or self.cold_s is not None
             or bool(self.rejected)
         )
 
@@ -83,6 +92,7 @@
     leaving: bool,
     retry_after: str | None,
     rate_limits: Sequence[str] = (),
+    cold_ms: str | None = None,
 ) -> SelfReport:
     """Returns what an answer says of its upstream.
 
@@ -95,6 +105,8 @@
         leaving: Whether a header says that the upstream leaves.
         retry_after: Value of the Retry-After header, or None.
         rate_limits: Values of the headers that name a rate limit.
+        cold_ms: Value of the header that says for how many milliseconds it
+            stays cold, or None.
     """
     rejected: list[str] = []
     pause_s = None
@@ -106,6 +118,7 @@
         pause_s=pause_s,
         rate_limit=rate_limit,
         rate_limit_known=rate_limit is not None or not rate_limits,
+        cold_s=None if cold_ms is None else _decode_cold(cold_ms, rejected),
         refuses=status in PAUSE_STATUSES,
         rejected=rejected,
     )
@@ -124,6 +137,17 @@
     return min(pause_s, PAUSE_MAX_S)
 
 
+def _decode_cold(text: str, rejected: list[str]) -> float | None:
+    cold_s = float(text) / 1000 if _DECIMAL.fullmatch(text) else math.inf
+    if cold_s <= COLD_MAX_S:
+        return cold_s
+    rejected.append(
+        f"remaining cold time {text[:40]!r} is no number of milliseconds from "
+        f"0 to {1000 * COLD_MAX_S:g}"
+    )
+    return None
+
+
 def _decode_rate_limit(
     texts: Sequence[str], rejected: list[str]
 ) -> float | None:
--- a/src/applespring/peer/message.py
+++ b/src/applespring/peer/message.py
@@ -84,6 +84,15 @@
     DEFAULTS = {"per_s": 0.0, "ended": False}
 
 
+class ColdUpstream(Message):
+    """A start of an upstream that its registry entry says is cold.
+
+    `cold_s` is how much longer, and `revision` that of the entry.
+    """
+
+    __slots__ = ("upstream", "born_ms", "pool", "cold_s", "revision")
+
+
 class Heartbeat(Message):
     """State and load of the sender, sent as a datagram.
 
@@ -343,23 +352,34 @@
     """Asks for a permit for one request to an upstream with a rate limit.
 
     `upstream` and `born_ms` name its start, `limits` is what the sender knows
-    of the limit, and `wait_s` how long the request can wait.
+    of the limit, and `wait_s` how long the request can wait. If the upstream is
+    cold for the sender, `cold_per_s` is the rate that holds then; `cold` says
+    so if its registry entry does.
     """
 
-    __slots__ = ("pool", "upstream", "born_ms", "wait_s", "limits")
-    DEFAULTS = {"limits": ()}
-    NESTED = {"limits": UpstreamRate}
+    __slots__ = (
+        "pool",
+        "upstream",
+        "born_ms",
+        "wait_s",
+        "limits",
+        "cold_per_s",
+        "cold",
+    )
+    DEFAULTS = {"limits": (), "cold_per_s": 0.0, "cold": ()}
+    NESTED = {"limits": UpstreamRate, "cold": ColdUpstream}
 
 
 class PermitReply(Message):
     """Whether a permit was granted.
 
     `wait_s` is the time until it begins, or until the next one may be granted.
-    `limits` is what the sender knows of the limit, if anything.
+    `valid_s` is for how long it may be used then, and `limits` what the sender
+    knows of the limit, if anything.
     """
 
-    __slots__ = ("granted", "wait_s", "limits")
-    DEFAULTS = {"limits": ()}
+    __slots__ = ("granted", "wait_s", "limits", "valid_s")
+    DEFAULTS = {"limits": (), "valid_s": 0.0}
     NESTED = {"limits": UpstreamRate}
 
 
@@ -374,6 +394,7 @@
         "crashes",
         "histories",
         "limits",
+        "cold",
     )
     DEFAULTS = {
         "peers": (),
@@ -382,9 +403,11 @@
         "crashes": (),
         "histories": (),
         "limits": (),
+        "cold": (),
     }
     NESTED = {
         "limits": UpstreamRate,
+        "cold": ColdUpstream,
         "waits": PoolWait,
         "sender": PeerRow,
         "peers": PeerRow,
--- a/src/applespring/peer/peer.capnp
+++ b/src/applespring/peer/peer.capnp
@@ -193,6 +193,15 @@
   crashes @4 :List(UpstreamCrash);
   histories @5 :List(CandidateHistory);
   limits @6 :List(UpstreamRate);
+  cold @7 :List(ColdUpstream);
+}
+
+struct ColdUpstream {
+  upstream @0 :Text;
+  bornMs @1 :UInt64;
+  pool @2 :Text;
+  coldS @3 :Float32;
+  revision @4 :UInt64;
 }
 
 struct UpstreamRate {
@@ -209,12 +218,15 @@
   bornMs @2 :UInt64;
   waitS @3 :Float64;
   limits @4 :List(UpstreamRate);
+  coldPerS @5 :Float64;
+  cold @6 :List(ColdUpstream);
 }
 
 struct PermitReply {
   granted @0 :Bool;
   waitS @1 :Float64;
   limits @2 :List(UpstreamRate);
+  validS @3 :Float32;
 }
 
 struct CrashCandidate {
--- a/src/applespring/permits/broker.py
+++ b/src/applespring/permits/broker.py
@@ -1,4 +1,6 @@
-"""Obtains and grants permits for upstreams that have named a rate limit.
+"""Obtains and grants permits for upstreams that have a rate limit.
+
+An upstream has named its limit, or is cold.
 
 `core/rate_permits.py` decides. Here an instance asks the one that grants the
 permits of a pool, which may be itself, and tells the others of limits.
@@ -11,9 +13,19 @@
 import anyio
 from loguru import logger
 
+from applespring.core.cold_upstreams import (
+    COLD_MAX_S,
+    ColdBound,
+    ColdChange,
+    ColdSource,
+)
 from applespring.core.errors import ApplespringError
-from applespring.core.rate_limits import RateLimit, RateLimitTable
-from applespring.core.rate_permits import PERMIT_VALID_S, RatePermits
+from applespring.core.rate_limits import Limit, RateLimit, RateLimitTable
+from applespring.core.rate_permits import (
+    PERMIT_VALID_S,
+    PermitDecision,
+    RatePermits,
+)
 from applespring.peer import message
 
 # Interval at which the members are observed.
@@ -22,6 +34,8 @@
 ANNOUNCE_DELAY_S = 0.05
 # Limits in one heartbeat, those named last first.
 LIMITS_SENT_MAX = 12
+# Cold upstreams in one heartbeat, in turn.
+COLD_SENT_MAX = 24
 # Longest wait for the reply of the granter.
 REPLY_WAIT_S = 0.1
 # Upstreams for which a request asks for a permit that begins now. Each that is
@@ -108,6 +122,7 @@
         clock: Callable[[], float],
         count_permit: Callable[[str, str], None],
         count_change: Callable[[str], None],
+        report_cold: Callable[[ColdChange], None] = lambda _: None,
     ) -> None:
         """Asks for nothing before the first limit is known.
 
@@ -117,12 +132,15 @@
             clock: Clock in seconds.
             count_permit: Counts a permit, given its pool and the outcome.
             count_change: Counts a change of what is known, given its kind.
+            report_cold: Reports an upstream that a peer says is cold.
         """
         self._fleet = fleet
         self._limits = limits
         self._clock = clock
         self._count_permit = count_permit
         self._count_change = count_change
+        self._report_cold = report_cold
+        self._cold_sent = 0
         self._permits = RatePermits(fleet.name)
         self._changed = anyio.Event()
 
@@ -146,19 +164,22 @@
             await self._fleet.announce()
 
     def is_limited(self, upstream: LimitedUpstream) -> bool:
-        """Whether an upstream has named a rate limit that holds."""
-        return (
-            bool(self._limits)
-            and self._limits.per_s(upstream.identity) is not None
-        )
+        """Whether an upstream has a rate limit that holds."""
+        return self.find_limit(upstream) is not None
+
+    def find_limit(self, upstream: LimitedUpstream) -> Limit | None:
+        """Returns the rate limit of an upstream, None without one."""
+        if not self._limits:
+            return None
+        return self._limits.find(upstream.identity, self._clock())
 
     def opens_at(self, upstream: LimitedUpstream) -> float:
         """Returns until when no permit is to be had, -inf if one may be."""
         limits, now = self._limits, self._clock()
-        per_s = limits.per_s(upstream.identity)
-        if per_s is not None and self._is_granter(upstream.pool):
+        limit = self.find_limit(upstream)
+        if limit is not None and self._is_granter(upstream.pool):
             wait_s = self._permits.opens_in_s(
-                upstream.identity, upstream.pool, per_s, now
+                upstream.identity, upstream.pool, limit, now
             )
             limits.close(
                 upstream.identity, now + wait_s if wait_s > 0.0 else -math.inf
@@ -222,52 +243,59 @@
             wait_s: Time for which the request can wait, in seconds.
         """
         limits, asked_at = self._limits, self._clock()
-        per_s = limits.per_s(upstream.identity)
-        if per_s is None:
+        limit = self.find_limit(upstream)
+        if limit is None:
             return Permit(asked_at, math.inf)
         if self._is_granter(upstream.pool):
             decision = self._permits.request(
-                upstream.identity, upstream.pool, per_s, wait_s, asked_at
+                upstream.identity, upstream.pool, limit, wait_s, asked_at
             )
-            granted, opens_in_s = decision.granted, decision.wait_s
         else:
-            granted, opens_in_s = await self._ask(upstream, wait_s)
-            if limits.per_s(upstream.identity) is None:
+            decision = await self._ask(upstream, wait_s)
+            limit = self.find_limit(upstream)
+            if limit is None:
                 return Permit(asked_at, math.inf)
-        outcome = "granted" if granted else "denied"
-        self._count_permit(upstream.pool, outcome)
-        if not granted:
-            limits.close(upstream.identity, self._clock() + opens_in_s)
+        is_cold = limit.second_max < math.inf
+        outcome = "granted" if decision.granted else "denied"
+        self._count_permit(upstream.pool, outcome + "_cold" * is_cold)
+        opens_in_s, now = decision.wait_s, self._clock()
+        if not decision.granted:
+            limits.close(upstream.identity, now + opens_in_s)
             return None
-        starts_at = asked_at + opens_in_s
-        return Permit(starts_at, starts_at + PERMIT_VALID_S)
+        # The time of the reply counts as used: the granter may have decided
+        # when it was asked.
+        return Permit(
+            now + opens_in_s if opens_in_s > 0.0 else asked_at,
+            asked_at + opens_in_s + decision.valid_s,
+        )
 
     def is_valid(
         self, upstream: LimitedUpstream, permit: Permit | None
     ) -> bool:
         """Whether a request may be written to an upstream now."""
-        if permit is None:
+        if permit is None or permit.ends_at == math.inf:
             return not self.is_limited(upstream)
         return self._clock() <= permit.ends_at
 
     async def _ask(
         self, upstream: LimitedUpstream, wait_s: float
-    ) -> tuple[bool, float]:
-        """Asks the granter of an upstream for a permit.
-
-        Returns:
-            Whether it granted one, and the time until that begins or until the
-            next one may be granted.
-        """
-        held = self._limits.get(upstream.identity)
+    ) -> PermitDecision:
+        """Asks the granter of an upstream for a permit."""
+        identity, cold = upstream.identity, self._limits.cold
+        held = self._limits.get(identity)
         granter = self._permits.members.granter(upstream.pool)
         now = self._clock()
+        bound = cold.find(identity, now)
         request = message.PermitRequest(
             pool=upstream.pool,
             upstream=upstream.name,
-            born_ms=upstream.identity[1],
+            born_ms=identity[1],
             wait_s=wait_s,
-            limits=(_to_message(upstream.identity, held, now),),
+            limits=(_to_message(identity, held, now),) if held else (),
+            cold_per_s=bound.per_s if bound else 0.0,
+            cold=[
+                m for m in self._describe_cold() if m.upstream == upstream.name
+            ],
         )
         detail = "it grants no permits"
         try:
@@ -275,7 +303,11 @@
                 reply = await self._fleet.ask(granter, request)
                 if isinstance(reply, message.PermitReply):
                     self.receive(reply.limits)
-                    return reply.granted, reply.wait_s
+                    return PermitDecision(
+                        reply.granted,
+                        reply.wait_s,
+                        reply.valid_s or PERMIT_VALID_S,
+                    )
         except ApplespringError as exc:
             detail = str(exc)
         self._count_permit(upstream.pool, "no_reply")
@@ -291,27 +323,33 @@
             upstream.name,
             detail,
         )
-        return False, NO_REPLY_PAUSE_S
+        return PermitDecision(False, NO_REPLY_PAUSE_S)
 
     async def grant(self, msg: message.PermitRequest) -> message.Message:
         """Answers the request of another instance for a permit."""
         now, limits = self._clock(), self._limits
         identity = (msg.upstream, msg.born_ms)
         self.receive(msg.limits)
-        per_s = limits.per_s(identity)
+        self.receive_cold(msg.cold)
+        limit = _lower(
+            limits.find(identity, now), limits.cold.make_bound(msg.cold_per_s)
+        )
         held = limits.get(identity)
         known = [_to_message(identity, held, now)] if held else []
-        if per_s is None:
+        if limit is None:
             return message.PermitReply(granted=True, wait_s=0.0, limits=known)
         if not self._is_granter(msg.pool):
             return message.PermitReply(
                 granted=False, wait_s=NO_REPLY_PAUSE_S, limits=known
             )
         decision = self._permits.request(
-            identity, msg.pool, per_s, max(0.0, msg.wait_s), now
+            identity, msg.pool, limit, max(0.0, msg.wait_s), now
         )
         return message.PermitReply(
-            granted=decision.granted, wait_s=decision.wait_s, limits=known
+            granted=decision.granted,
+            wait_s=decision.wait_s,
+            limits=known,
+            valid_s=decision.valid_s,
         )
 
     def _is_granter(self, pool: str) -> bool:
@@ -359,6 +397,57 @@
                 "none any more" if per_s is None else f"{per_s:g} a second",
             )
 
+    def list_cold(self) -> list[message.ColdUpstream]:
+        """Returns the cold upstreams to send, in turn if there are many."""
+        cold = self._describe_cold()
+        if len(cold) > COLD_SENT_MAX:
+            first = self._cold_sent % len(cold)
+            self._cold_sent = first + COLD_SENT_MAX
+            cold = (cold[first:] + cold[:first])[:COLD_SENT_MAX]
+        return cold
+
+    def _describe_cold(self) -> list[message.ColdUpstream]:
+        cold, now = self._limits.cold, self._clock()
+        if not cold:
+            return []
+        return [
+            message.ColdUpstream(
+                upstream=identity[0],
+                born_ms=identity[1],
+                pool=pool,
+                cold_s=cold.listed_s(identity, now),
+                revision=revision,
+            )
+            for identity, (pool, revision) in cold.listed(now).items()
+        ]
+
+    def receive_cold(self, upstreams: Sequence[message.ColdUpstream]) -> None:
+        """Records upstreams that are cold by entries that a peer has read."""
+        for upstream in upstreams:
+            if not 0.0 < upstream.cold_s <= COLD_MAX_S:
+                continue
+            change = self._limits.cold.record_entry(
+                (upstream.upstream, upstream.born_ms),
+                upstream.pool,
+                upstream.cold_s,
+                upstream.revision,
+                self._clock(),
+                source=ColdSource.PEER,
+            )
+            if change is not None:
+                self._report_cold(change)
+
+
+def _lower(limit: Limit | None, cold: ColdBound | None) -> Limit | None:
+    """Returns the limit of an upstream that is cold for another instance."""
+    if cold is None:
+        return limit
+    if limit is None:
+        return Limit(cold.per_s, cold.second_max)
+    return Limit(
+        min(limit.per_s, cold.per_s), min(limit.second_max, cold.second_max)
+    )
+
 
 def _to_message(
     identity: tuple[str, int], held: RateLimit, now: float
--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -7,12 +7,13 @@
 
 import base64
 import binascii
-import math
 from typing import Any
 
 import orjson
+from loguru import logger
 
 from applespring.core.catalog import ListedUpstream, UpstreamState
+from applespring.core.cold_upstreams import COLD_MAX_S
 from applespring.core.errors import MessageError
 from applespring.core.route import (
     BatchSpec,
@@ -35,6 +36,8 @@
     "draining": UpstreamState.LEAVING,
 }
 _BYTES_PER_MB = 1_000_000
+# Highest rate of cold upstreams that is accepted.
+COLD_PER_S_MAX = 1e6
 
 
 def decode_value(item: dict[str, Any]) -> bytes:
@@ -122,8 +125,9 @@
 def _decode_pool(service: dict[str, Any]) -> PoolSpec:
     engine = service.get("engine")
     segments = service.get("segments")
+    name = service["name"]
     return PoolSpec(
-        name=service["name"],
+        name=name,
         connections_max=int(service.get("maxConnections", 100)),
         engine=EngineSpec(
             int(engine.get("slots", 1)),
@@ -143,8 +147,10 @@
         )
         if segments
         else None,
-        cold_start_s=float(service.get("coldStartS") or 0.0),
-        cold_per_s=float(service.get("coldPerS") or 0.0),
+        cold_start_s=_read_figure(name, "coldStartS", service, COLD_MAX_S)
+        or 0.0,
+        cold_per_s=_read_figure(name, "coldPerS", service, COLD_PER_S_MAX)
+        or 0.0,
     )
 
 
@@ -170,7 +176,6 @@
         service, address = entry["service"], entry["address"]
         zone, born = entry.get("zone", ""), entry.get("born", 0)
         slots = entry.get("slots", 1)
-        cold_ms = entry.get("coldRemainingMs", 0)
         state = _STATE_BY_NAME[entry["state"]]
         host, _, port = address.rpartition(":")
         valid = (
@@ -180,8 +185,6 @@
             and isinstance(zone, str)
             and isinstance(born, int)
             and isinstance(slots, int)
-            and isinstance(cold_ms, (int, float))
-            and math.isfinite(cold_ms)
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise MessageError(f"entry {key!r} is malformed: {exc!r}") from exc
@@ -190,6 +193,7 @@
             f"entry {key!r} has a field of the wrong type, or no host or valid "
             f"port in its address {address!r}"
         )
+    cold_ms = _read_figure(key, "coldRemainingMs", entry, 1000 * COLD_MAX_S)
     return ListedUpstream(
         name=entry_name(key),
         born_ms=born,
@@ -199,5 +203,42 @@
         slots=slots,
         state=state,
         revision=revision,
-        cold_s=max(0.0, cold_ms / 1000),
+        cold_s=None if cold_ms is None else cold_ms / 1000,
     )
+
+
+def _read_figure(
+    thing: str, field: str, fields: dict[str, Any], bound: float
+) -> float | None:
+    """Returns a figure that may be missing, None then or if it is malformed.
+
+    A malformed one is logged.
+
+    Args:
+        thing: What has the figure, for the log.
+        field: Its name.
+        fields: The fields of the thing.
+        bound: Its largest value; the least one is 0.
+    """
+    value = fields.get(field)
+    if value is None:
+        return None
+    if (
+        isinstance(value, (int, float))
+        and not isinstance(value, bool)
+        and 0.0 <= value <= bound
+    ):
+        return float(value)
+    logger.bind(
+        event="figure_rejected",
+        thing=thing,
+        field=field,
+        value=repr(value)[:40],
+    ).warning(
+        "{} of {} is {!r:.40}, not a number from 0 to {:g}, and is ignored",
+        field,
+        thing,
+        value,
+        bound,
+    )
+    return None
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -250,6 +250,7 @@
     status: int, headers: Headers, by_name: Mapping[bytes, bytes]
 ) -> SelfReport:
     retry_after = by_name.get(b"retry-after")
+    cold_ms = by_name.get(b"cold-remaining-ms")
     return make_self_report(
         status,
         leaving=by_name.get(b"server-leaving", b"").strip() == b"1",
@@ -264,6 +265,7 @@
         ]
         if b"server-limit" in by_name
         else (),
+        cold_ms=None if cold_ms is None else cold_ms.decode("latin-1").strip(),
     )
 
 
--- a/src/applespring/quarantine/crash_watch.py
+++ b/src/applespring/quarantine/crash_watch.py
@@ -209,6 +209,7 @@
         clock: Callable[[], float],
         *,
         retry_after_share: float,
+        on_end: Callable[[Upstream], None] = lambda _: None,
     ) -> None:
         """Starts without any crash.
 
@@ -221,6 +222,7 @@
             clock: Clock in seconds.
             retry_after_share: Largest Retry-After as a share of the time until
                 the caller's deadline.
+            on_end: Called with an upstream where no process listens any more.
         """
         self.ledger = CrashLedger()
         self._upstreams = upstreams
@@ -229,6 +231,7 @@
         self._count = count
         self._clock = clock
         self._retry_after_share = retry_after_share
+        self._on_end = on_end
         self._checks: dict[tuple[str, int], BreakCheck] = {}
         # Upstreams that were found listening after a break.
         self._listening: dict[tuple[str, int], BreakCheck] = {}
@@ -353,6 +356,7 @@
         check.ended = await self._refuses_connections(upstream.address)
         self._checks.pop(upstream.identity, None)
         if check.ended:
+            self._on_end(upstream)
             await self._record_crash(check)
         elif len(self._listening) < ENDS_AWAITED_MAX:
             held = self._listening.setdefault(upstream.identity, check)
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -283,10 +283,15 @@
                     "the upstream has a rate limit, and no permit is left"
                 )
         connection_pool = await self._connection_pool(upstream, connections_max)
+        started_at = self._clock()
         try:
             resp = await connection_pool.handle_async_request(request)
             answered = True
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            if isinstance(exc, httpx.ConnectTimeout):
+                self._notices.cold.record_timeout(upstream, started_at)
+            else:
+                self._notices.cold.record_refusal(upstream)
             raise make_error(FailureKind.CONNECT, type(exc).__name__) from exc
         except (httpx.HTTPError, OSError) as exc:
             raise make_error(FailureKind.RESET, type(exc).__name__) from exc
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -14,6 +14,7 @@
 from applespring.quarantine.crash_watch import CrashWatch
 from applespring.relay.application import RelayApplication
 from applespring.relay.client import UpstreamClient
+from applespring.relay.cold_recorder import ColdRecorder
 from applespring.relay.exchange import RETRY_AFTER_SHARE
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.notice_recorder import NoticeRecorder
@@ -42,6 +43,7 @@
         watcher: Reads the registry.
         crash_watch: Requests and prompt parts that crash upstreams.
         application: ASGI application for callers.
+        cold: Records which upstreams are cold.
     """
 
     def __init__(
@@ -69,21 +71,29 @@
             random.Random(f"{settings.name} {incarnation}"),
         )
         self.peers.seeds = settings.seeds
+        self.cold = ColdRecorder(self.state, self.metrics)
         self._permits = PermitBroker(
             RelayFleet(self.state, self.peers),
             self.state.notices.limits,
             clock,
             self.metrics.permits.inc,
             self.metrics.state_changes.inc,
+            self.cold.report,
         )
+        self.cold.set_permits(self._permits)
         self.peers.register_handler(message.PermitRequest, self._permits.grant)
         self.peers.set_limit_exchange(
             self._permits.list_limits, self._permits.receive
         )
+        self.peers.set_cold_exchange(
+            self._permits.list_cold, self._permits.receive_cold
+        )
         self._client = UpstreamClient(
             protocol,
             self.state.reachability,
-            NoticeRecorder(self.state, self.metrics, self._permits.announce),
+            NoticeRecorder(
+                self.state, self.metrics, self._permits.announce, self.cold
+            ),
             self._permits,
             clock,
             make_pool,
@@ -95,6 +105,7 @@
             self.metrics.state_changes.inc,
             clock,
             retry_after_share=RETRY_AFTER_SHARE,
+            on_end=self.cold.record_refusal,
         )
         self.peers.set_crash_receiver(
             lambda gossip: self.crash_watch.receive(
@@ -140,6 +151,7 @@
             self.peers,
             plain,
             self.scheduler,
+            self.cold,
             self.metrics,
             random.Random(f"watch {settings.name} {incarnation}"),
         )
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -160,6 +160,9 @@
             ("document_version",): float(self.state.document_version),
             ("registry_age_s",): now - self.state.registry_read_at,
             ("requests",): float(self.state.requests),
+            ("cold_upstreams",): float(
+                self.state.notices.limits.cold.count(now)
+            ),
             ("peers_reachable",): float(len(self.peers.table.reachable(now))),
             ("log_lines_dropped",): float(self._log.dropped_total),
             ("loop_delay_mean_s",): self._loop_monitor.mean_delay_s,
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -8,6 +8,7 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.core.notices import Notice
 from applespring.core.self_report import SelfReport
+from applespring.relay.cold_recorder import ColdRecorder
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.state import RelayState
 
@@ -16,20 +17,26 @@
 
 
 class NoticeRecorder:
-    """Passes each answer's self-report to the notices of the instance."""
+    """Passes each answer's self-report to the notices of the instance.
 
-    __slots__ = ("_state", "_metrics", "_announce_limits")
+    Attributes:
+        cold: Records which upstreams are cold.
+    """
+
+    __slots__ = ("_state", "_metrics", "_announce_limits", "cold")
 
     def __init__(
         self,
         state: RelayState,
         metrics: RelayMetrics,
         announce_limits: Callable[[], None],
+        cold: ColdRecorder,
     ) -> None:
         """Sets what is called when an answer changes a rate limit."""
         self._state = state
         self._metrics = metrics
         self._announce_limits = announce_limits
+        self.cold = cold
 
     def record(
         self,
@@ -51,8 +58,11 @@
             status: HTTP status of the answer.
             sent_at: When the request was sent.
         """
+        self.cold.record_answer(upstream, sent_at)
         if not report and not self._state.notices.limits:
             return
+        if report.cold_s is not None:
+            self.cold.record_report(upstream, report.cold_s, sent_at)
         log = logger.bind(
             upstream=upstream.name,
             born_ms=upstream.born_ms,
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from applespring.core.catalog import ListedUpstream, UpstreamState
+from applespring.core.cold_upstreams import COLD_MAX_S
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.core.peer_table import Peer
 from applespring.peer import message
@@ -25,6 +26,9 @@
 # starts again after a pause of at most 0.8 s.
 WATCH_RENEWAL_DELAY_S = 1.2
 
+# Value of `UpstreamEntry.cold_s` if the entry does not say.
+NOT_KNOWN = -1.0
+
 
 class PeerSync:
     """Fetches newer data from peers, and answers their requests for it."""
@@ -150,25 +154,29 @@
         return message.UpstreamList(
             revision=self._state.entries_revision,
             upstreams=[
-                _to_message(upstream)
+                self._to_message(upstream)
                 for upstream in self._state.catalog.all().values()
                 if upstream.revision > msg.revision
             ],
         )
 
-
-def _to_message(upstream: ListedUpstream) -> message.UpstreamEntry:
-    return message.UpstreamEntry(
-        name=upstream.name,
-        born_ms=upstream.born_ms,
-        pool=upstream.pool,
-        address=upstream.address,
-        failure_domain=upstream.failure_domain,
-        slots=upstream.slots,
-        state=upstream.state.value,
-        revision=upstream.revision,
-        cold_s=upstream.cold_s,
-    )
+    def _to_message(self, upstream: ListedUpstream) -> message.UpstreamEntry:
+        cold_s = NOT_KNOWN
+        if upstream.cold_s is not None:
+            cold_s = self._state.notices.limits.cold.listed_s(
+                upstream.identity, self._state.clock()
+            )
+        return message.UpstreamEntry(
+            name=upstream.name,
+            born_ms=upstream.born_ms,
+            pool=upstream.pool,
+            address=upstream.address,
+            failure_domain=upstream.failure_domain,
+            slots=upstream.slots,
+            state=upstream.state.value,
+            revision=upstream.revision,
+            cold_s=cold_s,
+        )
 
 
 def _from_message(entry: message.UpstreamEntry) -> ListedUpstream:
@@ -187,5 +195,5 @@
         slots=entry.slots,
         state=state,
         revision=entry.revision,
-        cold_s=max(0.0, entry.cold_s),
+        cold_s=entry.cold_s if 0.0 <= entry.cold_s <= COLD_MAX_S else None,
     )
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -110,6 +110,10 @@
         self._receive_limits: (
             Callable[[Sequence[message.UpstreamRate]], None] | None
         ) = None
+        self._list_cold: Callable[[], Sequence[message.ColdUpstream]] = tuple
+        self._receive_cold: (
+            Callable[[Sequence[message.ColdUpstream]], None] | None
+        ) = None
         # Set once a peer has named the other instances, or none answers.
         self._joined = anyio.Event()
         self.register_handler(message.FetchPeers, self._on_fetch_peers)
@@ -138,6 +142,20 @@
         self._list_limits = list_limits
         self._receive_limits = receive_limits
 
+    def set_cold_exchange(
+        self,
+        list_cold: Callable[[], Sequence[message.ColdUpstream]],
+        receive_cold: Callable[[Sequence[message.ColdUpstream]], None],
+    ) -> None:
+        """Sets the source and the receiver of cold upstreams.
+
+        Args:
+            list_cold: Returns those to send with the next heartbeat.
+            receive_cold: Called with those that a peer sends.
+        """
+        self._list_cold = list_cold
+        self._receive_cold = receive_cold
+
     def reachable_names(self) -> list[str]:
         """Returns the names of the other instances that can be reached."""
         return [p.name for p in self.table.reachable(self._clock())]
@@ -364,6 +382,7 @@
         )
         loads = loads[:LOADS_MAX]
         limits = self._list_limits()
+        cold = self._list_cold()
         while True:
             gossip = message.Gossip(
                 sender=self.local_row(),
@@ -371,11 +390,16 @@
                 loads=loads,
                 waits=waits[:QUEUE_WAITS_MAX],
                 limits=tuple(limits),
+                cold=tuple(cold),
             )
             data = encode(gossip)
-            if len(data) <= DATAGRAM_BYTES_MAX or not (rows or loads or limits):
+            if len(data) <= DATAGRAM_BYTES_MAX or not (
+                rows or loads or limits or cold
+            ):
                 return data
-            if rows or loads:
+            if cold:
+                cold = cold[: len(cold) // 2]
+            elif rows or loads:
                 rows, loads = rows[: len(rows) // 2], loads[: len(loads) // 2]
             else:
                 limits = limits[: len(limits) // 2]
@@ -398,6 +422,8 @@
             self._record_row(row, now, direct=False)
         if gossip.limits and self._receive_limits is not None:
             self._receive_limits(gossip.limits)
+        if gossip.cold and self._receive_cold is not None:
+            self._receive_cold(gossip.cold)
         if gossip.crashes:
             # Datagrams with crashes have no loads, which stay as they were.
             if self._crash_receiver is not None:
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -222,9 +222,10 @@
         closed_until = self._state.paused_until(pool)
         rates: dict[str, float] = {}
         for upstream in upstreams:
-            if self._permits.is_limited(upstream):
-                identity, name = upstream.identity, upstream.name
-                rates[name] = self._state.notices.limits.per_s(identity)
+            limit = self._permits.find_limit(upstream)
+            if limit is not None:
+                name = upstream.name
+                rates[name] = limit.per_s
                 closed_until[name] = max(
                     self._permits.opens_at(upstream),
                     closed_until.get(name, -math.inf),
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -102,6 +102,11 @@
         )
         self.document = doc
         self.document_data = data
+        self.notices.limits.cold.configure(
+            doc.pools.values(),
+            self.settings.cold_overshoot,
+            self.settings.cold_slack,
+        )
 
     @property
     def connection_header(self) -> tuple[bytes, bytes]:
@@ -135,8 +140,9 @@
     ) -> list[ListedUpstream]:
         """Returns the upstreams of a pool that may get a request now.
 
-        Those that are paused get none. An upstream whose pause has just ended
-        is left out for most requests, see `UpstreamNotices.takes_share`.
+        Those that are paused get none. An upstream whose pause has just ended,
+        or that is or was cold, is left out for most requests, see
+        `UpstreamNotices.takes_share` and `takes_cold_share`.
 
         Args:
             pool: Name of the pool.
@@ -151,12 +157,28 @@
         ]
         if not request:
             return usable
+        if self.notices.limits.cold:
+            usable = self._leave_out_cold(usable, request, now)
         return [
             u
             for u in usable
             if self.notices.takes_share(u.identity, request, len(staying), now)
         ] or usable
 
+    def _leave_out_cold(
+        self, upstreams: list[ListedUpstream], request: str, now: float
+    ) -> list[ListedUpstream]:
+        """Leaves out most cold upstreams, unless all of them are cold."""
+        cold = self.notices.limits.cold
+        warm_count = sum(cold.find(u.identity, now) is None for u in upstreams)
+        return [
+            u
+            for u in upstreams
+            if self.notices.takes_cold_share(
+                u.identity, request, warm_count, now
+            )
+        ]
+
     def pool_opens_in_s(
         self, pool: str, *, limits: bool = True
     ) -> float | None:
@@ -184,8 +206,9 @@
             The sum of their rate limits, or None if one has none or there are
             no upstreams.
         """
+        limits, now = self.notices.limits, self.clock()
         rates = [
-            self.notices.limits.per_s(u.identity)
+            limit.per_s if (limit := limits.find(u.identity, now)) else None
             for u in self.staying_upstreams(pool)
         ]
         return None if None in rates or not rates else sum(rates)
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -13,6 +13,7 @@
 from applespring.core.era import era_of, revision_of
 from applespring.core.errors import ApplespringError, MessageError
 from applespring.peer import message
+from applespring.relay.cold_recorder import ColdRecorder
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.plain import PlainForwarder
@@ -61,6 +62,7 @@
         peers: Peers,
         plain: PlainForwarder,
         scheduler: StageScheduler,
+        cold: ColdRecorder,
         metrics: RelayMetrics,
         rng: random.Random,
     ) -> None:
@@ -69,6 +71,7 @@
         self._peers = peers
         self._plain = plain
         self._scheduler = scheduler
+        self._cold = cold
         self._metrics = metrics
         self._rng = rng
         self._contact_lost = False
@@ -248,10 +251,13 @@
         upstreams = list(upstreams)
         newest = max((u.revision for u in upstreams), default=0)
         self._enter_era(max(newest, self._state.entries_revision))
-        now = self._state.clock()
+        now, has_entries = self._state.clock(), bool(self._state.catalog.all())
         for upstream in upstreams:
             held = self._state.catalog.get(upstream.name)
             born_ms = held.born_ms if held is not None else upstream.born_ms
+            is_new = has_entries and (
+                held is None or held.identity != upstream.identity
+            )
             if self._state.catalog.put(upstream, now):
                 self._log_listed(upstream)
                 if born_ms != upstream.born_ms:
@@ -259,6 +265,7 @@
                         upstream.name, self._state.clock()
                     )
                     self._plain.selector.restart(upstream.name)
+            self._cold.record_entry(upstream, is_new=is_new)
 
     def _apply_changes(self, changes: Iterable[EntryChange]) -> None:
         now = self._state.clock()
@@ -312,6 +319,8 @@
                 self._state.clock()
             ):
                 self._log_listed(upstream)
+                self._cold.record_entry(upstream, is_new=True)
+            self._cold.expire()
 
     # The methods of GossipSource.
 
