--- a/src/applespring/permits/broker.py
+++ b/src/applespring/permits/broker.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import zlib
 from collections.abc import Callable, Container, Mapping, Sequence
 from typing import Protocol, TypeVar
 
@@ -35,7 +36,7 @@
 # Limits in one heartbeat, those named last first.
 LIMITS_SENT_MAX = 12
 # Cold upstreams in one heartbeat, in turn.
-COLD_SENT_MAX = 24
+COLD_SENT_MAX = 8
 # Longest wait for the reply of the granter.
 REPLY_WAIT_S = 0.1
 # Upstreams for which a request asks for a permit that begins now. Each that is
@@ -140,7 +141,8 @@
         self._count_permit = count_permit
         self._count_change = count_change
         self._report_cold = report_cold
-        self._cold_sent = 0
+        # Instances that tell all others at once begin at different ones.
+        self._cold_sent = zlib.crc32(fleet.name.encode())
         self._permits = RatePermits(fleet.name)
         self._changed = anyio.Event()
 
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -397,12 +397,11 @@
                 rows or loads or limits or cold
             ):
                 return data
-            if cold:
-                cold = cold[: len(cold) // 2]
-            elif rows or loads:
+            if rows or loads:
                 rows, loads = rows[: len(rows) // 2], loads[: len(loads) // 2]
             else:
                 limits = limits[: len(limits) // 2]
+                cold = cold[: len(cold) // 2]
 
     async def _on_datagram(self, data: bytes) -> None:
         try:
