Add cold upstreams to the soak, and check their bound

Workers turn cold at any moment, or come back cold under their ids. The audit counts what reaches them in any second. An entry keeps the start time of its worker when it is written again.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,7 @@
       | leaving  | a request reaches an upstream 2.1 s after it told the instance that it leaves |
       | paused   | 3 requests reach an upstream that had asked the instance for a pause |
       | limited  | 12 requests in 4 s reach an upstream with a limit of 1 a second      |
+      | cold     | 12 requests in 1 s reach a cold upstream that takes 11               |
       | deadly   | 4 requests reach engines 3.1 s after a part crashed the fifth one    |
       | deadly   | 4 requests reach upstreams 3.1 s after one crashed the third         |
       | ended    | a process ends unexpectedly                                          |
@@ -170,6 +171,12 @@
     When the soak runs seed 9701 with 4 faults "workers name a rate limit"
     Then no guarantee is violated
 
+  Scenario: Workers that are cold
+    Guards against requests beyond what cold workers take from all instances
+    together, after a restart under their names as well.
+    When the soak runs seed 9901 with 4 faults "workers are cold"
+    Then no guarantee is violated
+
   Scenario: The store comes back from copies
     Guards against changes of a new era that are taken for older ones, and
     against upstreams and documents that the copy brings back.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -22,6 +22,7 @@
     UNSAFE,
     Arrival,
     CallerRequest,
+    ColdArrival,
     Execution,
     Fault,
     LimitedArrival,
@@ -452,6 +453,13 @@
             )
 
 
+@violation("12 requests in 1 s reach a cold upstream that takes 11")
+def violate_cold(records):
+    for n in range(-11, 12):
+        at = SENT_AT + (n * 2 if n < 0 else n / 13)
+        records.cold_arrivals.append(ColdArrival("worker-1", at))
+
+
 @violation("a window has 60 added attempts and 40 requests")
 def violate_budget(records):
     for n in range(40):
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -516,6 +516,24 @@
                 break
 
 
+@check("cold")
+def check_cold(records: Records) -> Iterator[str]:
+    """A cold upstream gets in no second more than its bound, whoever sends."""
+    by_start: dict[str, list[float]] = {}
+    for arrival in records.cold_arrivals:
+        by_start.setdefault(arrival.start, []).append(arrival.at)
+    for start, times in by_start.items():
+        for number, first in enumerate(times):
+            count = sum(at < first + 1.0 for at in times[number:])
+            if count > document.COLD_SECOND_MAX:
+                yield (
+                    f"{count} requests reached {start}, which is cold, in the "
+                    f"second from {first:.3f} s; it takes "
+                    f"{document.COLD_SECOND_MAX:g}"
+                )
+                break
+
+
 def _is_instance_undisturbed(records: Records, arrival: LimitedArrival) -> bool:
     instance = arrival.instance
     return records.is_undisturbed(
--- a/soak/document.py
+++ b/soak/document.py
@@ -31,6 +31,13 @@
 PATIENCE_TARGETS = 4
 PATIENCE_GAPS = 8
 IDLE_TIMEOUT_S = 15.0
+# What a service says of its cold workers, and the bound of the settings: most
+# requests that one gets in a second.
+COLD_START_S = 1.5
+COLD_PER_S = 4.0
+COLD_OVERSHOOT = 1.5
+COLD_SLACK = 5
+COLD_SECOND_MAX = COLD_PER_S * COLD_OVERSHOOT + COLD_SLACK
 
 
 def patience_s(kind: str) -> float:
@@ -130,12 +137,19 @@
         "name": name,
         "healthPath": "/health",
         "maxConnections": CONNECTIONS_MAX,
+        "coldStartS": COLD_START_S,
+        "coldPerS": COLD_PER_S,
         **fields,
     }
 
 
 def make_entry(
-    pool: str, address: str, domain: str, state: str, born_ms: int
+    pool: str,
+    address: str,
+    domain: str,
+    state: str,
+    born_ms: int,
+    cold_s: float = 0.0,
 ) -> dict[str, Any]:
     """Returns the registry entry of a worker."""
     return {
@@ -145,7 +159,7 @@
         "version": 1,
         "slots": 1 if pool == STAGE else 64,
         "state": state,
-        "coldRemainingMs": 0,
+        "coldRemainingMs": int(1000 * cold_s),
         "sequence": 1,
         "born": born_ms,
     }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,6 +50,8 @@
 # Rate limits that workers name, and the shortest and longest time for which.
 RATE_LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
 LIMITED_RANGE_S = (5.0, 12.0)
+# Shortest and longest time for which workers are cold.
+COLD_RANGE_S = (2.0, 5.0)
 # Shortest and longest age of a copy from which the store comes back, and time
 # until what was written since is written again.
 COPY_AGE_RANGE_S = (0.5, 5.0)
@@ -303,7 +305,10 @@
 
 
 async def _crash_worker(
-    worker_host: WorkerHost, downtime_s: float, same_id: bool
+    worker_host: WorkerHost,
+    downtime_s: float,
+    same_id: bool,
+    cold_s: float = 0.0,
 ) -> None:
     worker = worker_host.crash_worker()
     if worker is None:
@@ -312,7 +317,9 @@
         tasks.start_soon(worker_host.expire_entry, worker)
         await anyio.sleep(downtime_s)
         if worker_host.worker is None:
-            worker_host.start_worker(worker.name if same_id else "")
+            worker_host.start_worker(
+                worker.name if same_id else "", cold_s=cold_s
+            )
 
 
 @fault("part crashes engines")
@@ -406,6 +413,30 @@
         worker.limit_per_s = math.inf
 
 
+@fault("workers are cold")
+async def turn_cold(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets workers, up to all, be cold for a time, some after a restart."""
+    async with anyio.create_task_group() as tasks:
+        for worker_host in _sample(rng, testbed.worker_hosts, 1.0):
+            cold_s = rng.uniform(*COLD_RANGE_S)
+            again = rng.random() < 0.5
+            down_s = _draw_duration(rng)
+            if again:
+                tasks.start_soon(
+                    _restart_cold, testbed, worker_host, down_s, cold_s
+                )
+            else:
+                tasks.start_soon(worker_host.turn_cold, cold_s)
+
+
+async def _restart_cold(
+    testbed: "Testbed", worker_host: WorkerHost, down_s: float, cold_s: float
+) -> None:
+    with recorded_fault(testbed, "crash", [f"place:{worker_host.name}"]):
+        await _crash_worker(worker_host, down_s, True, cold_s)
+    await anyio.sleep(cold_s)
+
+
 @fault("workers misbehave")
 async def misbehave(testbed: "Testbed", rng: random.Random) -> None:
     """Applies one kind of misbehaviour to the workers of some hosts."""
--- a/soak/record.py
+++ b/soak/record.py
@@ -245,6 +245,21 @@
         self.per_s = per_s
 
 
+class ColdArrival:
+    """A request of any kind that arrived at a cold upstream.
+
+    Attributes:
+        start: Start of the upstream, see `Execution.start`.
+        at: When it arrived.
+    """
+
+    __slots__ = ("start", "at")
+
+    def __init__(self, start: str, at: float) -> None:
+        self.start = start
+        self.at = at
+
+
 class Piece:
     """One execution of a piece at a stage upstream.
 
@@ -364,6 +379,8 @@
             draining, by its start.
         notices: What upstreams told instances in answers.
         limited_arrivals: Requests that arrived at upstreams with a rate limit.
+        cold_arrivals: Requests that arrived at upstreams that are cold and
+            have said so for some time, or since their start.
         arrivals: Requests of callers that arrived at upstreams.
         sigterms: Times in order at which SIGTERM was sent, by instance.
         unexpected_exits: Instance, time and exit code of processes that ended
@@ -389,6 +406,7 @@
         "drain_acked_at",
         "notices",
         "limited_arrivals",
+        "cold_arrivals",
         "arrivals",
         "sigterms",
         "unexpected_exits",
@@ -409,6 +427,7 @@
         self.drain_acked_at: dict[str, float] = {}
         self.notices: list[Notice] = []
         self.limited_arrivals: list[LimitedArrival] = []
+        self.cold_arrivals: list[ColdArrival] = []
         self.arrivals: list[Arrival] = []
         self.sigterms: dict[str, list[float]] = {}
         self.unexpected_exits: list[tuple[str, float, int]] = []
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -8,6 +8,7 @@
 import anyio
 
 from demo.process import Child
+from soak.document import COLD_OVERSHOOT, COLD_SLACK
 from soak.net import Address, ConnError, connect
 from soak.proxy import LinkFaults, TcpProxy, UdpProxy
 from soak.record import STARVED, Fault, Records
@@ -115,6 +116,8 @@
             "seeds": seed_addresses,
             "platform.address": f"{self._store[0]}:{self._store[1]}",
             "bounds.graceS": f"{TERM_GRACE_S:g}",
+            "bounds.coldOvershoot": f"{COLD_OVERSHOOT:g}",
+            "bounds.coldSlack": f"{COLD_SLACK:g}",
         }
         text = "".join(f"{name}={value}\n" for name, value in lines.items())
         self.settings_path.write_text(text)
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -15,6 +15,7 @@
 
 from soak.record import (
     Arrival,
+    ColdArrival,
     Execution,
     LimitedArrival,
     Notice,
@@ -118,6 +119,9 @@
         pool: Service that it belongs to.
         leaving: Whether it says in all answers that it leaves.
         paused_until: Until when it refuses requests and asks for no more.
+        born_ms: When it was started, in Unix milliseconds.
+        cold_from: Since when all instances have to know that it is cold.
+        cold_until: Until when it is cold.
         limit_per_s: Rate limit that it names in all answers; infinite after it
             had one, None before.
         misbehaviour: Its deviations, shared with its host.
@@ -139,6 +143,8 @@
         self.pool = pool
         self.leaving = False
         self.paused_until = -math.inf
+        self.born_ms = 0
+        self.cold_from = self.cold_until = -math.inf
         self.limit_per_s: float | None = None
         self.misbehaviour = misbehaviour
         self._context = context
@@ -165,6 +171,8 @@
         request = records.requests.get(req.headers.get("request-id", ""))
         if request is not None:
             records.arrivals.append(Arrival(self.start, request, clock()))
+        if self.cold_from <= clock() < self.cold_until:
+            records.cold_arrivals.append(ColdArrival(self.start, clock()))
         if self.limit_per_s not in (None, math.inf):
             reply.said = [("Server-Limit", f"{self.limit_per_s:g}")]
             instance = request.instance if request is not None else ""
--- a/soak/worker_hosts.py
+++ b/soak/worker_hosts.py
@@ -31,6 +31,8 @@
 # Shortest and longest time until an engine that crashed on a prompt part is
 # back.
 CRASH_RANGE_S = (0.5, 1.5)
+# Time in which all instances have read that a worker has become cold.
+COLD_NOTICE_S = 1.5
 # Time after which the store removes the entry of a worker that ended.
 ENTRY_EXPIRY_S = 1.0
 
@@ -82,8 +84,13 @@
             await tasks.start(self.proxy.run)
             task_status.started()
 
-    def start_worker(self, name: str = "") -> None:
-        """Starts and registers a worker, by default under a new id."""
+    def start_worker(self, name: str = "", *, cold_s: float = 0.0) -> None:
+        """Starts and registers a worker, by default under a new id.
+
+        Args:
+            name: Its id, or "".
+            cold_s: How long it is cold.
+        """
         name = name or f"{self.name}-{next(self._worker_numbers)}"
         worker = WORKER_CLASSES[self.pool](
             name, self.pool, self.misbehaviour, self._context
@@ -92,8 +99,28 @@
             worker.address = self._address
         worker.crash = self._crash_on_request
         self.worker = worker
+        worker.born_ms = time.time_ns() // 1_000_000
+        worker.cold_from = self._context.clock()
+        worker.cold_until = worker.cold_from + cold_s
         self.proxy.open_port()
-        self._register(worker.name, "ready")
+        self._register(worker, "ready", cold_s)
+
+    async def turn_cold(self, cold_s: float) -> None:
+        """Lets its worker be cold for a time, and say so in its entry."""
+        worker = self.worker
+        if worker is None or self._leaves(worker):
+            return
+        self._register(worker, "ready", cold_s)
+        clock = self._context.clock
+        worker.cold_from = clock() + COLD_NOTICE_S
+        worker.cold_until = clock() + cold_s
+        await anyio.sleep(cold_s)
+        if self.worker is worker and not self._leaves(worker):
+            self._register(worker, "ready")
+
+    def _leaves(self, worker: Worker) -> bool:
+        drained = self._context.records.drain_acked_at
+        return worker.leaving or worker.start in drained
 
     def crash_worker(self) -> Worker | None:
         """Ends the worker at once; its registry entry stays."""
@@ -139,22 +166,25 @@
         worker = self.worker
         if worker is None:
             return
-        acked_at = self._register(worker.name, "draining")
+        acked_at = self._register(worker, "draining")
         self._context.records.drain_acked_at[worker.start] = acked_at
         await anyio.sleep(DRAIN_NOTICE_S + ENTRY_EXPIRY_S)
         if self.worker is worker:
             self.crash_worker()
         self._store.delete(f"servers/{worker.name}")
 
-    def _register(self, name: str, state: str) -> float:
+    def _register(
+        self, worker: Worker, state: str, cold_s: float = 0.0
+    ) -> float:
         entry = document.make_entry(
             self.pool,
             self._address,
             self.domain,
             state,
-            time.time_ns() // 1_000_000,
+            worker.born_ms,
+            cold_s,
         )
-        return self._store.put(f"servers/{name}", entry)
+        return self._store.put(f"servers/{worker.name}", entry)
 
     async def _handle(self, req: Request, reply: Reply) -> None:
         if self.worker is None:
