--- a/src/applespring/core/notices.py
+++ b/src/applespring/core/notices.py
@@ -112,9 +112,8 @@
             upstream_count: Number of upstreams of its pool.
             now: Current time.
         """
-        if now - self.pauses.until(
-            identity
-        ) >= RETURN_TIME_S and not self.limits.cold.was_cold(identity, now):
+        was_cold = self.limits.cold.was_cold(identity, now)
+        if now - self.pauses.until(identity) >= RETURN_TIME_S and not was_cold:
             return True
         return _hash_share(f"{identity[0]}\x1f{request}") * upstream_count < 1.0
 
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -19,6 +19,8 @@
 LIMIT_RULES = "rate_limits"
 ENTRY_LIMITS = "entry_limits"
 ERA = "registry_era"
+COLD = "relay_cold"
+COLD_RULES = "cold_upstreams"
 
 RELAY_GUARDS = (
     Guard(
@@ -626,8 +628,8 @@
     Guard(
         "share of an upstream whose pause has ended",
         "core/notices.py",
-        "if now - self.pauses.until(identity) >= RETURN_TIME_S:",
-        "if True:",
+        "if now - self.pauses.until(identity) >= RETURN_TIME_S and",
+        "if True or",
         (NOTICE_RULES, "Requests move away"),
     ),
     Guard(
@@ -694,8 +696,8 @@
     Guard(
         "core: a new granter waits until all know of it",
         "core/rate_permits.py",
-        "self.members.settled_at(pool) + burst_s,",
-        "-math.inf,",
+        "self.members.settled_at(pool) + burst_s",
+        "-math.inf",
         (LIMIT_RULES, "Members that change"),
     ),
     Guard(
@@ -733,6 +735,78 @@
         "",
         (FORWARD, "A silent upstream keeps a request"),
     ),
+    Guard(
+        "core: the limit of a cold upstream",
+        "core/rate_limits.py",
+        "if cold is None:",
+        "if True:",
+        (COLD, "All upstreams of a pool start again -- @1.2"),
+    ),
+    Guard(
+        "core: a burst within the bound of a second",
+        "core/rate_permits.py",
+        "burst = max(1, min(BURST, most - paced))",
+        "burst = BURST",
+        (COLD_RULES, "A bound that leaves no room -- @1.2"),
+    ),
+    Guard(
+        "core: parts of a fleet that is cut share the bound of a second",
+        "core/rate_permits.py",
+        "most = _part_of(int(limit.second_max), part)",
+        "most = int(limit.second_max)",
+        (COLD_RULES, "A bound that leaves no room -- @1.3"),
+    ),
+    Guard(
+        "core: an entry that was read before makes no upstream cold anew",
+        "core/cold_upstreams.py",
+        "if start is None or revision <= start.revision:",
+        "if start is None:",
+        (COLD_RULES, "What shows that an upstream is cold -- @1.4"),
+    ),
+    Guard(
+        "core: an upstream that can't be reached counts as cold",
+        "core/cold_upstreams.py",
+        "identity[0], start, math.inf, ColdSource.UNREACHABLE, now",
+        "identity[0], start, start.until, ColdSource.UNREACHABLE, now",
+        (COLD_RULES, "What shows that an upstream is cold -- @1.15"),
+    ),
+    Guard(
+        "relay: an instance that is cut off holds no upstream for cold",
+        "relay/cold_recorder.py",
+        "if heard_at >= started_at + HEARD_AFTER_S:",
+        "if True:",
+        (COLD, "An upstream that can't be reached -- @1.3"),
+    ),
+    Guard(
+        "relay: a cold upstream gets the requests of a warm one",
+        "relay/state.py",
+        "if self.notices.limits.cold:",
+        "if False:",
+        (COLD_RULES, "Twenty upstreams come back at once -- @1.1"),
+    ),
+    Guard(
+        "core: an upstream that was cold gets its share at first",
+        "core/notices.py",
+        "was_cold = self.limits.cold.was_cold(identity, now)",
+        "was_cold = False",
+        (COLD_RULES, "Twenty upstreams come back at once -- @1.1"),
+    ),
+    Guard(
+        "relay: peers age how long an upstream is cold",
+        "relay/peer_sync.py",
+        """cold_s = self._state.notices.limits.cold.listed_s(
+                upstream.identity, self._state.clock()
+            )""",
+        "cold_s = upstream.cold_s",
+        (COLD, "The registry can't be read"),
+    ),
+    Guard(
+        "relay: no cold engine is the source of a prefix",
+        "relay/streams.py",
+        "[u for u in ready if not self._permits.is_limited(u)],",
+        "ready,",
+        (COLD, "No cold engine is the source of a prefix"),
+    ),
     Guard(
         "relay: entries are ordered by the era of the registry",
         "platform/registry.py",
