--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -22,6 +22,7 @@
     UNSAFE,
     Arrival,
     CallerRequest,
+    ColdArrival,
     Evacuation,
     Execution,
     Fault,
@@ -461,6 +462,13 @@
             )
 
 
+@violation("6 requests in 1 s reach a cold upstream that takes 4")
+def violate_cold(records):
+    for n in range(-11, 6):
+        at = SENT_AT + (n if n < 0 else n / 7)
+        records.cold_arrivals.append(ColdArrival("worker-1", at))
+
+
 @violation("a window has 60 added attempts and 40 requests")
 def violate_budget(records):
     for n in range(40):
--- a/soak/record.py
+++ b/soak/record.py
@@ -262,6 +262,21 @@
         self.per_s = per_s
 
 
+class ColdArrival:
+    """A request of any kind that arrived at a cold upstream.
+
+    Attributes:
+        start: Start of the upstream, see `Execution.start`.
+        at: When it arrived.
+    """
+
+    __slots__ = ("start", "at")
+
+    def __init__(self, start: str, at: float) -> None:
+        self.start = start
+        self.at = at
+
+
 class Piece:
     """One execution of a piece at a stage upstream.
 
@@ -381,6 +396,8 @@
             draining, by its start.
         notices: What upstreams told instances in answers.
         limited_arrivals: Requests that arrived at upstreams with a rate limit.
+        cold_arrivals: Requests that arrived at upstreams that are cold and
+            have said so for some time, or since their start.
         arrivals: Requests of callers that arrived at upstreams.
         domains: Failure domain of each start of an upstream.
         evacuations: Orders to evacuate failure domains.
@@ -408,6 +425,7 @@
         "drain_acked_at",
         "notices",
         "limited_arrivals",
+        "cold_arrivals",
         "arrivals",
         "domains",
         "evacuations",
@@ -430,6 +448,7 @@
         self.drain_acked_at: dict[str, float] = {}
         self.notices: list[Notice] = []
         self.limited_arrivals: list[LimitedArrival] = []
+        self.cold_arrivals: list[ColdArrival] = []
         self.arrivals: list[Arrival] = []
         self.domains: dict[str, str] = {}
         self.evacuations: list[Evacuation] = []
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -15,6 +15,7 @@
 from applespring.quarantine.crash_watch import CrashWatch
 from applespring.relay.application import RelayApplication
 from applespring.relay.client import UpstreamClient
+from applespring.relay.cold_recorder import ColdRecorder
 from applespring.relay.evacuation import EvacuationRecorder
 from applespring.relay.exchange import RETRY_AFTER_SHARE
 from applespring.relay.metrics import RelayMetrics
@@ -45,6 +46,7 @@
         plain_choice: Chooses upstreams of plain pools.
         crash_watch: Requests and prompt parts that crash upstreams.
         application: ASGI application for callers.
+        cold: Records which upstreams are cold.
     """
 
     def __init__(
@@ -72,17 +74,23 @@
             random.Random(f"{settings.name} {incarnation}"),
         )
         self.peers.seeds = settings.seeds
+        self.cold = ColdRecorder(self.state, self.metrics)
         self._permits = PermitBroker(
             RelayFleet(self.state, self.peers),
             self.state.notices.limits,
             clock,
             self.metrics.permits.inc,
             self.metrics.state_changes.inc,
+            self.cold.report,
         )
+        self.cold.set_permits(self._permits)
         self.peers.register_handler(message.PermitRequest, self._permits.grant)
         self.peers.set_limit_exchange(
             self._permits.list_limits, self._permits.receive
         )
+        self.peers.set_cold_exchange(
+            self._permits.list_cold, self._permits.receive_cold
+        )
         plain_choice = make_plain_choice(
             settings.choice, settings.name, self.metrics.choices.inc
         )
@@ -94,6 +102,7 @@
                 self.metrics,
                 self._permits.announce,
                 plain_choice.record_load,
+                self.cold,
             ),
             self._permits,
             clock,
@@ -106,6 +115,7 @@
             self.metrics.state_changes.inc,
             clock,
             retry_after_share=RETRY_AFTER_SHARE,
+            on_end=self.cold.record_refusal,
         )
         self.peers.set_crash_receiver(
             lambda gossip: self.crash_watch.receive(
@@ -148,7 +158,11 @@
             self.state, protocol, plain, streams, self.metrics
         )
         evacuations = EvacuationRecorder(
-            self.state, self.peers, self.scheduler, self.metrics
+            self.state,
+            self.peers,
+            self.scheduler,
+            self.metrics,
+            self.cold.begin_domain,
         )
         self.watcher = Watcher(
             self.state,
@@ -157,6 +171,7 @@
             plain,
             self.scheduler,
             evacuations,
+            self.cold,
             self.metrics,
             random.Random(f"watch {settings.name} {incarnation}"),
         )
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -161,6 +161,9 @@
             ("registry_age_s",): now - self.state.registry_read_at,
             ("requests",): float(self.state.requests),
             ("evacuated_domains",): float(len(self.state.evacuations.domains)),
+            ("cold_upstreams",): float(
+                self.state.notices.limits.cold.count(now)
+            ),
             ("peers_reachable",): float(len(self.peers.table.reachable(now))),
             ("log_lines_dropped",): float(self._log.dropped_total),
             ("loop_delay_mean_s",): self._loop_monitor.mean_delay_s,
--- a/src/applespring/relay/evacuation.py
+++ b/src/applespring/relay/evacuation.py
@@ -1,6 +1,6 @@
 """Puts orders to evacuate failure domains in force, and logs them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
@@ -21,7 +21,7 @@
     and peers get a heartbeat at once.
     """
 
-    __slots__ = ("_state", "_peers", "_scheduler", "_metrics")
+    __slots__ = ("_state", "_peers", "_scheduler", "_metrics", "_begin_cold")
 
     def __init__(
         self,
@@ -29,7 +29,19 @@
         peers: Peers,
         scheduler: StageScheduler,
         metrics: RelayMetrics,
+        begin_cold: Callable[[str], None],
     ) -> None:
+        """Sets the state and what depends on the orders.
+
+        Args:
+            state: State of the instance.
+            peers: The other instances.
+            scheduler: Queues of stage pools.
+            metrics: Metrics that count changes.
+            begin_cold: Called with a domain whose evacuation has ended, since
+                its upstreams may be cold.
+        """
+        self._begin_cold = begin_cold
         self._state = state
         self._peers = peers
         self._scheduler = scheduler
@@ -85,6 +97,7 @@
         for domain in update.begun:
             self._log_begun(domain, source, revision)
         for domain in update.ended:
+            self._begin_cold(domain)
             self._metrics.state_changes.inc("evacuation_ended")
             logger.bind(
                 event="evacuation_ended",
--- a/src/applespring/relay/notice_recorder.py
+++ b/src/applespring/relay/notice_recorder.py
@@ -8,6 +8,7 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.core.notices import Notice
 from applespring.core.self_report import LoadReport, SelfReport
+from applespring.relay.cold_recorder import ColdRecorder
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.state import RelayState
 
@@ -16,9 +17,19 @@
 
 
 class NoticeRecorder:
-    """Passes each answer's self-report to the notices of the instance."""
+    """Passes each answer's self-report to the notices of the instance.
 
-    __slots__ = ("_state", "_metrics", "_announce_limits", "_record_load")
+    Attributes:
+        cold: Records which upstreams are cold.
+    """
+
+    __slots__ = (
+        "_state",
+        "_metrics",
+        "_announce_limits",
+        "_record_load",
+        "cold",
+    )
 
     def __init__(
         self,
@@ -26,6 +37,7 @@
         metrics: RelayMetrics,
         announce_limits: Callable[[], None],
         record_load: Callable[[ListedUpstream, LoadReport, float], None],
+        cold: ColdRecorder,
     ) -> None:
         """Sets the state and the callbacks.
 
@@ -34,11 +46,13 @@
             metrics: Metrics that count what answers say.
             announce_limits: Called when an answer changes a rate limit.
             record_load: Called with each load that an answer tells, and when.
+            cold: Records which upstreams are cold.
         """
         self._state = state
         self._metrics = metrics
         self._announce_limits = announce_limits
         self._record_load = record_load
+        self.cold = cold
 
     def record(
         self,
@@ -62,8 +76,11 @@
         """
         if report.load is not None:
             self._record_load(upstream, report.load, self._state.clock())
+        self.cold.record_answer(upstream, sent_at)
         if not report and not self._state.notices.limits:
             return
+        if report.cold_s is not None:
+            self.cold.record_report(upstream, report.cold_s, sent_at)
         log = logger.bind(
             upstream=upstream.name,
             born_ms=upstream.born_ms,
