Act on the review of evacuation and cold upstreams

Cause: found by reading, by reviewers who did not write the parts. An instance that starts without the store took upstreams before it had a peer's orders. A scheduler with a stale order made a submitter refuse for good. Any failed connection counted as a refused one, and a peer of the own domain as proof of the path to another, so that a cut made warm upstreams cold. An upstream that became cold again got a full burst.

Change: each at its place. Not changed: permits that are booked past the end of a cold time, and several questions to a granter that does not answer.

--- a/src/applespring/core/rate_permits.py
+++ b/src/applespring/core/rate_permits.py
@@ -313,6 +313,12 @@
             free_at = now + (free_at - now) * interval_s / held_s
         return max(free_at, self.members.settled_at(pool) + burst_s)
 
+    def drop_burst(self, name: str, now: float) -> None:
+        """Starts the schedule of an upstream anew if no permit is ahead."""
+        free_at, _ = self._free_at.get(name, (math.inf, 0.0))
+        if free_at <= now:
+            del self._free_at[name]
+
     def _make_room(self, now: float) -> None:
         if len(self._free_at) < SCHEDULES_MAX:
             return
--- a/src/applespring/permits/broker.py
+++ b/src/applespring/permits/broker.py
@@ -158,6 +158,13 @@
         """Tells all instances of a change of limits, shortly after."""
         self._changed.set()
 
+    def drop_burst(self, name: str) -> None:
+        """Lets an upstream that became cold begin without a burst.
+
+        In that second it may also get requests of instances that do not know.
+        """
+        self._permits.drop_burst(name, self._clock())
+
     async def _announce_changes(self) -> None:
         while True:
             await self._changed.wait()
--- a/src/applespring/quarantine/port_check.py
+++ b/src/applespring/quarantine/port_check.py
@@ -20,14 +20,14 @@
             stream = await anyio.connect_tcp(host, port)
             await stream.aclose()
     except OSError as exc:
-        return _is_refused(exc)
+        return is_refused(exc)
     return False
 
 
-def _is_refused(exc: BaseException | None) -> bool:
+def is_refused(exc: BaseException | None) -> bool:
     """Returns whether an error was caused by a refused connection."""
     if isinstance(exc, BaseExceptionGroup):
-        return all(_is_refused(inner) for inner in exc.exceptions)
+        return all(is_refused(inner) for inner in exc.exceptions)
     return exc is not None and (
-        isinstance(exc, ConnectionRefusedError) or _is_refused(exc.__cause__)
+        isinstance(exc, ConnectionRefusedError) or is_refused(exc.__cause__)
     )
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -19,6 +19,7 @@
 from applespring.core.reachability import DomainReachability
 from applespring.core.verdict import Verdict
 from applespring.permits.broker import Permit, PermitBroker
+from applespring.quarantine.port_check import is_refused
 from applespring.relay.notice_recorder import NoticeRecorder
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
 
@@ -288,10 +289,10 @@
             resp = await connection_pool.handle_async_request(request)
             answered = True
         except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
-            if isinstance(exc, httpx.ConnectTimeout):
-                self._notices.cold.record_timeout(upstream, started_at)
-            else:
+            if is_refused(exc):
                 self._notices.cold.record_refusal(upstream)
+            else:
+                self._notices.cold.record_timeout(upstream, started_at)
             raise make_error(FailureKind.CONNECT, type(exc).__name__) from exc
         except (httpx.HTTPError, OSError) as exc:
             raise make_error(FailureKind.RESET, type(exc).__name__) from exc
--- a/src/applespring/relay/cold_recorder.py
+++ b/src/applespring/relay/cold_recorder.py
@@ -96,15 +96,21 @@
     ) -> None:
         """Records that no connection to an upstream could be opened in time.
 
-        It counts only if a peer was heard from meanwhile, since otherwise this
-        instance itself may be cut off.
+        It counts only if a peer in the upstream's failure domain was heard from
+        meanwhile, since otherwise the path to that domain may be cut.
 
         Args:
             upstream: The upstream.
             started_at: When the attempt began.
         """
-        peers = self._state.peer_table.all_peers()
-        heard_at = max((p.direct_received_at for p in peers), default=math.inf)
+        heard_at = max(
+            (
+                peer.direct_received_at
+                for peer in self._state.peer_table.all_peers()
+                if peer.failure_domain == upstream.failure_domain
+            ),
+            default=-math.inf,
+        )
         if heard_at >= started_at + HEARD_AFTER_S:
             self._suspect(upstream)
 
@@ -145,6 +151,8 @@
             return
         kind = "upstream_cold" if change.is_cold else "upstream_warm"
         self._state.notices.limits.reopen((change.name, change.born_ms))
+        if change.is_cold and self._permits is not None:
+            self._permits.drop_burst(change.name)
         self._metrics.state_changes.inc(kind)
         for_s = change.until - self._state.clock()
         log = logger.bind(
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -70,10 +70,21 @@
             await self._fetch_evacuations(reachable)
             await self._fetch_document(reachable)
             if self._watcher.registry_unreachable:
-                await self._fetch_upstreams(reachable)
+                if not self._lacks_evacuations(reachable):
+                    await self._fetch_upstreams(reachable)
             else:
                 self._check_watch(reachable)
 
+    def _lacks_evacuations(self, reachable: list[Peer]) -> bool:
+        """Returns whether an instance without upstreams has yet to get orders.
+
+        It would count as ready with the upstreams, and use evacuated ones.
+        """
+        held = self._state.evacuations
+        return not self._state.entries_revision and any(
+            peer.evacuations_revision > held.complete_at for peer in reachable
+        )
+
     async def _fetch_evacuations(self, reachable: list[Peer]) -> None:
         """Fetches all orders from a peer that may know of a change.
 
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -226,7 +226,9 @@
                 )
             if failure == PieceReply.QUARANTINED:
                 raise _make_quarantine_refusal(stage)
-            if failure == EVACUATED:
+            if failure == EVACUATED and self._state.is_pool_evacuated(
+                run.chain.steps[stage].pool
+            ):
                 raise _make_evacuation_refusal(stage)
             missing.setdefault(stage, set()).add(segment)
             if failure == PieceReply.INPUT_LOST:
@@ -473,7 +475,10 @@
             if reply.reason == QUARANTINED:
                 self._submissions.pop(msg.ticket, None)
                 raise _make_quarantine_refusal(index)
-            if reply.reason == EVACUATED:
+            # Another scheduler may not have learned of an order's end yet.
+            if reply.reason == EVACUATED and self._state.is_pool_evacuated(
+                step.pool
+            ):
                 self._submissions.pop(msg.ticket, None)
                 raise _make_evacuation_refusal(index)
             detail = f"instance {name}: {reply.reason}"
