Tell a refused connection from others through the wrapped errors

Cause: httpcore wraps the error of a connection without naming it as cause, so that a refused connection was not recognized. The fakes of relay_cold raised an error that wraps none.

Change: the context of an error is followed too; the fakes raise what a refused connection raises.

--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -407,7 +407,8 @@
     run_in_world(context, scenario)
 
 
-def _list_ready(state, pool):
+def _list_ready(state, pool, regions=None):
+    assert regions is None
     return state.catalog.ready(pool)
 
 
@@ -423,7 +424,7 @@
         with ExitStack() as patches:
             if not has_table:
                 for name, former in (
-                    ("_ready_upstreams", _list_ready),
+                    ("_ready_in", _list_ready),
                     ("is_evacuated", _return_false),
                     ("is_pool_evacuated", _return_false),
                 ):
--- a/features/steps/relay_cold_steps.py
+++ b/features/steps/relay_cold_steps.py
@@ -136,7 +136,7 @@
         async def handle_async_request(self, request):
             del request
             if fails == "refused":
-                raise httpx.ConnectError("refused")
+                raise httpx.ConnectError(fails) from ConnectionRefusedError()
             await anyio.sleep(0.4)
             raise httpx.ConnectTimeout("time-out")
 
--- a/src/applespring/quarantine/port_check.py
+++ b/src/applespring/quarantine/port_check.py
@@ -28,6 +28,7 @@
     """Returns whether an error was caused by a refused connection."""
     if isinstance(exc, BaseExceptionGroup):
         return all(is_refused(inner) for inner in exc.exceptions)
-    return exc is not None and (
-        isinstance(exc, ConnectionRefusedError) or is_refused(exc.__cause__)
-    )
+    if exc is None or isinstance(exc, ConnectionRefusedError):
+        return exc is not None
+    # httpcore wraps errors without naming a cause.
+    return is_refused(exc.__cause__ or exc.__context__)
