Name pieces outside their homes, and orders that are in force, plainly

Review of wording. A piece of an opened stage no longer sums the memory of its homes, which it does not need.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -31,7 +31,7 @@
   Scenario Outline: A registry that comes back from a copy
     Guards against an order that ends since the copy is older, against one
     that comes back with it though it was taken back, and against one of the
-    new era that is not obeyed.
+    new era that is not in force.
     When these updates of the orders arrive: <updates>
     Then the evacuated domains are <domains>
 
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -206,7 +206,7 @@
         self._pieces = [p for p in self._pieces if id(p) not in taken_ids]
         return taken
 
-    def take_homeless(self) -> list[Piece]:
+    def take_outside_homes(self) -> list[Piece]:
         """Removes and returns pieces whose homes have no listed upstream."""
         taken = [
             p
@@ -364,7 +364,7 @@
             siblings = stages[piece.request, piece.stage]
             needed = 0.0 if piece.opened else _sum_result_bytes(siblings)
             left = unreserved
-            if piece.regions is not None:
+            if needed and piece.regions is not None:
                 left = min(left, self._unreserved_bytes(now, piece.regions))
             if needed > max(0.0, left) and not self._is_unused(
                 now, piece.regions
--- a/src/applespring/core/evacuations.py
+++ b/src/applespring/core/evacuations.py
@@ -176,7 +176,7 @@
         return update
 
     def settle(self, now: float) -> EvacuationUpdate:
-        """Believes a copy of the registry that nothing has changed in time."""
+        """Applies a copy of the registry that nothing has changed in time."""
         update = EvacuationUpdate()
         if now < self._era_began_at + RELIST_GRACE_S:
             return update
--- a/src/applespring/relay/evacuation.py
+++ b/src/applespring/relay/evacuation.py
@@ -15,7 +15,7 @@
 
 
 class EvacuationRecorder:
-    """Passes orders to `RelayState.evacuations`, and tells who depends on it.
+    """Passes orders to `RelayState.evacuations`, and has them applied.
 
     Everything that chooses upstreams reads that table. Stage queues are woken,
     and peers get a heartbeat at once.
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -503,9 +503,9 @@
                 self._tasks.start_soon(
                     self._send_failures, overdue, PieceReply.LATE
                 )
-            homeless = queue.take_homeless()
-            if homeless:
-                self._tasks.start_soon(self._send_failures, homeless, NO_HOME)
+            outside = queue.take_outside_homes()
+            if outside:
+                self._tasks.start_soon(self._send_failures, outside, NO_HOME)
             withdrawn = queue.take_quarantined(
                 self._crash_watch.ledger.quarantined_fingerprints
             )
