--- a/features/service_order.feature
+++ b/features/service_order.feature
@@ -71,3 +71,48 @@
     Given the order of service deadline
     When an opened stage, a late piece and two that can be on time are ranked
     Then their order is opened, due, late, spare
+
+  Scenario: Without a setting pieces are ordered by priority
+    Guards against a change of the order in deployments that do not ask for it.
+    Given a queue without an order of service
+    When requests arrive for 4 s
+      | route | priority | per_s | pieces | target_s |
+      | large | 10       | 60    | 2      | 1.3      |
+      | chat  | 11       | 40    | 1      | 0.45     |
+    And the same requests arrive at a queue that orders by priority
+    Then both make the same calls
+
+  Scenario: A piece with a distant target does not hide who is due
+    Guards against an order that tells only seconds apart because one piece has
+    minutes.
+    Given the order of service deadline
+    When urgent pieces with time, less urgent ones that are due and a piece with minutes are ranked
+    Then their first 8 are due
+
+  Scenario Outline: The first event of a route is expected by its own times
+    Load pattern: a route with short prompts in a pool whose other prompts are
+    ten times as long. Guards against requests that count as late before they
+    are, and against a route that one slow answer has refused for good.
+    Given a pool whose first events have come after <pool> s
+    When <count> first events of route chat come after <took> s
+    Then the first event of route chat is expected within <least> to <most> s
+
+    Examples:
+      | pool | count | took | least | most |
+      | 0.8  | 20    | 0.1  | 0.1   | 0.4  |
+      | 0.8  | 1     | 4.0  | 0.1   | 1.1  |
+
+  Scenario: An upstream that refuses costs an account nothing
+    Guards against an account that comes last because its calls were refused.
+    Given the order of service deadline
+    When a call of account a is refused 5 times
+    Then account a has used at most 1 piece of the pool
+
+  Scenario: A pool whose calls take no time is served
+    Guards against a document that ends the queue of its pool.
+    Given a stage pool of 1 upstreams with 8 pieces a call, 0 ms a call, 0 ms a piece
+    And the order of service deadline
+    When requests arrive for 1 s
+      | route | priority | per_s | pieces | target_s |
+      | chat  | 11       | 10    | 1      | 0.45     |
+    Then at least 1.0 of the pieces of route chat are on time
--- a/features/steps/service_order_steps.py
+++ b/features/steps/service_order_steps.py
@@ -7,6 +7,7 @@
 
 from applespring.core.batch import BatchQueue
 from applespring.core.catalog import ListedUpstream, UpstreamState
+from applespring.core.first_event import FirstEventEstimate
 from applespring.core.piece import Piece
 from applespring.core.queueing.account_usage import AccountUsage
 from applespring.core.queueing.service_order import ORDERS, QueueView
@@ -46,13 +47,38 @@
     context.queue.set_upstreams(context.upstreams)
 
 
+@given("a queue without an order of service")
+def set_default_order(context):
+    context.queue = BatchQueue(context.spec)
+    context.queue.set_upstreams(context.upstreams)
+
+
 @when("requests arrive for {length_s:d} s")
 def play(context, length_s):
     """Plays arrivals and calls as events, ordered by time."""
+    context.rows, context.length_s = context.table.rows, length_s
+    _play(context)
+
+
+@when("the same requests arrive at a queue that orders by priority")
+def play_again(context):
+    context.former_calls = context.calls
+    set_order(context, "priority")
+    _play(context)
+
+
+@then("both make the same calls")
+def check_calls(context):
+    assert context.calls == context.former_calls
+
+
+def _play(context):
     numbers = itertools.count()
     events = []
     context.pieces = []
-    for row in context.table.rows:
+    context.calls = []
+    length_s = context.length_s
+    for row in context.rows:
         fields = dict(zip(row.headings, row.cells, strict=True))
         per_s = float(fields["per_s"])
         for n in range(int(length_s * per_s)):
@@ -60,7 +86,6 @@
             at = (n + 0.5) / per_s
             heapq.heappush(events, (at, next(numbers), "arrive", fields))
     queue, now = context.queue, 0.0
-    calls = 0
     context.called = 0
     while events:
         now, _, kind, item = heapq.heappop(events)
@@ -91,12 +116,13 @@
                 _done_times(context, piece).append(now)
         queue.take_overdue(now)
         for call in queue.next_calls(now):
-            calls += 1
+            context.calls.append(
+                (now, call.upstream.name, [p.request for p in call.pieces])
+            )
             if now < length_s:
                 context.called += len(call.pieces)
             ends_at = now + call.expected_s
             heapq.heappush(events, (ends_at, next(numbers), "end", call))
-    context.length_s = length_s
 
 
 def _done_times(context, piece):
@@ -170,7 +196,72 @@
     context.ranked = ORDERS["deadline"]([*pieces, opened], view)
 
 
+@when(
+    "urgent pieces with time, less urgent ones that are due and a piece with "
+    "minutes are ranked"
+)
+def rank_distant(context):
+    pieces = [
+        Piece(
+            request=f"{name} {n}",
+            stage=0,
+            segment=0,
+            priority=priority,
+            target_at=target_at,
+        )
+        for name, priority, target_at, count in (
+            ("urgent", 10, 1.3, 8),
+            ("due", 11, 0.45, 8),
+            ("distant", 12, 300.0, 1),
+        )
+        for n in range(count)
+    ]
+    view = QueueView(0.0, 0.3, 8, [0.0, 0.1], 1.0, AccountUsage())
+    context.ranked = ORDERS["deadline"](pieces, view)
+
+
+@then("their first {count:d} are {name}")
+def check_first(context, count, name):
+    got = [piece.request for _, piece in context.ranked[:count]]
+    assert all(request.startswith(name) for request in got), got
+
+
 @then("their order is {names}")
 def check_order(context, names):
     got = [piece.request for _, piece in context.ranked]
     assert got == names.split(", "), got
+
+
+@given("a pool whose first events have come after {took_s:g} s")
+def set_estimate(context, took_s):
+    context.estimate = FirstEventEstimate()
+    for _ in range(50):
+        context.estimate.record(1000, took_s, "large")
+
+
+@when("{count:d} first events of route chat come after {took_s:g} s")
+def record_events(context, count, took_s):
+    for _ in range(count):
+        context.estimate.record(1000, took_s, "chat")
+
+
+@then("the first event of route chat is expected within {low:g} to {high:g} s")
+def check_expected(context, low, high):
+    got = context.estimate.route_run_s("chat")
+    assert low <= got <= high, got
+
+
+@when("a call of account a is refused {count:d} times")
+def refuse_calls(context, count):
+    queue = context.queue
+    piece = Piece(request="r", stage=0, segment=0, account="a")
+    queue.offer([piece], 0.0)
+    for number in range(count):
+        (call,) = queue.next_calls(float(number))
+        queue.fail(call, float(number), refused=True)
+
+
+@then("account a has used at most {pieces:d} piece of the pool")
+def check_usage(context, pieces):
+    used = context.queue._usage.get("a", 5.0)
+    assert used <= pieces, used
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -50,6 +50,10 @@
 # Late pieces get the capacity that new arrivals leave over. The estimate of
 # their wait takes it to be at least this share of the total capacity.
 LATE_CAPACITY_SHARE_MIN = 0.4
+# A call that takes this many times as long as expected may never end.
+HUNG_CALL_FACTOR = 2.0
+# Least time of a call, where a document names none.
+CALL_MIN_S = 0.001
 # Request id and index of the stage.
 _StageId = tuple[str, int]
 
@@ -293,7 +297,8 @@
     def _idle_in_s(self, now: float) -> list[float]:
         """Returns when each slot of an upstream is free, from now.
 
-        A call that takes longer than expected is taken to end at once.
+        A call that takes a little longer than expected is taken to end at once,
+        and one that takes `HUNG_CALL_FACTOR` times as long not at all.
         """
         times = []
         for stage_upstream in self._upstreams.values():
@@ -301,8 +306,9 @@
             ends = [
                 max(callable_s, call.started_at + call.expected_s - now)
                 for call in stage_upstream.calls.values()
+                if now - call.started_at <= HUNG_CALL_FACTOR * call.expected_s
             ]
-            free = self.spec.slots - len(ends)
+            free = self.spec.slots - len(stage_upstream.calls)
             times += ends + [callable_s] * max(0, free)
         return times
 
@@ -463,7 +469,8 @@
         )
 
     def _nominal_call_s(self, pieces: int) -> float:
-        return self.spec.call_s + pieces * self.spec.piece_s
+        call_s = self.spec.call_s + pieces * self.spec.piece_s
+        return max(CALL_MIN_S, call_s)
 
     def _end_call(self, call: Call) -> StageUpstream | None:
         """Ends a call; returns its upstream if that is still listed.
@@ -547,6 +554,7 @@
             piece.isolated |= isolate
             if refused:
                 piece.attempts -= 1
+                self._usage.add(piece.account, -1.0, now)
             is_failed_trial = piece.is_trial and isolate
             if (
                 not repeat
--- a/src/applespring/core/first_event.py
+++ b/src/applespring/core/first_event.py
@@ -78,13 +78,15 @@
         """Returns the time to the first event that most of a route keep to.
 
         Requests of one route resemble each other more than those of a pool. It
-        is `run_s` before the first measurement of the route.
+        is `run_s` before the first measurement of the route and never above:
+        a long time would have all requests of the route refused, and without
+        them it would never be measured again.
         """
         times = self._routes.get(route)
         if times is None:
             return self.run_s
         _, mean_s, deviation_s = times
-        return min(RUN_MAX_S, mean_s + ROUTE_DEVIATIONS * deviation_s)
+        return min(self.run_s, mean_s + ROUTE_DEVIATIONS * deviation_s)
 
     def _record_route(self, route: str, took_s: float) -> None:
         count, mean_s, deviation_s = self._routes.get(
--- a/src/applespring/core/queueing/service_order.py
+++ b/src/applespring/core/queueing/service_order.py
@@ -61,13 +61,18 @@
         self.usage = usage
 
     def room(self, within_s: float) -> float:
-        """Returns how many pieces can start within a time from now."""
+        """Returns how many pieces can start within a time from now.
+
+        Calls that start now count as full: what they can't hold is seen when
+        they are filled.
+        """
+        idle = sum(idle_s <= 0.0 for idle_s in self.idle_in_s)
         calls = sum(
             1 + int((within_s - idle_s) / self.call_s)
             for idle_s in self.idle_in_s
             if idle_s <= within_s
         )
-        return self.filled_share * self.batch * calls
+        return self.batch * (idle + self.filled_share * (calls - idle))
 
 
 Order = Callable[[Sequence[Piece], QueueView], RankedPieces]
@@ -170,7 +175,8 @@
         for stage, siblings in stages.items()
     }
     latest = max((t for t in start_s.values() if t < 1e9), default=0.0)
-    slot_s = max(view.call_s, latest) / SLOTS
+    # A target that is far away must not make the slots of the others too wide.
+    slot_s = min(view.call_s, max(view.call_s, latest) / SLOTS)
     room = [view.room(number * slot_s) for number in range(SLOTS + 1)]
     usage: dict[str, float] = {}
 
--- a/src/applespring/relay/availability.py
+++ b/src/applespring/relay/availability.py
@@ -76,14 +76,21 @@
     return f" in the homes of the request ({', '.join(sorted(regions))})"
 
 
-def check_evacuations(state: RelayState, pools: Iterable[str]) -> None:
+def check_evacuations(
+    state: RelayState, pools: Iterable[str], regions: Regions = None
+) -> None:
     """Checks that no pool has all of its upstreams in evacuated domains.
 
+    Args:
+        state: State of the instance.
+        pools: Names of the pools.
+        regions: Regions that the homes of the request allow.
+
     Raises:
         RefusalError: One has; the request has not run.
     """
     for pool in pools:
-        if state.is_pool_evacuated(pool):
+        if state.is_pool_evacuated(pool, regions):
             raise _make_evacuation_refusal(state, pool)
 
 
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -118,7 +118,9 @@
             regions=run.regions,
         )
         check_evacuations(
-            self._state, {step.pool for step in run.chain.steps.values()}
+            self._state,
+            {step.pool for step in run.chain.steps.values()},
+            run.regions,
         )
         check_first_event(self._state, exchange, _prefix_name(exchange))
         async with self._crash_watch.admit(
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -4,6 +4,7 @@
 from evacuation_guards import EVACUATION_GUARDS
 from guard import Guard
 from home_guards import HOME_GUARDS
+from queueing_guards import QUEUEING_GUARDS
 from relay_guards import RELAY_GUARDS
 
 PAYMENT = "fault_matrix_payment"
@@ -207,6 +208,7 @@
     ),
     *RELAY_GUARDS,
     *HOME_GUARDS,
+    *QUEUEING_GUARDS,
     *EVACUATION_GUARDS,
     *ENGINE_GUARDS,
 )
