Check what registry entries say of upstreams before using them

Callers saw broken connections: one entry of another writer with the address "::1:8080" ended the processes of all instances, and again after each restart.

Cause: nothing stated what an entry has to be for its uses. The decoder tested only for a colon and a number behind it, and that numbers are of type int, which True and -1 are. Entries from peers were not checked. Behind that, UpstreamClient.call raised httpx.InvalidURL, which it does not document, into the task group of the scheduler, and a reply to a peer was encoded outside the try of its handler.

Ruled out: that the decoder alone is at fault (with -1 slots the instance still ended that a peer asked for its entries), and that the handlers alone are (the entry would still be an upstream, which is called and fails).

Change: core/upstream_check.py has the type and the range of each field, for the decoder of the registry and for entries of peers. A missing zone or slots names no upstream, as the users' page says. A call to an address that can't be called is a StageError, and a reply that can't be encoded is not sent. A peer's list holds without its malformed entries.

The fixtures' upstreams had addresses such as "engine:80" and an entry without zone and slots; they have usable ones now, so that peers accept them.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -54,6 +54,61 @@
       | {"service": "a", "address": "1.2.3.4:5", "state": "ready", "born": "x"} |
       | {"service": "a", "address": "1.2.3.4:99999", "state": "ready"}         |
 
+  Scenario Outline: An entry with one unusable field names no upstream
+    Guards against entries of other writers that end processes: "::1:8080" is no
+    address that can be called, and no message between instances takes a
+    negative number of slots.
+    Given a sound registry entry but for <field>: <value>
+    Then it names no upstream
+
+    Examples:
+      | field    | value               |
+      | address  | "::1:8080"          |
+      | address  | "[::1]:8080"        |
+      | address  | "worker-1:8080"     |
+      | address  | "1.2.3.4.5:80"      |
+      | address  | "1.2.3:80"          |
+      | address  | "1.2.3.04:80"       |
+      | address  | " 1.2.3.4:80"       |
+      | address  | "u@1.2.3.4:80"      |
+      | address  | "1.2.3.4:+80"       |
+      | address  | "1.2.3.4:8_0"       |
+      | address  | "1.2.3.4:٨٠"        |
+      | address  | "1.2.3.4:0"         |
+      | address  | "1.2.3.4:65536"     |
+      | address  | ["1.2.3.4:80"]      |
+      | service  | ""                  |
+      | service  | null                |
+      | state    | ["ready"]           |
+      | zone     | missing             |
+      | zone     | 3                   |
+      | slots    | missing             |
+      | slots    | true                |
+      | slots    | -1                  |
+      | slots    | 1.5                 |
+      | slots    | 4294967296          |
+      | born     | false               |
+      | born     | -1                  |
+      | born     | 1e30                |
+      | sequence | "4"                 |
+      | sequence | -4                  |
+
+  Scenario Outline: An entry whose key is no name of an upstream names none
+    Guards against a name that can't be sent in a header.
+    Given a sound registry entry under the key <key>
+    Then it names no upstream
+
+    Examples:
+      | key              |
+      | "servers/"       |
+      | "servers/a b"    |
+      | "servers/a\nB: c" |
+      | "servers/é"      |
+
+  Scenario: Whatever entry is accepted can be called and passed on to peers
+    Guards against a field that is checked less strictly than its use needs.
+    Then an upstream of any of 1000 generated entries can be called and is read by a peer as it was sent
+
   Scenario: A registry entry is decoded
     Guards against a draining worker that gets new work, and a restarted worker
     that is taken for the one before.
--- a/features/steps/cold_upstream_steps.py
+++ b/features/steps/cold_upstream_steps.py
@@ -159,6 +159,8 @@
     entry = {
         "service": "huvo11a",
         "address": "10.0.0.9:8080",
+        "zone": "koper",
+        "slots": 1,
         "state": "ready",
         "coldRemainingMs": json.loads(value),
     }
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -7,20 +7,33 @@
 import sys
 
 import anyio
+import h11
 import httpx
+import orjson
 from behave import given, then, when
+from hypothesis import given as generate
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from applespring.core.errors import MessageError, SettingsError
 from applespring.core.piece import Piece
+from applespring.peer import codec, message
 from applespring.platform.document import decode_document, decode_entry
 from applespring.platform.registry import PlatformRegistry
 from applespring.platform.settings import decode_settings, parse_lines
 from applespring.platform.store import Store, StoreError
 from applespring.platform.wire import PlatformProtocol
+from applespring.relay.upstream_messages import (
+    NOT_KNOWN,
+    decode_upstreams,
+    encode_upstream,
+)
 from features.fixtures.platform_text import SETTINGS, make_configuration
 from features.fixtures.virtual import run_virtual
 
 PROTOCOL = PlatformProtocol()
+# A field that an entry lacks.
+GONE = object()
 
 
 def expect_error(call, kind=MessageError):
@@ -113,9 +126,90 @@
     context.raw = text.encode()
 
 
+def make_sound_entry(**changes):
+    """Returns a registry entry with some fields changed; None removes one."""
+    fields = {
+        "service": "a",
+        "address": "1.2.3.4:5",
+        "zone": "z",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 4,
+        "born": 12,
+        **changes,
+    }
+    return {name: value for name, value in fields.items() if value is not GONE}
+
+
+@given("a sound registry entry but for {field}: {value}")
+def given_unsound_entry(context, field, value):
+    decode_entry("servers/i-1", orjson.dumps(make_sound_entry()), 3)
+    value = GONE if value == "missing" else json.loads(value)
+    context.raw = orjson.dumps(make_sound_entry(**{field: value}))
+
+
+@given("a sound registry entry under the key {key}")
+def given_key(context, key):
+    context.key = json.loads(key)
+    context.raw = orjson.dumps(make_sound_entry())
+
+
 @then("it names no upstream")
 def then_no_upstream(context):
-    expect_error(lambda: decode_entry("servers/i-1", context.raw, 3))
+    key = getattr(context, "key", "servers/i-1")
+    expect_error(lambda: decode_entry(key, context.raw, 3))
+
+
+@then(
+    "an upstream of any of {count:d} generated entries can be called and is "
+    "read by a peer as it was sent"
+)
+def then_usable(context, count):
+    del context
+    hosts = st.ip_addresses(v=4).map(str) | st.text(max_size=12)
+    ports = st.integers(-1, 70_000).map(str) | st.text(max_size=5)
+    values = (
+        st.tuples(hosts, ports).map(":".join)
+        | st.integers(-2, 2**65)
+        | st.floats(allow_nan=False)
+        | st.text(max_size=300)
+        | st.none()
+        | st.booleans()
+        | st.lists(st.text(max_size=3), max_size=2)
+        | st.just(GONE)
+    )
+    changed = st.sampled_from(sorted(make_sound_entry()))
+    accepted = []
+
+    @settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @generate(
+        st.just("i-1") | st.text(max_size=260),
+        st.dictionaries(changed, values, max_size=2),
+    )
+    def run(name, changes):
+        data = json.dumps(make_sound_entry(**changes)).encode()
+        try:
+            upstream = decode_entry(f"servers/{name}", data, 3)
+        except MessageError:
+            return
+        accepted.append(upstream)
+        httpx.Request("GET", f"http://{upstream.address}/")
+        conn = h11.Connection(h11.CLIENT)
+        headers = [("Host", "a"), ("Target-Instance", upstream.name)]
+        conn.send(h11.Request(method="GET", target="/", headers=headers))
+        entry = encode_upstream(upstream, NOT_KNOWN)
+        sent = message.UpstreamList(revision=3, upstreams=[entry])
+        received = codec.decode(codec.encode(sent))
+        (read,) = decode_upstreams(received.upstreams, "two")
+        assert read.identity == upstream.identity
+        assert read.address == upstream.address
+
+    run()
+    assert len(accepted) > count // 10, len(accepted)
 
 
 @then(
--- a/features/steps/relay_home_steps.py
+++ b/features/steps/relay_home_steps.py
@@ -11,13 +11,14 @@
 from applespring.peer import message
 from applespring.peer.codec import decode, encode
 from features.fixtures.home_world import INSTANCES, REGIONS, HomeWorld
+from features.fixtures.relay import address_of
 from features.fixtures.relay_world import SIGNED, events
 from features.fixtures.virtual import run_virtual
 
 SETTLE_S = 12.0
 # Enough that not all of them go to the engine that has their prefix.
 COUNT = 120
-EAST_ENGINES = {"engines1:80", "engines3:80"}
+EAST_ENGINES = {address_of("engines1"), address_of("engines3")}
 PROMPT = (b"prompt-prefix", b"shared:4000,own:10")
 FAILURES = {
     "answers with 500": (500, SIGNED, [b"failed"]),
--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -27,6 +27,7 @@
     RoutingDocument,
     StageStep,
 )
+from applespring.core.upstream_check import check_upstream, check_whole
 
 DOCUMENT_KEY = "op/config"
 ENTRY_PREFIX = "servers/"
@@ -37,6 +38,8 @@
     "draining": UpstreamState.LEAVING,
 }
 _BYTES_PER_MB = 1_000_000
+# Largest count of changes that an entry may state.
+ENTRY_SEQUENCE_MAX = 2**64 - 1
 # Highest rate of cold upstreams that is accepted.
 COLD_PER_S_MAX = 1e6
 
@@ -192,42 +195,32 @@
 
     Raises:
         MessageError: The entry is not JSON, or a field is missing, of the wrong
-            type or out of range.
+            type or out of range. A malformed `coldRemainingMs` alone is
+            ignored.
     """
+    name = entry_name(key)
     try:
         entry = orjson.loads(data)
-        service, address = entry["service"], entry["address"]
-        zone, born = entry.get("zone", ""), entry.get("born", 0)
-        slots = entry.get("slots", 1)
-        state = _STATE_BY_NAME[entry["state"]]
-        host, _, port = address.rpartition(":")
-        valid = (
-            bool(host)
-            and 0 < int(port) < 65536
-            and isinstance(service, str)
-            and isinstance(zone, str)
-            and isinstance(born, int)
-            and isinstance(slots, int)
+        upstream = ListedUpstream(
+            name=name,
+            born_ms=entry.get("born", 0),
+            pool=entry["service"],
+            address=entry["address"],
+            failure_domain=entry["zone"],
+            slots=entry["slots"],
+            state=_STATE_BY_NAME[entry["state"]],
+            revision=revision,
+        )
+        check_upstream(upstream)
+        check_whole(
+            name, "sequence", entry.get("sequence", 0), ENTRY_SEQUENCE_MAX
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise MessageError(f"entry {key!r} is malformed: {exc!r}") from exc
-    if not valid:
-        raise MessageError(
-            f"entry {key!r} has a field of the wrong type, or no host or valid "
-            f"port in its address {address!r}"
-        )
     cold_ms = _read_figure(key, "coldRemainingMs", entry, 1000 * COLD_MAX_S)
-    return ListedUpstream(
-        name=entry_name(key),
-        born_ms=born,
-        pool=service,
-        address=address,
-        failure_domain=zone,
-        slots=slots,
-        state=state,
-        revision=revision,
-        cold_s=None if cold_ms is None else cold_ms / 1000,
-    )
+    if cold_ms is not None:
+        upstream.cold_s = cold_ms / 1000
+    return upstream
 
 
 def _read_figure(
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -259,22 +259,25 @@
             verdict = Verdict.MAY_HAVE_RUN if written else Verdict.NOT_RUN
             return StageError(kind, verdict, upstream.name, str(detail))
 
-        request = httpx.Request(
-            method,
-            f"http://{upstream.address}/",
-            headers=[(b"Host", upstream.address.encode()), *headers]
-            if not any(name.lower() == b"host" for name, _ in headers)
-            else headers,
-            content=body if body else None,
-            extensions={
-                "target": target,
-                "trace": trace,
-                "timeout": {
-                    "connect": CONNECT_TIMEOUT_S,
-                    "pool": CONNECT_TIMEOUT_S,
+        try:
+            request = httpx.Request(
+                method,
+                f"http://{upstream.address}/",
+                headers=[(b"Host", upstream.address.encode()), *headers]
+                if not any(name.lower() == b"host" for name, _ in headers)
+                else headers,
+                content=body if body else None,
+                extensions={
+                    "target": target,
+                    "trace": trace,
+                    "timeout": {
+                        "connect": CONNECT_TIMEOUT_S,
+                        "pool": CONNECT_TIMEOUT_S,
+                    },
                 },
-            },
-        )
+            )
+        except httpx.InvalidURL as exc:
+            raise make_error(FailureKind.CONNECT, exc) from exc
         answered = withdrawn = False
         check_notice()
         if permit is None and self._permits.is_limited(upstream):
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -12,15 +12,19 @@
 import anyio
 from loguru import logger
 
-from applespring.core.catalog import ListedUpstream, UpstreamState
-from applespring.core.cold_upstreams import COLD_MAX_S
-from applespring.core.errors import ApplespringError, MessageError
+from applespring.core.catalog import ListedUpstream
+from applespring.core.errors import ApplespringError
 from applespring.core.peer_table import Peer
 from applespring.peer import message
 from applespring.relay.evacuation import EvacuationRecorder
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.state import RelayState
+from applespring.relay.upstream_messages import (
+    NOT_KNOWN,
+    decode_upstreams,
+    encode_upstream,
+)
 from applespring.relay.watch import Watcher
 
 # Interval between checks for peers with newer data.
@@ -30,9 +34,6 @@
 # starts again after a pause of at most 0.8 s.
 WATCH_RENEWAL_DELAY_S = 1.2
 
-# Value of `UpstreamEntry.cold_s` if the entry does not say.
-NOT_KNOWN = -1.0
-
 
 class PeerSync:
     """Fetches newer data from peers, and answers their requests for it."""
@@ -166,13 +167,7 @@
     def _apply_upstreams(
         self, reply: message.UpstreamList, source: str
     ) -> None:
-        try:
-            upstreams = [_from_message(entry) for entry in reply.upstreams]
-        except MessageError as exc:
-            logger.bind(event="entries_rejected", source=source).error(
-                "upstream entries from instance {} rejected: {}", source, exc
-            )
-            return
+        upstreams = list(decode_upstreams(reply.upstreams, source))
         self._metrics.state_changes.inc("entries_from_peer")
         logger.bind(
             event="entries_from_peer",
@@ -229,34 +224,4 @@
             cold_s = self._state.notices.limits.cold.listed_s(
                 upstream.identity, self._state.clock()
             )
-        return message.UpstreamEntry(
-            name=upstream.name,
-            born_ms=upstream.born_ms,
-            pool=upstream.pool,
-            address=upstream.address,
-            failure_domain=upstream.failure_domain,
-            slots=upstream.slots,
-            state=upstream.state.value,
-            revision=upstream.revision,
-            cold_s=cold_s,
-        )
-
-
-def _from_message(entry: message.UpstreamEntry) -> ListedUpstream:
-    try:
-        state = UpstreamState(entry.state)
-    except ValueError as exc:
-        raise MessageError(
-            f"upstream {entry.name} has the unknown state {entry.state!r}"
-        ) from exc
-    return ListedUpstream(
-        name=entry.name,
-        born_ms=entry.born_ms,
-        pool=entry.pool,
-        address=entry.address,
-        failure_domain=entry.failure_domain,
-        slots=entry.slots,
-        state=state,
-        revision=entry.revision,
-        cold_s=entry.cold_s if 0.0 <= entry.cold_s <= COLD_MAX_S else None,
-    )
+        return encode_upstream(upstream, cold_s)
--- a/src/applespring/relay/peers.py
+++ b/src/applespring/relay/peers.py
@@ -475,13 +475,12 @@
 
     async def _on_request(self, data: bytes) -> bytes | None:
         try:
-            reply = await self._dispatch(decode(data))
+            return encode(await self._dispatch(decode(data)))
         except ApplespringError as exc:
             logger.bind(event="peer_request_failed").warning(
                 "request of a peer was not answered: {}", exc
             )
             return None
-        return encode(reply)
 
     async def _dispatch(self, msg: message.Message) -> message.Message:
         handler = self._handlers.get(type(msg))
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -903,4 +903,28 @@
         "route.choose_pool((hash(req.request_id) & 0xFFFFFF) / 0x1000000)",
         ("relay_split", "Every instance chooses"),
     ),
+    Guard(
+        "relay: entries that can't be called name no upstream",
+        "core/upstream_check.py",
+        "    _check_address(name, upstream.address)\n",
+        "",
+        ("platform", "An entry with one unusable field"),
+        ("foreign_entries", "A peer passes on an entry"),
+    ),
+    Guard(
+        "relay: an address that can't be called fails one call",
+        "relay/client.py",
+        "except httpx.InvalidURL as exc:",
+        "except ZeroDivisionError as exc:",
+        ("foreign_entries", "An upstream has an address"),
+    ),
+    Guard(
+        "relay: a reply that can't be encoded is not sent",
+        "relay/peers.py",
+        "            return encode(await self._dispatch(decode(data)))\n"
+        "        except ApplespringError as exc:",
+        "            return encode(await self._dispatch(decode(data)))\n"
+        "        except ZeroDivisionError as exc:",
+        ("foreign_entries", "A reply to a peer"),
+    ),
 )
