Raise a StageError for each failure while an answer is read

Callers saw broken connections: a stage upstream that answered a report with bytes without end ended the process of each instance that scheduled the pool, one after the other.

Cause: a failed read of an answer raised httpx.HTTPError, OSError or ValueError, and each caller listed those that it knew of. The list of the report lacked the ValueError of a body that is too long, which ended the task group of the scheduler.

Ruled out: that only this list is at fault. The same failure differed by caller: a body that is too long counted as broken off by the upstream for plain requests and streams, and not for stage calls.

Change: Answer.read and Answer.chunks raise a StageError (TRUNCATED, or MISMATCH for a body that is too long), and the lists are gone. Time-outs of reports and releases were swallowed and are logged; stage_call logs the text of a failure.

Tests: on 8 of the 9 scenarios of foreign_answers.feature fail, the first one by the end of the instances; now all pass.

--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-import httpx
 from loguru import logger
 
 from applespring.core.catalog import ListedUpstream
@@ -129,9 +128,6 @@
 ) -> Iterator[None]:
     """Logs and counts the attempt made in the block.
 
-    A connection error or an oversized body that the block raises becomes a
-    StageError with the kind TRUNCATED.
-
     Args:
         attempt: Receives the result; the block may set it more precisely.
         exchange: The request.
@@ -158,14 +154,6 @@
         if attempt.outcome == CANCELLED:
             attempt.outcome = exc.kind.value
         raise
-    except (httpx.HTTPError, OSError, ValueError) as exc:
-        attempt.failed, attempt.outcome = True, "truncated"
-        raise StageError(
-            FailureKind.TRUNCATED,
-            Verdict.MAY_HAVE_RUN,
-            upstream.name,
-            type(exc).__name__,
-        ) from exc
     finally:
         metrics.attempts.inc(exchange.pool, attempt.outcome)
         now = state.clock()
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -8,8 +8,8 @@
 import socket
 import ssl
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 
 import anyio
 import httpx
@@ -98,18 +98,25 @@
 class Answer:
     """The answer of an upstream whose body has not been read yet.
 
+    Whatever goes wrong while the body is read is a StageError.
+
     Attributes:
         status: HTTP status.
         headers: Raw headers, names and values.
         reply: Decoded headers.
     """
 
-    __slots__ = ("status", "headers", "reply", "_response")
+    __slots__ = ("status", "headers", "reply", "_response", "_upstream")
 
     def __init__(
-        self, resp: httpx.Response, headers: Headers, reply: UpstreamReply
+        self,
+        resp: httpx.Response,
+        headers: Headers,
+        reply: UpstreamReply,
+        upstream: str,
     ) -> None:
         self.status = resp.status_code
+        self._upstream = upstream
         self.headers = headers
         self.reply = reply
         self._response = resp
@@ -123,26 +130,44 @@
         names = {name.lower() for name, _ in self.headers}
         return not names.isdisjoint((b"content-length", b"transfer-encoding"))
 
-    def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body as it arrives, without decoding its encoding."""
-        return self._response.aiter_raw()
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives, without decoding its encoding.
+
+        Raises:
+            StageError: The connection was closed before the end of the body.
+        """
+        try:
+            async for chunk in self._response.aiter_raw():
+                yield chunk
+        except (httpx.HTTPError, OSError) as exc:
+            raise StageError(
+                FailureKind.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                self._upstream,
+                type(exc).__name__,
+            ) from exc
 
     async def read(self, bytes_max: int) -> bytes:
         """Returns the complete body.
 
         Raises:
-            httpx.HTTPError: The connection was closed before its end.
-            ValueError: It is longer than `bytes_max`.
+            StageError: The connection was closed before its end, or the body is
+                longer than `bytes_max`.
         """
         received, size = [], 0
         async for chunk in self.chunks():
             size += len(chunk)
             if size > bytes_max:
-                raise ValueError(f"the body is longer than {bytes_max} bytes")
+                raise StageError(
+                    FailureKind.MISMATCH,
+                    Verdict.MAY_HAVE_RUN,
+                    self._upstream,
+                    f"the body is longer than {bytes_max} bytes",
+                )
             received.append(chunk)
         return b"".join(received)
 
-    async def read_refusal(self, upstream: str) -> bytes:
+    async def read_refusal(self) -> bytes:
         """Returns the body of an answer to a request that did not run.
 
         Raises:
@@ -152,9 +177,32 @@
         try:
             with anyio.move_on_after(REFUSAL_BODY_TIMEOUT_S):
                 return await self.read(REFUSAL_BODY_BYTES_MAX)
-        except (httpx.HTTPError, OSError, ValueError) as exc:
-            detail = f"status {self.status}, its body: {exc}"
-        raise StageError(FailureKind.REFUSED, Verdict.NOT_RUN, upstream, detail)
+        except StageError as exc:
+            detail = f"status {self.status}, its body: {exc.detail}"
+        raise StageError(
+            FailureKind.REFUSED, Verdict.NOT_RUN, self._upstream, detail
+        )
+
+
+@contextmanager
+def enforce_timeout(
+    timeout_s: float, upstream: ListedUpstream
+) -> Iterator[None]:
+    """Cancels a call that is made in the block after a time.
+
+    Raises:
+        StageError: The block was cancelled.
+    """
+    try:
+        with anyio.fail_after(timeout_s):
+            yield
+    except TimeoutError as exc:
+        raise StageError(
+            FailureKind.TIMEOUT,
+            Verdict.MAY_HAVE_RUN,
+            upstream.name,
+            f"no answer in {timeout_s:.3f} s",
+        ) from exc
 
 
 class UpstreamClient:
@@ -325,7 +373,7 @@
                     f'the answer has the request id "{reply.request_id}", '
                     f'not "{request_id}"',
                 )
-            yield Answer(resp, raw_headers, reply)
+            yield Answer(resp, raw_headers, reply, upstream.name)
             completed = True
         finally:
             if completed:
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -1,10 +1,8 @@
 """Forwards requests whose answer is read completely before it is sent on."""
 
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Sequence
 from functools import partial
 
-import anyio
 from loguru import logger
 
 from applespring.core import reason
@@ -20,7 +18,7 @@
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
 from applespring.relay.attempt import Attempt, record_attempt, watch_attempt
 from applespring.relay.availability import check_pool, make_unavailable_refusal
-from applespring.relay.client import UpstreamClient
+from applespring.relay.client import UpstreamClient, enforce_timeout
 from applespring.relay.exchange import Exchange
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
@@ -359,7 +357,7 @@
                     self._metrics,
                     **_estimates(sent),
                 ),
-                _enforce_timeout(timeout_s, upstream),
+                enforce_timeout(timeout_s, upstream),
             ):
                 async with self._client.call(
                     upstream,
@@ -373,7 +371,7 @@
                 ) as answer:
                     not_run = answer.reply.not_run
                     if not_run:
-                        body = await answer.read_refusal(upstream.name)
+                        body = await answer.read_refusal()
                     else:
                         body = await answer.read(BODY_BYTES_MAX)
                 attempt.outcome = f"status_{answer.status}"
@@ -426,27 +424,6 @@
     }
 
 
-@contextmanager
-def _enforce_timeout(
-    timeout_s: float, upstream: ListedUpstream
-) -> Iterator[None]:
-    """Cancels the block after a time.
-
-    Raises:
-        StageError: The block was cancelled.
-    """
-    try:
-        with anyio.fail_after(timeout_s):
-            yield
-    except TimeoutError as exc:
-        raise StageError(
-            FailureKind.TIMEOUT,
-            Verdict.MAY_HAVE_RUN,
-            upstream.name,
-            f"no answer in {timeout_s:.3f} s",
-        ) from exc
-
-
 def connection_share(pool: PoolSpec | None, peers: Peers) -> int:
     """Returns the most connections that this instance opens to an upstream.
 
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -12,7 +12,6 @@
 from collections.abc import Container, Iterable, Sequence
 
 import anyio
-import httpx
 from anyio.abc import TaskGroup
 from loguru import logger
 
@@ -33,7 +32,7 @@
 from applespring.peer import message
 from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, is_broken_off
-from applespring.relay.client import UpstreamClient
+from applespring.relay.client import UpstreamClient, enforce_timeout
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import PieceReply, Protocol
@@ -438,7 +437,7 @@
     ) -> None:
         path, headers, body = self._protocol.encode_release(handles)
         try:
-            with anyio.move_on_after(RELEASE_TIMEOUT_S):
+            with enforce_timeout(RELEASE_TIMEOUT_S, upstream):
                 async with self._client.call(
                     upstream,
                     "POST",
@@ -458,7 +457,7 @@
                 if queue is not None:
                     queue.release(handles)
                     self._wake_events[pool].set()
-        except (StageError, httpx.HTTPError, ValueError, OSError) as exc:
+        except StageError as exc:
             # An unreleased result expires at the upstream.
             logger.bind(event="release_failed", upstream=upstream.name).debug(
                 "release of {} results at upstream {} failed: {}",
@@ -478,12 +477,20 @@
             reporting: Upstreams whose memory the results of another scheduler
                 may fill. The first call waits for their reports.
         """
-        with anyio.move_on_after(FIRST_REPORT_WAIT_S):
+        with anyio.move_on_after(FIRST_REPORT_WAIT_S) as report_scope:
             async with anyio.create_task_group() as tasks:
                 for upstream in reporting:
                     tasks.start_soon(
                         self._refresh_free_memory, pool, queue, upstream
                     )
+        if report_scope.cancelled_caught:
+            logger.bind(event="report_failed", pool=pool).info(
+                "calls of pool {} begin: not all of its {} upstreams reported "
+                "their free result memory within {:.1f} s",
+                pool,
+                len(reporting),
+                FIRST_REPORT_WAIT_S,
+            )
         assert self._tasks is not None
         for upstream in reporting:
             self._tasks.start_soon(
@@ -540,7 +547,8 @@
         )
         evidence = self._describe_pieces(call.pieces)
         replies: list[PieceReply] | None = None
-        refused, unreachable, failure = False, False, "timeout"
+        refused, unreachable = False, False
+        failure, detail = FailureKind.TIMEOUT.value, "no answer in time"
         turned_away = False
         broken_off = False
         limit = _CallLimit()
@@ -557,21 +565,19 @@
                         replies = self._protocol.decode_call(data, call.pieces)
                         if not self._record_handles(call, replies):
                             replies, failure = None, "answer of another call"
+                            detail = "a handle is recorded for another piece"
                     else:
                         refused = answer.reply.not_run
                         turned_away = answer.reply.self_report.explains_refusal
-                        failure = f"status {answer.status}"
+                        failure = detail = f"status {answer.status}"
         except StageError as exc:
             refused = exc.verdict is Verdict.NOT_RUN
             unreachable = exc.kind is FailureKind.CONNECT
             turned_away = exc.kind is FailureKind.WITHDRAWN
-            failure = exc.kind.value
+            failure, detail = exc.kind.value, exc.detail
             broken_off = is_broken_off(exc)
-        except (httpx.HTTPError, OSError) as exc:
-            failure = type(exc).__name__
-            broken_off = not isinstance(exc, httpx.TimeoutException)
-        except (ValueError, MessageError) as exc:
-            failure = type(exc).__name__
+        except MessageError as exc:
+            failure, detail = type(exc).__name__, str(exc)
         finally:
             limit.wait_scope.cancel()
         took_s = self._state.clock() - now
@@ -579,11 +585,12 @@
             self._metrics.stage_calls.inc(pool, "failed")
             log.bind(failure=failure, took_s=took_s, refused=refused).warning(
                 "stage call to upstream {} failed after {:.3f} s, with a "
-                "time-out of {:.3f} s: {}",
+                "time-out of {:.3f} s: {}: {}",
                 call.upstream.name,
                 took_s,
                 timeout_s,
                 failure,
+                detail,
             )
             ended = broken_off and await self._record_break(call, evidence)
             await self._handle_failed_call(
@@ -804,7 +811,7 @@
             return
         path, headers = self._protocol.encode_report_request()
         try:
-            with anyio.move_on_after(REPORT_TIMEOUT_S):
+            with enforce_timeout(REPORT_TIMEOUT_S, upstream):
                 async with self._client.call(
                     upstream, "GET", path.encode(), headers, b""
                 ) as answer:
@@ -823,7 +830,7 @@
                     upstream.name,
                     free_bytes,
                 )
-        except (StageError, MessageError, httpx.HTTPError, OSError) as exc:
+        except (StageError, MessageError) as exc:
             logger.bind(event="report_failed", upstream=upstream.name).info(
                 "upstream {} did not report its free result memory: {}",
                 upstream.name,
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -691,7 +691,7 @@
                 answer.status in INPUTS_LOST_STATUSES and run.chain.steps
             )
             try:
-                await answer.read_refusal(upstream.name)
+                await answer.read_refusal()
             except StageError as exc:
                 detail = exc.detail
             error_type = _InputsLostError if inputs_lost else StageError
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -927,4 +927,19 @@
         "        except ZeroDivisionError as exc:",
         ("foreign_entries", "A reply to a peer"),
     ),
+    Guard(
+        "relay: an answer that is too long fails one call",
+        "relay/client.py",
+        "            if size > bytes_max:\n                raise StageError(",
+        "            if size > bytes_max:\n                raise ValueError(",
+        ("foreign_answers", "A stage upstream sends bytes"),
+    ),
+    Guard(
+        "relay: an answer that is cut fails one call",
+        "relay/client.py",
+        "                yield chunk\n"
+        "        except (httpx.HTTPError, OSError) as exc:",
+        "                yield chunk\n        except ZeroDivisionError as exc:",
+        ("foreign_answers", "A stage upstream sends bytes"),
+    ),
 )
