Ask for a key whenever a document has client accounts

Callers without a valid key were served: once the last key of the last account was taken away, each request ran, with any key or none, and without its account.

Cause: RelayApplication._admit asked for a key if the table of accounts by key was not empty. A document whose accounts hold no key therefore counted as one without accounts, and the decoder made an empty list of accounts the same as none. applespring-check published had a copy of the condition.

Ruled out: that an older document decides (it would refuse a key that nobody holds), and that the new one is rejected (document_accepted is logged for version 8 at all three instances).

Change: RoutingDocument.has_accounts keeps what the document says, and needs_key is the one rule. An empty key is no key, and a text in place of the list of keys makes the document malformed: each of its letters was a key.

Tests: on 5 of 7 scenarios of relay_accounts.feature, one of check_published.feature and two rows of platform.feature fail; now all pass.

--- a/features/check_published.feature
+++ b/features/check_published.feature
@@ -23,6 +23,13 @@
       | POST pule25.example/puxa4001/x        | k1  | decision: refused with 404 unknown_route                  |
       | POST another.example/puxa400/x        | k1  | decision: refused with 404 unknown_route                  |
 
+  Scenario: The explanation of a request if no account holds a key
+    Guards against an explanation by which anyone would be let in.
+    Given a saved configuration whose accounts hold no key
+    When the saved configuration is checked with request "POST pule25.example/puxa400/x" and key "k1"
+    Then applespring-check exits with 0
+    And its output has "decision: refused with 401 unknown_key"
+
   Scenario: A request without a method is wrong usage
     Guards against an explanation of another request than the operator meant.
     When the saved configuration is checked with request "pule25.example" and key "k1"
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -37,6 +37,8 @@
       | {"version": 1}                                         |
       | {"version": 1, "routes": [{"name": 1}], "services": []} |
       | {"version": 1, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": ["k"], "allowedRegions": "north"}]} |
+      | {"version": 1, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": "k"}]} |
+      | {"version": 1, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": ["k", 7]}]} |
 
   Scenario Outline: A malformed entry names no upstream
     Given the registry entry <text>
--- a/features/steps/check_published_steps.py
+++ b/features/steps/check_published_steps.py
@@ -23,6 +23,12 @@
     save(context, make_configuration())
 
 
+@given("a saved configuration whose accounts hold no key")
+def given_keyless(context):
+    accounts = [{"name": "bozi300", "apiKeys": []}]
+    save(context, make_configuration(tenants=accounts))
+
+
 @given("a saved configuration with faults")
 def given_faults(context):
     stage = {"service": "kafi81c", "after": [], "length": 90_000_000}
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -110,7 +110,7 @@
 
 @then("the client account of key {key} is {name} with priority {priority:d}")
 def then_client(context, key, name, priority):
-    client = context.document.clients[key]
+    client = context.document.accounts_by_key[key]
     assert (client.name, client.priority) == (name, priority)
 
 
--- a/src/applespring/check/published.py
+++ b/src/applespring/check/published.py
@@ -40,11 +40,11 @@
     faults = find_faults(doc)
     for fault in faults:
         print(f"{file}: {fault}", file=sys.stderr)
-    accounts = {client.name for client in doc.clients.values()}
+    accounts = {account.name for account in doc.accounts}
     print(
         f"{file}: version {doc.version}, {len(doc.routes)} routes,"
         f" {len(doc.pools)} pools, {len(accounts)} accounts,"
-        f" {len(doc.clients)} keys"
+        f" {len(doc.accounts_by_key)} keys"
     )
     if request:
         print("\n".join(explain_request(doc, request, key)))
@@ -76,8 +76,8 @@
         yield _describe_refusal(reason.UNKNOWN_ROUTE)
         return
     yield from _describe_route(route)
-    client = doc.clients.get(key)
-    if doc.clients and not route.public:
+    client = doc.accounts_by_key.get(key)
+    if doc.needs_key(route):
         if client is None:
             yield _describe_refusal(reason.UNKNOWN_KEY)
             return
--- a/src/applespring/core/route.py
+++ b/src/applespring/core/route.py
@@ -284,8 +284,10 @@
         routes: All routes.
         pools: Pools by name.
         limits: Bounds on what callers may send.
-        accounts: Client accounts; empty if no key is needed.
-        clients: Client accounts by key.
+        has_accounts: Whether it names client accounts, be it none. Requests
+            then need a key of one of them, however many keys there are.
+        accounts: Client accounts.
+        accounts_by_key: Client accounts by key.
     """
 
     __slots__ = (
@@ -293,8 +295,9 @@
         "routes",
         "pools",
         "limits",
+        "has_accounts",
         "accounts",
-        "clients",
+        "accounts_by_key",
         "_hosts",
     )
 
@@ -304,15 +307,30 @@
         routes: Iterable[Route],
         pools: Iterable[PoolSpec],
         limits: CallerLimits,
-        clients: Iterable[ClientAccount] = (),
+        accounts: Iterable[ClientAccount] | None = None,
     ) -> None:
+        """Builds the tables by name, key and host.
+
+        Args:
+            version: Version of the document.
+            routes: All routes.
+            pools: All pools.
+            limits: Bounds on what callers may send.
+            accounts: Client accounts, or None if the document has none and no
+                request needs a key. An empty one lets nobody in.
+        """
         self.version = version
         self.routes = tuple(routes)
         self.pools = {pool.name: pool for pool in pools}
         self.limits = limits
-        self.accounts = tuple(clients)
-        self.clients = {
-            key: client for client in self.accounts for key in client.keys
+        self.has_accounts = accounts is not None
+        self.accounts = tuple(accounts or ())
+        # An empty key would let requests in that have none.
+        self.accounts_by_key = {
+            key: account
+            for account in self.accounts
+            for key in account.keys
+            if key
         }
         hosts: dict[str, list[Route]] = {}
         for route in self.routes:
@@ -322,6 +340,10 @@
             routes_of_host.sort(key=lambda r: -len(r.prefix))
         self._hosts = hosts
 
+    def needs_key(self, route: Route) -> bool:
+        """Returns whether requests of a route need the key of an account."""
+        return self.has_accounts and not route.public
+
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None.
 
--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -82,15 +82,9 @@
                 header_s=limits.get("headerTimeoutMs", 5000) / 1000,
                 idle_s=limits.get("idleTimeoutMs", 15000) / 1000,
             ),
-            clients=[
-                ClientAccount(
-                    t["name"],
-                    t["apiKeys"],
-                    t.get("priority"),
-                    _decode_homes(t),
-                )
-                for t in doc.get("tenants") or ()
-            ],
+            accounts=None
+            if doc.get("tenants") is None
+            else [_decode_account(tenant) for tenant in doc["tenants"]],
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise MessageError(f"the configuration is malformed: {exc!r}") from exc
@@ -118,6 +112,24 @@
     return homes
 
 
+def _decode_account(tenant: dict[str, Any]) -> ClientAccount:
+    """Returns a client account, which may hold no key.
+
+    Raises:
+        ValueError: Its keys are no list of texts. The letters of a text would
+            each be taken for a key.
+    """
+    keys = tenant["apiKeys"]
+    if not isinstance(keys, list) or not all(isinstance(k, str) for k in keys):
+        raise ValueError(
+            f"apiKeys of {tenant['name']!r} must be a list of texts, but is a "
+            f"{type(keys).__name__} or holds other values"
+        )
+    return ClientAccount(
+        tenant["name"], keys, tenant.get("priority"), _decode_homes(tenant)
+    )
+
+
 def _decode_route(route: dict[str, Any]) -> Route:
     split = route.get("trafficSplit")
     if split:
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -191,7 +191,7 @@
         if route is None:
             raise self._unknown_refusal(reason.UNKNOWN_ROUTE)
         client_account = None
-        if doc.clients and not route.public:
+        if doc.needs_key(route):
             client_account = self._find_client_account(doc, req)
         with anyio.move_on_after(BODY_TIMEOUT_S) as body_scope:
             req.body = await _read_body(receive, doc.limits.body_bytes)
@@ -218,7 +218,7 @@
     def _find_client_account(
         self, doc: RoutingDocument, req: CallerRequest
     ) -> ClientAccount:
-        client_account = doc.clients.get(req.api_key)
+        client_account = doc.accounts_by_key.get(req.api_key)
         if client_account is None:
             raise self._unknown_refusal(reason.UNKNOWN_KEY)
         return client_account
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -950,4 +950,20 @@
         ("foreign_answers", "A stage upstream answers with values"),
         ("foreign_answers", "Whatever JSON"),
     ),
+    Guard(
+        "core: accounts without keys let nobody in",
+        "core/route.py",
+        "return self.has_accounts and not route.public",
+        "return bool(self.accounts_by_key) and not route.public",
+        ("relay_accounts", "No account holds a key"),
+        ("relay_accounts", "The last key is taken away"),
+        ("check_published", "if no account holds a key"),
+    ),
+    Guard(
+        "core: an empty key is no key",
+        "core/route.py",
+        "            if key\n",
+        "",
+        ("relay_accounts", "No account holds a key"),
+    ),
 )
