Bound the answers of stage upstreams at 256 KiB

Cause: up to 4 MiB were read of each answer without end. An instance of 160 MB that schedules three pools may ask 20 upstreams for a report at once, 80 MB in the worst case.

Change: ANSWER_BYTES_MAX is 256 KiB. A call has tens of pieces, each answered with a handle of at most 255 characters.

Tests: the three rows with fast bytes of foreign_answers.feature name the bound.

--- a/features/foreign_answers.feature
+++ b/features/foreign_answers.feature
@@ -12,13 +12,13 @@
 
     Examples:
       | target      | what               | event          | detail                                |
-      | /report     | fast bytes         | report_failed  | the body is longer than 4194304 bytes |
+      | /report     | fast bytes         | report_failed  | the body is longer than 262144 bytes  |
       | /report     | slow bytes         | report_failed  | not all of its 2 upstreams reported   |
       | /report     | a body that is cut | report_failed  | truncated: RemoteProtocolError        |
-      | /stage-run  | fast bytes         | stage_call     | the body is longer than 4194304 bytes |
+      | /stage-run  | fast bytes         | stage_call     | the body is longer than 262144 bytes  |
       | /stage-run  | slow bytes         | stage_call     | timeout: no answer in time            |
       | /stage-run  | a body that is cut | stage_call     | truncated: RemoteProtocolError        |
-      | /stage-free | fast bytes         | release_failed | the body is longer than 4194304 bytes |
+      | /stage-free | fast bytes         | release_failed | the body is longer than 262144 bytes  |
       | /stage-free | slow bytes         | release_failed | no answer in 1.000 s                  |
       | /stage-free | a body that is cut | release_failed | truncated: RemoteProtocolError        |
 
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -65,7 +65,10 @@
 REPORT_INTERVAL_S = 0.4
 # Share of the lifetime of results for which pieces that read them may wait.
 INPUT_WAIT_SHARE = 0.75
-ANSWER_BYTES_MAX = 4 * 1024 * 1024
+# Largest answer of a stage upstream: a call has tens of pieces, each answered
+# with a handle of at most 255 characters. An instance may read the answers of
+# all upstreams of its pools at once.
+ANSWER_BYTES_MAX = 256 * 1024
 # Handles for which the piece is recorded. A large pool makes several hundred
 # results per second, and a duplicate answer comes with the next call on its
 # connection.
