--- a/features/steps/foreign_answer_steps.py
+++ b/features/steps/foreign_answer_steps.py
@@ -19,16 +19,22 @@
 
 PROTOCOL = PlatformProtocol()
 VISIBLE = frozenset(string.ascii_letters + string.digits + string.punctuation)
-ANSWERS = {
+BODIES = {
     "fast bytes": lambda: itertools.repeat(b"x" * 50_000),
     "slow bytes": lambda: itertools.cycle([b"x", 0.05]),
     "a body that is cut": lambda: [b"x", httpx.RemoteProtocolError("cut")],
 }
 
 
-@given("a stage upstream that answers {target} with {what}")
-def given_answer(context, target, what):
-    context.world.upstreams["s0"].bodies[target] = ANSWERS[what]
+def set_answer(context, target, make_body):
+    """Sets the body of each answer of an upstream, and keeps the log lines.
+
+    Args:
+        context: Context of the scenario.
+        target: Target of the calls that get the answer.
+        make_body: Returns the chunks, pauses and errors of one body.
+    """
+    context.world.upstreams["s0"].bodies[target] = make_body
     context.records = []
     sink = logger.add(
         lambda line: context.records.append(line.record), level="DEBUG"
@@ -36,10 +42,14 @@
     context.add_cleanup(logger.remove, sink)
 
 
+@given("a stage upstream that answers {target} with {what}")
+def given_answer(context, target, what):
+    set_answer(context, target, BODIES[what])
+
+
 @given("a stage upstream whose answer to {target} is the JSON {text}")
 def given_json(context, target, text):
-    ANSWERS[text] = lambda: [text.encode()]
-    given_answer(context, target, text)
+    set_answer(context, target, lambda: [text.encode()])
 
 
 @then(
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -127,7 +127,7 @@
 
 
 def make_sound_entry(**changes):
-    """Returns a registry entry with some fields changed; None removes one."""
+    """Returns a registry entry with some fields changed; GONE removes one."""
     fields = {
         "service": "a",
         "address": "1.2.3.4:5",
