Count rejected registry entries, and log each of them once

Cause: each read that met a malformed entry wrote a line, and nothing counted it. 1000 reads of one entry wrote 1000 lines on, and an entry that another writer changes a thousand times a second could have filled the log, which then drops lines about requests.

Change: decoders return the fault with the entry, and the watcher counts it (`entry_rejected`) and logs it once for each name and revision, and for at most ten in a second, with the number that had no line. Entries of peers go the same way. EntryChange.fault replaces the flag that nothing read.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -204,7 +204,7 @@
         entry = encode_upstream(upstream, NOT_KNOWN)
         sent = message.UpstreamList(revision=3, upstreams=[entry])
         received = codec.decode(codec.encode(sent))
-        (read,) = decode_upstreams(received.upstreams, "two")
+        (read,), _ = decode_upstreams(received.upstreams)
         assert read.identity == upstream.identity
         assert read.address == upstream.address
 
--- a/src/applespring/platform/registry.py
+++ b/src/applespring/platform/registry.py
@@ -65,8 +65,8 @@
 def _decode_entries(items: Iterable[dict], era: int) -> Iterable[EntryChange]:
     """Yields the changes of registry entries among items of the store.
 
-    Their revisions are joined with the era. An entry that can't be decoded is
-    logged and yielded as unreadable.
+    Their revisions are joined with the era. One that can't be decoded has its
+    fault.
     """
     for item in items:
         key = item.get("key")
@@ -86,10 +86,7 @@
             data = document.decode_value(item)
             entry = document.decode_entry(key, data, revision)
         except MessageError as exc:
-            logger.bind(event="entry_unreadable", key=key).warning(
-                "registry entry can't be decoded: {}", exc
-            )
-            yield EntryChange(name, None, revision, unreadable=True)
+            yield EntryChange(name, None, revision, fault=str(exc))
             continue
         yield EntryChange(name, entry, revision)
 
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -167,7 +167,8 @@
     def _apply_upstreams(
         self, reply: message.UpstreamList, source: str
     ) -> None:
-        upstreams = list(decode_upstreams(reply.upstreams, source))
+        upstreams, rejected = decode_upstreams(reply.upstreams)
+        self._watcher.record_rejections(rejected, source)
         self._metrics.state_changes.inc("entries_from_peer")
         logger.bind(
             event="entries_from_peer",
--- a/src/applespring/relay/registry.py
+++ b/src/applespring/relay/registry.py
@@ -19,10 +19,11 @@
         name: Name of the upstream.
         upstream: The entry, or None if it was removed or is malformed.
         revision: Revision of the change.
-        unreadable: Whether the entry exists but is malformed.
+        fault: Why the entry names no upstream, with the value met and its
+            bound; empty if it is sound or was removed.
     """
 
-    __slots__ = ("name", "upstream", "revision", "unreadable")
+    __slots__ = ("name", "upstream", "revision", "fault")
 
     def __init__(
         self,
@@ -30,12 +31,12 @@
         upstream: ListedUpstream | None,
         revision: int,
         *,
-        unreadable: bool = False,
+        fault: str = "",
     ) -> None:
         self.name = name
         self.upstream = upstream
         self.revision = revision
-        self.unreadable = unreadable
+        self.fault = fault
 
 
 class EvacuationChange:
--- a/src/applespring/relay/upstream_messages.py
+++ b/src/applespring/relay/upstream_messages.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Iterable
 
-from loguru import logger
-
 from applespring.core.catalog import ListedUpstream, UpstreamState
 from applespring.core.cold_upstreams import COLD_MAX_S
 from applespring.core.errors import MessageError
 from applespring.core.upstream_check import check_upstream
 from applespring.peer import message
+from applespring.relay.registry import EntryChange
 
 # Value of `UpstreamEntry.cold_s` if the entry does not say.
 NOT_KNOWN = -1.0
@@ -32,23 +31,19 @@
 
 
 def decode_upstreams(
-    entries: Iterable[message.UpstreamEntry], source: str
-) -> Iterable[ListedUpstream]:
-    """Yields the upstreams of a peer's entries; a malformed one is logged.
-
-    Args:
-        entries: The entries.
-        source: Name of the peer.
-    """
+    entries: Iterable[message.UpstreamEntry],
+) -> tuple[list[ListedUpstream], list[EntryChange]]:
+    """Returns the upstreams of a peer's entries, and the malformed entries."""
+    upstreams: list[ListedUpstream] = []
+    rejected: list[EntryChange] = []
     for entry in entries:
         try:
-            yield _decode_upstream(entry)
+            upstreams.append(_decode_upstream(entry))
         except MessageError as exc:
-            logger.bind(
-                event="entries_rejected", source=source, upstream=entry.name
-            ).error(
-                "an upstream entry from instance {} is ignored: {}", source, exc
+            rejected.append(
+                EntryChange(entry.name, None, entry.revision, fault=str(exc))
             )
+    return upstreams, rejected
 
 
 def _decode_upstream(entry: message.UpstreamEntry) -> ListedUpstream:
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import anyio
 from loguru import logger
@@ -13,6 +13,7 @@
 from applespring.core.engines.learned import LearnedEngines
 from applespring.core.era import era_of, revision_of
 from applespring.core.errors import ApplespringError, MessageError
+from applespring.core.rejection_filter import RejectionFilter
 from applespring.peer import message
 from applespring.relay.cold_recorder import ColdRecorder
 from applespring.relay.evacuation import EvacuationRecorder
@@ -81,6 +82,7 @@
         self._metrics = metrics
         self._rng = rng
         self._contact_lost = False
+        self._rejections = RejectionFilter()
         self._watch_scope: anyio.CancelScope | None = None
         peers.set_gossip_source(self)
 
@@ -156,6 +158,7 @@
         """
         update = await self._registry.read()
         self._record_contact(update)
+        self.record_rejections(update.changes, "registry")
         listed = [c.upstream for c in update.changes if c.upstream is not None]
         self.apply_upstreams(listed)
         self._state.catalog.replace(listed, self._state.clock())
@@ -277,7 +280,38 @@
                     self._plain.selector.restart(upstream.name)
             self._cold.record_entry(upstream, is_new=is_new)
 
-    def _apply_changes(self, changes: Iterable[EntryChange]) -> None:
+    def record_rejections(
+        self, changes: Iterable[EntryChange], source: str
+    ) -> None:
+        """Counts and logs the entries that name no upstream.
+
+        Args:
+            changes: Entries, of which those without a fault are ignored.
+            source: "registry", or the name of the peer that sent them.
+        """
+        now = self._state.clock()
+        for change in changes:
+            if not change.fault:
+                continue
+            self._metrics.state_changes.inc("entry_rejected")
+            if self._rejections.admit(change.name, change.revision, now):
+                logger.bind(
+                    event="entry_unreadable"
+                    if source == "registry"
+                    else "entries_rejected",
+                    upstream=change.name,
+                    revision=change.revision,
+                    source=source,
+                    left_out=self._rejections.take_left_out(),
+                ).warning(
+                    "entry {!r:.80} from {} names no upstream: {}",
+                    change.name,
+                    source,
+                    change.fault,
+                )
+
+    def _apply_changes(self, changes: Sequence[EntryChange]) -> None:
+        self.record_rejections(changes, "registry")
         now = self._state.clock()
         for change in changes:
             if change.upstream is not None:
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -966,4 +966,18 @@
         "",
         ("relay_accounts", "No account holds a key"),
     ),
+    Guard(
+        "relay: a malformed entry is logged once",
+        "core/rejection_filter.py",
+        "if self._revisions.get(name) == revision:",
+        "if False:",
+        ("foreign_entries", "read again and again"),
+    ),
+    Guard(
+        "relay: few malformed entries are logged in a second",
+        "core/rejection_filter.py",
+        "if self._lines >= LINES_PER_S_MAX:",
+        "if False:",
+        ("foreign_entries", "all the time"),
+    ),
 )
