Check the fields of a document before instances decode it

Cause: what may stand in a field was known to applespring-check only. Instances converted the values that they needed at once and kept the others as they were. A `handleTtlS` of "x" or a `slots` of 1e308 then ended the scheduler, as the address of an entry did, and a prefix or priority of another type had each request of its route answered with 500.

Change: the table of fields moves to platform/document_fields.py, and instances check a document against it first. The message names the place, the value (not that of a key) and the bound. Fields that instances don't decode, or ignore one by one, are left out. decode_document loses its own checks of two fields. The rule that a malformed document is rejected as a whole is as before.

One line of check_published.feature has the new text.

--- a/features/check_published.feature
+++ b/features/check_published.feature
@@ -60,5 +60,5 @@
     Then applespring-check exits with 1
     And applespring-check prints errors with
       """
-      the configuration is malformed: KeyError('routes')
+      the configuration is malformed: routes is missing or null; allowed: a list, each an object
       """
--- a/src/applespring/platform/document.py
+++ b/src/applespring/platform/document.py
@@ -28,6 +28,7 @@
     StageStep,
 )
 from applespring.core.upstream_check import check_upstream, check_whole
+from applespring.platform.document_fields import check_fields
 
 DOCUMENT_KEY = "op/config"
 ENTRY_PREFIX = "servers/"
@@ -67,11 +68,25 @@
     """Decodes the operator's configuration.
 
     Raises:
-        MessageError: It is not JSON, or a field is missing or malformed.
+        MessageError: It is not JSON, or a field is missing or malformed. The
+            message has its place, the value and the bound.
     """
     try:
         doc = orjson.loads(data)
-        limits = doc.get("limits") or {}
+    except ValueError as exc:
+        raise MessageError(f"the configuration is malformed: {exc!r}") from exc
+    check_fields(doc)
+    return build_document(doc)
+
+
+def build_document(doc: Mapping[str, Any]) -> RoutingDocument:
+    """Builds a document from a configuration whose fields were checked.
+
+    Raises:
+        MessageError: A field is missing or malformed.
+    """
+    limits = doc.get("limits") or {}
+    try:
         return RoutingDocument(
             version=int(doc["version"]),
             routes=[_decode_route(r) for r in doc["routes"]],
@@ -96,37 +111,17 @@
 
 
 def _decode_homes(entry: dict[str, Any]) -> list[str]:
-    """Returns the homes of a route or tenant; empty if it has none.
-
-    Raises:
-        ValueError: They are no list of names.
-    """
-    homes = entry.get("allowedRegions") or []
-    if not isinstance(homes, list) or not all(
-        isinstance(home, str) and home for home in homes
-    ):
-        raise ValueError(
-            f"allowedRegions of {entry.get('name')!r} must be a list of "
-            f"regions, but is {homes!r}"
-        )
-    return homes
+    """Returns the homes of a route or tenant; empty if it has none."""
+    return entry.get("allowedRegions") or []
 
 
 def _decode_account(tenant: dict[str, Any]) -> ClientAccount:
-    """Returns a client account, which may hold no key.
-
-    Raises:
-        ValueError: Its keys are no list of texts. The letters of a text would
-            each be taken for a key.
-    """
-    keys = tenant["apiKeys"]
-    if not isinstance(keys, list) or not all(isinstance(k, str) for k in keys):
-        raise ValueError(
-            f"apiKeys of {tenant['name']!r} must be a list of texts, but is a "
-            f"{type(keys).__name__} or holds other values"
-        )
+    """Returns a client account, which may hold no key."""
     return ClientAccount(
-        tenant["name"], keys, tenant.get("priority"), _decode_homes(tenant)
+        tenant["name"],
+        tenant["apiKeys"],
+        tenant.get("priority"),
+        _decode_homes(tenant),
     )
 
 
--- a/src/applespring/platform/document_check.py
+++ b/src/applespring/platform/document_check.py
@@ -6,175 +6,30 @@
 
 import difflib
 import json
-import math
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import orjson
 
 from applespring.core.errors import MessageError
-from applespring.core.route import RouteKind
 from applespring.core.route_faults import FieldPath
 from applespring.core.route_review import Entries, review
-from applespring.platform.document import decode_document, decode_pools
+from applespring.platform.document import build_document, decode_pools
+from applespring.platform.document_fields import (
+    DOCUMENT,
+    ROUTE,
+    TEXT,
+    Kind,
+    Member,
+    Table,
+    describe_fault,
+    format_path,
+    show_value,
+)
 
 # Names this similar to a known one are taken for misspelt.
 _SIMILAR = 0.8
-_VALUE_LENGTH_MAX = 40
-# orjson, which the instances use, reads integers of 64 bits.
-_INTEGER_MAX = 2**63 - 1
-
-
-class Kind:
-    """The values that a field may have.
-
-    Attributes:
-        allowed: Description for messages.
-        accepts: Whether a value is allowed.
-        fallback: Value that stands in for a rejected one, so that the check
-            can go on.
-    """
-
-    __slots__ = ("allowed", "accepts", "fallback")
-
-    def __init__(
-        self, allowed: str, accepts: Callable[[Any], bool], fallback: Any
-    ) -> None:
-        self.allowed = allowed
-        self.accepts = accepts
-        self.fallback = fallback
-
-
-class Member:
-    """A field of a table.
-
-    Attributes:
-        kind: Its values, or the fields of the table or tables that it holds.
-        required: Whether it has to be given.
-        many: Whether it holds a list of `kind`.
-        nullable: Whether null stands for a field that is not given.
-    """
-
-    __slots__ = ("kind", "required", "many", "nullable")
-
-    def __init__(
-        self,
-        kind: "Kind | Table",
-        *,
-        required: bool = False,
-        many: bool = False,
-        nullable: bool = True,
-    ) -> None:
-        self.kind = kind
-        self.required = required
-        self.many = many
-        self.nullable = nullable
-
 
-Table = Mapping[str, Member]
-
-
-def _is_number(value: Any) -> bool:
-    return _is_integer(value) or (
-        isinstance(value, float) and math.isfinite(value)
-    )
-
-
-def _is_integer(value: Any) -> bool:
-    return (
-        isinstance(value, int)
-        and not isinstance(value, bool)
-        and abs(value) <= _INTEGER_MAX
-    )
-
-
-TEXT = Kind("a text", lambda v: isinstance(v, str) and v != "", "")
-ANY_TEXT = Kind("a text", lambda v: isinstance(v, str), "")
-FLAG = Kind("true, false", lambda v: isinstance(v, bool), False)
-INTEGER = Kind("an integer", _is_integer, 1)
-VERSION = Kind("an integer above 0", lambda v: _is_integer(v) and v > 0, 1)
-NUMBER = Kind("a number", _is_number, 0)
-POSITIVE = Kind("a number above 0", lambda v: _is_number(v) and v > 0, 1)
-NOT_NEGATIVE = Kind(
-    "a number, 0 or above", lambda v: _is_number(v) and v >= 0, 0
-)
-ROUTE_KIND = Kind(
-    ", ".join(kind.value for kind in RouteKind),
-    lambda v: v in [kind.value for kind in RouteKind],
-    RouteKind.SAFE.value,
-)
-
-STAGE: Table = {
-    "service": Member(TEXT, required=True),
-    "after": Member(INTEGER, many=True),
-    "length": Member(NOT_NEGATIVE, required=True),
-}
-TARGET: Table = {
-    "service": Member(TEXT, required=True),
-    "weight": Member(NUMBER, required=True),
-}
-ROUTE: Table = {
-    "name": Member(TEXT, required=True),
-    "host": Member(TEXT, required=True),
-    "prefix": Member(TEXT, required=True),
-    "kind": Member(ROUTE_KIND, required=True),
-    "timeoutMs": Member(POSITIVE, required=True),
-    "targetLatencyMs": Member(POSITIVE, nullable=False),
-    "priority": Member(INTEGER, nullable=False),
-    "service": Member(TEXT),
-    "trafficSplit": Member(TARGET, many=True),
-    "maxAttempts": Member(INTEGER, nullable=False),
-    "stages": Member(STAGE, many=True),
-    "public": Member(FLAG),
-    "stickySessions": Member(FLAG),
-    "resumable": Member(FLAG),
-    "targetGapMs": Member(NOT_NEGATIVE),
-    "allowedRegions": Member(TEXT, many=True),
-}
-SERVICE: Table = {
-    "name": Member(TEXT, required=True),
-    "healthPath": Member(TEXT),
-    "maxConnections": Member(INTEGER, nullable=False),
-    "engine": Member(
-        {
-            "slots": Member(INTEGER, nullable=False),
-            "kvCapacityTokens": Member(NOT_NEGATIVE, nullable=False),
-        }
-    ),
-    "segments": Member(
-        {
-            "slots": Member(INTEGER, required=True),
-            "queue": Member(INTEGER),
-            "batch": Member(INTEGER, required=True),
-            "callMs": Member(NOT_NEGATIVE, required=True),
-            "itemMs": Member(NOT_NEGATIVE, required=True),
-            "headroomMb": Member(NOT_NEGATIVE, required=True),
-            "handleTtlS": Member(POSITIVE, required=True),
-        }
-    ),
-    "coldStartS": Member(NOT_NEGATIVE),
-    "coldPerS": Member(NOT_NEGATIVE),
-}
-TENANT: Table = {
-    "name": Member(TEXT, required=True),
-    "apiKeys": Member(ANY_TEXT, required=True, many=True),
-    "priority": Member(INTEGER),
-    "allowedRegions": Member(TEXT, many=True),
-}
-LIMITS: Table = {
-    "maxHeaderBytes": Member(INTEGER, nullable=False),
-    "maxBodyBytes": Member(INTEGER, nullable=False),
-    "headerTimeoutMs": Member(POSITIVE, nullable=False),
-    "idleTimeoutMs": Member(POSITIVE, nullable=False),
-}
-DOCUMENT: Table = {
-    "version": Member(VERSION, required=True),
-    "routes": Member(ROUTE, required=True, many=True),
-    "services": Member(SERVICE, required=True, many=True),
-    "limits": Member(LIMITS),
-    "tenants": Member(TENANT, many=True),
-}
-_SECRET = "apiKeys"
 
 # Names in the document of the fields in `core/route.py`.
 _LISTS = {"route": "routes", "pool": "services", "account": "tenants"}
@@ -253,7 +108,7 @@
         message = f"the configuration is not JSON: {exc}"
         return CheckedDocument(None, [Finding("", message)])
     if not isinstance(tree, dict):
-        message = f"the configuration is {_show(tree)}; allowed: an object"
+        message = f"the configuration is {show_value(tree)}; allowed: an object"
         return CheckedDocument(None, [Finding("", message)])
     checker = _Checker(findings)
     repaired_tree = checker.check_table(tree, DOCUMENT, ())
@@ -270,8 +125,8 @@
                 findings.append(
                     Finding(
                         name,
-                        f"is given twice in one object (of {_show(label)}); "
-                        "the last value counts",
+                        "is given twice in one object (of "
+                        f"{show_value(label)}); the last value counts",
                     )
                 )
             found[name] = value
@@ -366,16 +221,7 @@
 
     def _reject(self, path: FieldPath, value: Any, member: Member) -> None:
         self.repaired.add(path)
-        allowed = "an object"
-        if isinstance(member.kind, Kind):
-            allowed = member.kind.allowed
-        if member.many:
-            allowed = f"a list, each {allowed}"
-        if value is None:
-            self._add(path, f"is missing or null; allowed: {allowed}")
-        else:
-            shown = "a value" if _SECRET in path else _show(value)
-            self._add(path, f"is {shown}; allowed: {allowed}")
+        self._add(path, describe_fault(path, value, member.allowed))
 
     def _add(self, path: FieldPath, message: str) -> None:
         self._findings.append(Finding(format_path(path), message))
@@ -388,7 +234,8 @@
 ) -> Iterator[Finding]:
     """Yields the faults that do not depend on a repaired value."""
     try:
-        document = decode_document(orjson.dumps(tree))
+        # Values that stand in for rejected ones would be rejected too.
+        document = build_document(orjson.loads(orjson.dumps(tree)))
     except (MessageError, TypeError) as exc:
         yield Finding("", str(exc))
         return
@@ -441,21 +288,3 @@
     if path[:1] == ["trafficSplit"] and not entry.get("trafficSplit"):
         path = ["service"]
     return (_LISTS[entity], index, *path)
-
-
-def format_path(path: FieldPath) -> str:
-    """Returns a path as text, for example `routes[0].stages[1].length`."""
-    text = ""
-    for part in path:
-        if isinstance(part, int):
-            text += f"[{part}]"
-        else:
-            text += f".{part}" if text else part
-    return text
-
-
-def _show(value: Any) -> str:
-    text = json.dumps(value)
-    if len(text) > _VALUE_LENGTH_MAX:
-        text = text[: _VALUE_LENGTH_MAX - 3] + "..."
-    return text
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -980,4 +980,12 @@
         "if False:",
         ("foreign_entries", "all the time"),
     ),
+    Guard(
+        "relay: a document is checked before it is decoded",
+        "platform/document.py",
+        "    check_fields(doc)\n",
+        "",
+        ("foreign_documents", "Whatever value"),
+        ("foreign_documents", "is named with its place"),
+    ),
 )
