Check the form of the store's answers

Cause: a page without a revision, or with items that are no objects, raised a KeyError or an AttributeError, which the watch does not catch, so that it ended and the instance with it.

Change: Store reads revision, items and the key at which a read goes on with their types. Anything else is a MessageError: the registry counts as lost, and is read again.

Tests: the 11 scenarios of relay_wire.feature, "A store answer of another form", end with another error before, and pass now. "Whatever headers an answer has, they are read" (foreign_answers.feature) passed before too; it shows that no header does the same.

--- a/features/foreign_answers.feature
+++ b/features/foreign_answers.feature
@@ -54,3 +54,8 @@
   Scenario: Whatever JSON a stage upstream answers with is malformed or has the stated types
     Guards against a type that a check forgets.
     Then any of 500 generated answers is malformed or has usable handles and numbers
+
+  Scenario: Whatever headers an answer has, they are read
+    Guards against a header that ends the call of each upstream that sends it, and
+    the scheduler with it.
+    Then the headers of any of 1000 generated answers are decoded
--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -106,6 +106,26 @@
       | half and close  | fails    |
       | reset           | fails    |
 
+  Scenario Outline: A store answer of another form
+    Guards against an answer that ends the watch, and the instance with it.
+    Given a store whose answer is the JSON <text>
+    When it is <way>
+    Then the read fails
+
+    Examples:
+      | way     | text                                      |
+      | read    | {"items": []}                             |
+      | read    | {"at": "5", "items": []}                  |
+      | read    | {"at": true, "items": []}                 |
+      | read    | {"at": -5, "items": []}                   |
+      | read    | {"at": 5, "items": {"key": "a"}}          |
+      | read    | {"at": 5, "items": [3]}                   |
+      | read    | {"at": 5, "items": [{}], "hasMore": true} |
+      | watched | {"at": null, "events": []}                |
+      | watched | {"at": [5], "events": []}                 |
+      | watched | {"at": 5, "events": "abc"}                |
+      | watched | {"at": 5, "events": [null]}               |
+
   Scenario Outline: Bytes without end to a load report of the JSON interface
     Guards against a probe that lasts for ever and memory that fills.
     Given a worker that sends <what> without end
--- a/features/steps/foreign_answer_steps.py
+++ b/features/steps/foreign_answer_steps.py
@@ -104,6 +104,48 @@
     assert accepted["call"] and accepted["report"], accepted
 
 
+@then("the headers of any of {count:d} generated answers are decoded")
+def then_headers(context, count):
+    del context
+    names = st.sampled_from(
+        (
+            "Request-Id",
+            "Response-Signature",
+            "Not-Executed",
+            "Retry-After",
+            "Server-Limit",
+            "Server-Load",
+            "Server-Leaving",
+            "Cold-Remaining-Ms",
+        )
+    )
+    numbers = (
+        st.integers().map(str)
+        | st.floats().map(str)
+        | st.just("9" * 5000)
+        | st.just("1." + "9" * 5000)
+    )
+    texts = st.text(st.characters(max_codepoint=255), max_size=12)
+    values = (
+        numbers | texts | st.lists(numbers | texts, max_size=5).map(",".join)
+    )
+    headers = st.lists(st.tuples(names, values), max_size=4)
+
+    @settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @generate(st.sampled_from((200, 421, 429, 500, 503)), headers)
+    def run(status, pairs):
+        raw = [
+            (name.encode(), value.encode("latin-1")) for name, value in pairs
+        ]
+        report = PROTOCOL.decode_reply(status, raw).self_report
+        for number in (report.pause_s, report.rate_limit, report.cold_s):
+            assert number is None or 0.0 <= number < math.inf, number
+
+    run()
+
+
 @then("a log line of the kind {event} says {detail}")
 def then_logged(context, event, detail):
     messages = [
--- a/features/steps/relay_wire_steps.py
+++ b/features/steps/relay_wire_steps.py
@@ -215,6 +215,20 @@
     context.store = WireUpstream([head(), *body.get(end, half)])
 
 
+@given("a store whose answer is the JSON {text}")
+def given_store_json(context, text):
+    context.store = WireUpstream([framed(text.encode())])
+
+
+@when("it is watched")
+def when_watched(context):
+    async def read():
+        store = Store(context.store.transport, "10.0.0.1:80")
+        await store.watch("", 4, 1.0)
+
+    run_read(context, read)
+
+
 @when("it is read")
 def when_read(context):
     async def read():
--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -72,18 +72,24 @@
             if page is None:
                 break
             if revision is None:
-                revision = join_era(self.era, int(page["at"]))
+                revision = join_era(self.era, _read_at("/kv-range", page))
                 era = self.era
             elif self.era != era:
                 raise HistoryGoneError(
                     f"/kv-range: era {self.era} began during a read of era "
                     f"{era}"
                 )
-            page_items = page.get("items") or []
+            page_items = _read_items("/kv-range", page, "items")
             items.extend(page_items)
             if not page.get("hasMore") or not page_items:
                 break
-            query = {"prefix": prefix, "after": page_items[-1]["key"]}
+            last_key = page_items[-1].get("key")
+            if not isinstance(last_key, str):
+                raise MessageError(
+                    f"/kv-range: the last item of a page has the key "
+                    f"{last_key!r:.80}, not a text"
+                )
+            query = {"prefix": prefix, "after": last_key}
         return items, revision or 0
 
     async def _read_page(self, query: dict[str, Any]) -> dict[str, Any] | None:
@@ -138,8 +144,9 @@
                 f"/kv-watch: era {self.era} has begun, the watch is of era "
                 f"{era_of(after)}"
             )
-        revision = int(page.get("at", revision_of(after)))
-        return page.get("events") or [], join_era(self.era, revision)
+        revision = _read_at("/kv-watch", {"at": revision_of(after), **page})
+        events = _read_items("/kv-watch", page, "events")
+        return events, join_era(self.era, revision)
 
     async def _get(
         self, path: str, query: dict[str, Any], read_timeout_s: float
@@ -205,6 +212,37 @@
         self.era = era
 
 
+def _read_at(path: str, page: dict[str, Any]) -> int:
+    """Returns the revision of an answer.
+
+    Raises:
+        MessageError: It is no whole number.
+    """
+    at = page.get("at")
+    if type(at) is not int or at < 0:
+        raise MessageError(
+            f"{path}: the revision of the answer is {at!r:.80}, not a whole "
+            "number from 0"
+        )
+    return at
+
+
+def _read_items(path: str, page: dict[str, Any], name: str) -> list[dict]:
+    """Returns the items of an answer; none if it names none.
+
+    Raises:
+        MessageError: They are no list of objects.
+    """
+    items = page.get(name) or []
+    if not isinstance(items, list) or not all(
+        isinstance(item, dict) for item in items
+    ):
+        raise MessageError(
+            f"{path}: {name} is {items!r:.80}, not a list of objects"
+        )
+    return items
+
+
 async def _read_body(resp: httpx.Response, path: str) -> bytes:
     """Returns the complete body of an answer.
 
