Log how often a request was sent to the upstream of an attempt

Change: the line `attempt` has `sending`, 1 for the first time that the request is sent to the upstream. A field of a line that is written anyway.

--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -134,7 +134,9 @@
                 and attempts_run + 1 < route.attempts_max
             )
             # Failed unless it answers: a timeout counts against the upstream.
-            attempt = Attempt(now, failed=True)
+            attempt = Attempt(
+                now, failed=True, sending=tried.count(upstream.name)
+            )
             call = partial(
                 self._attempt,
                 exchange,
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -1,5 +1,6 @@
 """Forwards streams of server-sent events from engines to callers."""
 
+from collections import Counter
 from collections.abc import Sequence
 from contextlib import nullcontext
 from functools import partial
@@ -196,6 +197,7 @@
         splitter = EventSplitter()
         splitter.last_id = req.after_event
         tried: list[str] = []
+        sendings = Counter[str]()
         attempts = 0
         while True:
             if run.chain.final_released:
@@ -229,6 +231,7 @@
                     f"request; {len(tried)} were tried",
                 )
             tried.append(upstream.name)
+            sendings[upstream.name] += 1
             record_choice(
                 self._state, self._metrics, exchange, upstream, prefix_name
             )
@@ -250,7 +253,7 @@
                 and not watched.is_trial
                 and attempts + 1 < route.attempts_max
             )
-            attempt = Attempt(now)
+            attempt = Attempt(now, sending=sendings[upstream.name])
             call = partial(
                 self._attempt,
                 exchange,
