Give the number of a sending a name of its own

Cause: added an attribute `sending` to an attempt, which already had one with another meaning; an attempt then never counted as silent, so that requests were kept at silent upstreams. Change: the attribute is `sending_number`; the field of the log line stays.

--- a/src/applespring/relay/attempt.py
+++ b/src/applespring/relay/attempt.py
@@ -33,8 +33,8 @@
         progress_at: When it last did, or when the attempt began.
         sending: Whether a part of the answer is being sent to the caller.
         replaceable: Whether another upstream may still be sought.
-        sending: How often the request was sent to this upstream, with this
-            attempt.
+        sending_number: How often the request was sent to this upstream, with
+            this attempt.
     """
 
     __slots__ = (
@@ -46,19 +46,19 @@
         "progress_at",
         "sending",
         "replaceable",
-        "sending",
+        "sending_number",
     )
 
     def __init__(
-        self, now: float, *, failed: bool = False, sending: int = 1
+        self, now: float, *, failed: bool = False, sending_number: int = 1
     ) -> None:
         """Sets the result of an attempt that is cancelled.
 
         Args:
             now: Current time.
             failed: Whether a cancelled attempt counts against the upstream.
-            sending: How often the request was sent to this upstream, with this
-                attempt.
+            sending_number: How often the request was sent to this upstream,
+                with this attempt.
         """
         self.outcome = CANCELLED
         self.failed = failed
@@ -68,7 +68,7 @@
         self.progress_at = now
         self.sending = False
         self.replaceable = True
-        self.sending = sending
+        self.sending_number = sending_number
 
     def silent_s(self, now: float) -> float:
         """Returns for how long the upstream has sent nothing, in seconds.
@@ -171,7 +171,7 @@
             upstream=upstream.name,
             born_ms=upstream.born_ms,
             outcome=attempt.outcome,
-            sending=attempt.sending,
+            sending=attempt.sending_number,
             took_s=round(now - started_at, 4),
             silent_s=round(attempt.silent_s(now), 4),
             left_s=round(remaining_s, 3),
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -135,7 +135,7 @@
             )
             # Failed unless it answers: a timeout counts against the upstream.
             attempt = Attempt(
-                now, failed=True, sending=tried.count(upstream.name)
+                now, failed=True, sending_number=tried.count(upstream.name)
             )
             call = partial(
                 self._attempt,
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -253,7 +253,7 @@
                 and not watched.is_trial
                 and attempts + 1 < route.attempts_max
             )
-            attempt = Attempt(now, sending=sendings[upstream.name])
+            attempt = Attempt(now, sending_number=sendings[upstream.name])
             call = partial(
                 self._attempt,
                 exchange,
