Show that a release refused without a time to wait counts as done

Cause: a release is repeated if its answer asks for a pause; any other answer counts as done, a refusal with `Not-Executed` alone too. The memory counts as free while the upstream still holds the results. Change: a scenario with such refusals, which checks that no call is sent to an upstream without memory for its results.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -109,6 +109,19 @@
       | an earlier report | 503    |
       | an earlier report | 429    |
 
+  Scenario Outline: A release is refused without a time to wait
+    Guards against a refusal that counts as done, since it asks for no pause.
+    Given a stage upstream over HTTP that holds one result at a time
+    And its releases 1 to 2 are refused with <status>, without a time to wait
+    When 4 callers send staged requests with 1,0 pieces over 1 s
+    Then no call finds its memory full
+    And every caller gets an answer
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+
   Scenario Outline: An earlier answer comes where that to a report is due
     Guards against free memory that is set to the figure of an earlier report.
     Given a stage upstream over HTTP whose calls take 0.7 s
--- a/features/steps/second_answer_stage_steps.py
+++ b/features/steps/second_answer_stage_steps.py
@@ -116,6 +116,15 @@
     context.upstream.refused = range(first, last + 1)
 
 
+@given(
+    "its releases {first:d} to {last:d} are refused with {status:d}, without a "
+    "time to wait"
+)
+def given_refusals_only(context, first, last, status):
+    given_refusals(context, first, last, status)
+    context.upstream.refusal_headers = ()
+
+
 @given(
     "its calls {first:d} and {second:d} give only the reason {reason}, in two "
     "answers each"
