Never send a request on a connection that has carried its id

Cause: upstreams may answer a request twice, the second time where the next answer is due. The id in an answer was the evidence that it belongs to its request, but the id is the same for each sending of a request. A request that is sent again to its upstream (a refusal, lost inputs, a failure of an idempotent one) could use the connection of the sending before. Evidence: the 11 rows of second_answers fail on the code before: a caller gets the 200 of sending 2 where sending 3 is refused, a 503 not_run while sending 4 runs, a stream runs twice. Change: the client keeps each connection of an upstream by itself, in a transport with one connection, and remembers the ids that it has carried. A request goes on none that has carried its id; another idle one is used, or a new one is opened. Why this works: on a connection that has carried an id once, an answer with it belongs to that sending.

--- a/features/steps/relay_wire_steps.py
+++ b/features/steps/relay_wire_steps.py
@@ -122,7 +122,7 @@
         world = context.world = RelayWorld()
         for name, upstream in context.wire.items():
             world.add_upstream(name, pool)
-            world.upstreams[name] = upstream.transport
+            world.upstreams[name] = upstream
         async with anyio.create_task_group() as tasks:
             await world.start("one", tasks)
             await anyio.sleep(1.0)
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -8,8 +8,14 @@
 import socket
 import ssl
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Iterator,
+    Sequence,
+)
 from contextlib import asynccontextmanager, contextmanager
+from functools import partial
 
 import anyio
 import httpx
@@ -22,15 +28,18 @@
 from applespring.quarantine.port_check import is_refused
 from applespring.relay.notice_recorder import NoticeRecorder
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
+from applespring.relay.upstream_connections import (
+    CLOSE_TIMEOUT_S,
+    KEEPALIVE_EXPIRY_S,
+    Connection,
+    ConnectionPool,
+)
 
 # A connection is set up in about a millisecond, while a machine without power
 # never answers.
 CONNECT_TIMEOUT_S = 0.4
 # The kernel closes a connection whose bytes stay unacknowledged for this time.
 TCP_USER_TIMEOUT_MS = 3000
-# An idle connection is discarded after this time, well before the upstream
-# closes it, so that no request is sent while the upstream is closing.
-KEEPALIVE_EXPIRY_S = 1.5
 # Connection pools that are kept open, one for each incarnation of an upstream.
 # The least recently used one is closed first, so those of removed upstreams go
 # before those in use.
@@ -39,8 +48,6 @@
 # upstream is asked without it.
 REFUSAL_BODY_TIMEOUT_S = 0.1
 REFUSAL_BODY_BYTES_MAX = 64 * 1024
-# Time allowed for closing a connection whose answer was not read to the end.
-CLOSE_TIMEOUT_S = 1.0
 
 _SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -73,26 +80,26 @@
             ) from exc
 
 
-def make_http_pool_factory(
+def make_transport_factory(
     tls: ssl.SSLContext,
-) -> Callable[[ListedUpstream, int], httpx.AsyncBaseTransport]:
-    """Returns a factory of connection pools that share a TLS context."""
+) -> Callable[[ListedUpstream], httpx.AsyncBaseTransport]:
+    """Returns a factory of transports that share a TLS context.
 
-    def make_pool(
-        upstream: ListedUpstream, connections_max: int
-    ) -> httpx.AsyncBaseTransport:
+    Each transport opens one connection at a time.
+    """
+    limits = httpx.Limits(
+        max_connections=1,
+        max_keepalive_connections=1,
+        keepalive_expiry=KEEPALIVE_EXPIRY_S,
+    )
+
+    def make_transport(upstream: ListedUpstream) -> httpx.AsyncBaseTransport:
         del upstream
         return HttpTransport(
-            verify=tls,
-            limits=httpx.Limits(
-                max_connections=connections_max,
-                max_keepalive_connections=connections_max,
-                keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            ),
-            socket_options=_SOCKET_OPTIONS,
+            verify=tls, limits=limits, socket_options=_SOCKET_OPTIONS
         )
 
-    return make_pool
+    return make_transport
 
 
 class Answer:
@@ -106,7 +113,13 @@
         reply: Decoded headers.
     """
 
-    __slots__ = ("status", "headers", "reply", "_response", "_upstream")
+    __slots__ = (
+        "status",
+        "headers",
+        "reply",
+        "_response",
+        "_upstream",
+    )
 
     def __init__(
         self,
@@ -218,7 +231,7 @@
         notices: NoticeRecorder,
         permits: PermitBroker,
         clock: Callable[[], float],
-        make_pool: Callable[[ListedUpstream, int], httpx.AsyncBaseTransport],
+        make_transport: Callable[[ListedUpstream], httpx.AsyncBaseTransport],
     ) -> None:
         """Opens no connection before the first call.
 
@@ -228,18 +241,18 @@
             notices: Records what answers say of their upstreams.
             permits: Permits for upstreams with a rate limit.
             clock: Clock in seconds.
-            make_pool: Creates the connection pool of an upstream, given the
-                largest number of connections.
+            make_transport: Creates a transport that opens one connection at a
+                time to an upstream.
         """
         self._protocol = protocol
-        self._make_pool = make_pool
+        self._make_transport = make_transport
         self._reachability = reachability
         self._notices = notices
         self._permits = permits
         self._clock = clock
-        self._connection_pools: OrderedDict[
-            tuple[str, int], httpx.AsyncBaseTransport
-        ] = OrderedDict()
+        self._connection_pools: OrderedDict[tuple[str, int], ConnectionPool] = (
+            OrderedDict()
+        )
 
     @asynccontextmanager
     async def call(
@@ -336,59 +349,99 @@
                 )
         connection_pool = await self._connection_pool(upstream, connections_max)
         started_at = self._clock()
+        connection: Connection | None = None
+        keep = False
         try:
-            resp = await connection_pool.handle_async_request(request)
-            answered = True
-        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
-            if is_refused(exc):
-                self._notices.cold.record_refusal(upstream)
-            else:
-                self._notices.cold.record_timeout(upstream, started_at)
-            raise make_error(FailureKind.CONNECT, type(exc).__name__) from exc
-        except (httpx.HTTPError, OSError) as exc:
-            raise make_error(FailureKind.RESET, type(exc).__name__) from exc
-        finally:
-            if not withdrawn:
-                self._reachability.record_call(
-                    upstream.failure_domain, answered, self._clock()
+            try:
+                connection = await connection_pool.acquire(
+                    "" if request_id else target.decode("latin-1"),
+                    request_id,
+                    CONNECT_TIMEOUT_S,
                 )
-        completed = False
-        try:
-            raw_headers = resp.headers.raw
-            reply = self._protocol.decode_reply(resp.status_code, raw_headers)
-            self._notices.record(
-                upstream,
-                reply.self_report,
-                request=request_id,
-                target=target.decode("latin-1"),
-                status=resp.status_code,
-                sent_at=written_at,
-            )
-            if request_id and reply.request_id != request_id:
-                # An upstream may send a late second answer to an earlier
-                # request on this connection. If that request had no id, neither
-                # has its answer, so a missing id is a mismatch too.
+                resp = await connection.transport.handle_async_request(request)
+                answered = True
+            except TimeoutError as exc:
                 raise make_error(
-                    FailureKind.MISMATCH,
-                    f'the answer has the request id "{reply.request_id}", '
-                    f'not "{request_id}"',
-                )
-            yield Answer(resp, raw_headers, reply, upstream.name)
-            completed = True
-        finally:
-            if completed:
-                await resp.aclose()
-            else:
+                    FailureKind.RESET,
+                    f"all connections were in use for {CONNECT_TIMEOUT_S} s",
+                ) from exc
+            except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+                if is_refused(exc):
+                    self._notices.cold.record_refusal(upstream)
+                else:
+                    self._notices.cold.record_timeout(upstream, started_at)
+                raise make_error(
+                    FailureKind.CONNECT, type(exc).__name__
+                ) from exc
+            except (httpx.HTTPError, OSError) as exc:
+                raise make_error(FailureKind.RESET, type(exc).__name__) from exc
+            finally:
+                if not withdrawn:
+                    self._reachability.record_call(
+                        upstream.failure_domain, answered, self._clock()
+                    )
+            answer = self._open_answer(
+                resp, connection, upstream, request_id, target, written_at
+            )
+            try:
+                yield answer
+                keep = True
+            finally:
                 # Closing a response with an unread body closes its connection.
                 with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
                     await resp.aclose()
+        finally:
+            if connection is not None:
+                await connection_pool.release(connection, keep=keep)
+
+    def _open_answer(
+        self,
+        resp: httpx.Response,
+        connection: Connection,
+        upstream: ListedUpstream,
+        request_id: str,
+        target: bytes,
+        sent_at: float,
+    ) -> Answer:
+        """Returns the answer to a request, given its head.
+
+        Raises:
+            StageError: It is the answer to another request.
+        """
+        raw_headers = resp.headers.raw
+        reply = self._protocol.decode_reply(resp.status_code, raw_headers)
+        self._notices.record(
+            upstream,
+            reply.self_report,
+            request=request_id,
+            target=target.decode("latin-1"),
+            status=resp.status_code,
+            sent_at=sent_at,
+        )
+        if request_id and reply.request_id != request_id:
+            # An upstream may send a late second answer to an earlier request on
+            # this connection. If that request had no id, neither has its
+            # answer, so a missing id is a mismatch too.
+            raise StageError(
+                FailureKind.MISMATCH,
+                Verdict.MAY_HAVE_RUN,
+                upstream.name,
+                f'the answer has the request id "{reply.request_id}", not '
+                f'"{request_id}", after {connection.requests} requests on '
+                f"connection {connection.number}",
+            )
+        return Answer(resp, raw_headers, reply, upstream.name)
 
     async def _connection_pool(
         self, upstream: ListedUpstream, connections_max: int
-    ) -> httpx.AsyncBaseTransport:
+    ) -> ConnectionPool:
         pool = self._connection_pools.get(upstream.identity)
         if pool is None:
-            pool = self._make_pool(upstream, connections_max)
+            pool = ConnectionPool(
+                partial(self._make_transport, upstream),
+                connections_max,
+                self._clock,
+            )
             self._connection_pools[upstream.identity] = pool
             if len(self._connection_pools) > CONNECTION_POOLS_MAX:
                 _, oldest = self._connection_pools.popitem(last=False)
--- a/src/applespring/relay/components.py
+++ b/src/applespring/relay/components.py
@@ -57,7 +57,7 @@
         transport: Transport,
         clock: Callable[[], float],
         incarnation: int,
-        make_pool: Callable[[ListedUpstream, int], httpx.AsyncBaseTransport],
+        make_transport: Callable[[ListedUpstream], httpx.AsyncBaseTransport],
         refuses_connections: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.state = RelayState(settings, clock)
@@ -106,7 +106,7 @@
             ),
             self._permits,
             clock,
-            make_pool,
+            make_transport,
         )
         self.crash_watch = CrashWatch(
             self.state,
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -20,7 +20,7 @@
 from applespring.relay.client import (
     TCP_USER_TIMEOUT_MS,
     HttpTransport,
-    make_http_pool_factory,
+    make_transport_factory,
 )
 from applespring.relay.components import RelayComponents
 from applespring.relay.log import LogWriter
@@ -80,7 +80,7 @@
             SocketTransport(host, port, close_unresponsive=True),
             read_clock,
             time.time_ns() // 1_000_000,
-            make_http_pool_factory(tls),
+            make_transport_factory(tls),
             refuses_connections,
         )
         self._loop_monitor = LoopMonitor(read_clock)
--- /dev/null
+++ b/src/applespring/relay/upstream_connections.py
@@ -0,0 +1,205 @@
+"""Connections to one upstream, kept for further requests.
+
+An upstream may answer a request twice. The second answer may arrive after the
+next request was sent on the connection, where the answer to that one is due. An
+id shows to which request an answer belongs, but not to which sending of it: a
+request keeps its id when it is sent again. So a connection is never used for an
+id that it has carried, and after a request without an id only if the caller has
+shown that the answer was a new one.
+"""
+
+import itertools
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import anyio
+import httpx
+
+# An idle connection is discarded after this time, well before the upstream
+# closes it, so that no request is sent while the upstream is closing.
+KEEPALIVE_EXPIRY_S = 1.5
+# Time allowed for closing a connection whose answer was not read to the end.
+CLOSE_TIMEOUT_S = 1.0
+# Ids and handles that a connection remembers. One that has carried more is not
+# kept, since what is forgotten could not be recognized in a second answer.
+MARKS_MAX = 4096
+
+_numbers = itertools.count(1)
+
+
+class Connection:
+    """A connection and what it has carried.
+
+    Attributes:
+        number: Number of the connection in this process, for the log.
+        transport: Transport that opens one connection at most.
+        purpose: Kind of requests that it is used for.
+        requests: Number of requests that were sent on it.
+        idle_since: When the last answer ended, in seconds of the clock.
+        is_idle: Whether it waits for the next request.
+    """
+
+    __slots__ = (
+        "number",
+        "transport",
+        "purpose",
+        "requests",
+        "idle_since",
+        "is_idle",
+        "_owners",
+    )
+
+    def __init__(
+        self, transport: httpx.AsyncBaseTransport, purpose: str
+    ) -> None:
+        self.number = next(_numbers)
+        self.transport = transport
+        self.purpose = purpose
+        self.requests = 0
+        self.idle_since = 0.0
+        self.is_idle = False
+        self._owners: dict[str, object] = {}
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it remembers as much as it can."""
+        return len(self._owners) >= MARKS_MAX
+
+    def find_owner(self, mark: str) -> object | None:
+        """Returns what the request or answer with a mark was for, or None."""
+        return self._owners.get(mark)
+
+    def record(self, mark: str, owner: object) -> None:
+        """Remembers a mark of a request or an answer and what it was for."""
+        self._owners[mark] = owner
+
+
+class ConnectionPool:
+    """The connections to one start of an upstream."""
+
+    __slots__ = (
+        "_make_transport",
+        "_connections_max",
+        "_clock",
+        "_connections",
+        "_waiting",
+        "_closed",
+    )
+
+    def __init__(
+        self,
+        make_transport: Callable[[], httpx.AsyncBaseTransport],
+        connections_max: int,
+        clock: Callable[[], float],
+    ) -> None:
+        """Opens no connection yet.
+
+        Args:
+            make_transport: Creates a transport that opens one connection.
+            connections_max: Most connections at a time.
+            clock: Clock in seconds.
+        """
+        self._make_transport = make_transport
+        self._connections_max = connections_max
+        self._clock = clock
+        self._connections: list[Connection] = []
+        self._waiting: deque[anyio.Event] = deque()
+        self._closed = False
+
+    async def acquire(
+        self, purpose: str, request_id: str, wait_max_s: float
+    ) -> Connection:
+        """Returns a connection for a request; the caller releases it.
+
+        Args:
+            purpose: Kind of the request.
+            request_id: Id of the request, or "".
+            wait_max_s: Longest wait while all connections are in use.
+
+        Raises:
+            TimeoutError: All were in use for `wait_max_s`.
+        """
+        await self._close_expired()
+        connection = await self._find(purpose, request_id)
+        if connection is None:
+            with anyio.fail_after(wait_max_s):
+                connection = await self._wait(purpose, request_id)
+        connection.is_idle = False
+        connection.requests += 1
+        if request_id:
+            connection.record(request_id, request_id)
+        return connection
+
+    async def release(self, connection: Connection, *, keep: bool) -> None:
+        """Takes a connection back after its answer.
+
+        Args:
+            connection: The connection.
+            keep: Whether it may be used again.
+        """
+        if keep and not connection.is_full and not self._closed:
+            connection.is_idle = True
+            connection.idle_since = self._clock()
+        else:
+            await self._close([connection])
+        self._wake_next()
+
+    async def aclose(self) -> None:
+        """Closes the idle connections; the others close when released."""
+        self._closed = True
+        await self._close([c for c in self._connections if c.is_idle])
+
+    async def _find(self, purpose: str, request_id: str) -> Connection | None:
+        """Returns an idle or a new connection, or None if all are in use."""
+        idle = [c for c in self._connections if c.is_idle]
+        for connection in idle:
+            if connection.purpose == purpose and not (
+                request_id and connection.find_owner(request_id)
+            ):
+                return connection
+        if len(self._connections) >= self._connections_max:
+            if not idle:
+                return None
+            await self._close(idle[:1])
+        connection = Connection(self._make_transport(), purpose)
+        self._connections.append(connection)
+        return connection
+
+    async def _wait(self, purpose: str, request_id: str) -> Connection:
+        while True:
+            event = anyio.Event()
+            self._waiting.append(event)
+            try:
+                await event.wait()
+            except BaseException:
+                if event.is_set():
+                    self._wake_next()
+                else:
+                    self._waiting.remove(event)
+                raise
+            connection = await self._find(purpose, request_id)
+            if connection is not None:
+                return connection
+
+    def _wake_next(self) -> None:
+        if self._waiting:
+            self._waiting.popleft().set()
+
+    async def _close_expired(self) -> None:
+        used_since = self._clock() - KEEPALIVE_EXPIRY_S
+        await self._close(
+            [
+                c
+                for c in self._connections
+                if c.is_idle and c.idle_since < used_since
+            ]
+        )
+
+    async def _close(self, connections: Sequence[Connection]) -> None:
+        # All are removed before the first wait, in which another request might
+        # take one of them.
+        for connection in connections:
+            self._connections.remove(connection)
+        for connection in connections:
+            with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+                await connection.transport.aclose()
