Show that a call made again takes the answer to the call before it

Cause: a handle that is recorded for the same piece passes as a result of the call, but each call gives new handles: a known one shows a second answer. Change: a scenario in which an engine lacks a result, the stages are executed again, and the first call is answered again at that time. The inputs of an engine must not have been released before.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -21,6 +21,20 @@
       | 1      | 2,2    | 2       |
       | 3      | 4,4    | 2       |
 
+  Scenario: The answer to a call comes again where that to its repetition is due
+    Guards against results of an earlier call for the same piece, which have been
+    released, that are taken for those of the call made again.
+    Given a stage upstream over HTTP whose calls take 0.7 s
+    And an engine that lacks a result 1 times
+    And an engine that answers after 0.3 s
+    And 1 times it sends the answer to a call where that to a call is due
+    When 1 callers send staged requests with 2,0 pieces over 1 s
+    Then no engine is given results that were released before
+    And no engine and no call is given results of another request
+    And no request is sent on a connection with an answer still to come
+    And it has sent 1 second answers
+    And every caller gets an answer
+
   Scenario Outline: An answer with reasons alone comes again
     Guards against a second answer by which no call is recognized: it names no
     handle, and the next call takes the true answer that follows it for its own.
--- a/features/steps/second_answer_stage_steps.py
+++ b/features/steps/second_answer_stage_steps.py
@@ -197,6 +197,13 @@
     run_instances(context, actions, SETTLE_S)
 
 
+def find_runs(context):
+    """Returns the requests that arrived at the engine."""
+    runs = [a for a in context.world.arrivals if a.upstream == "engine"]
+    assert runs
+    return runs
+
+
 @then("no engine and no call is given results of another request")
 def then_no_foreign(context):
     upstream = context.upstream
@@ -207,9 +214,7 @@
             found = upstream.find_foreign(item["id"], inputs, 0)
             if found:
                 foreign.append(("call", item["id"], found))
-    runs = [a for a in context.world.arrivals if a.upstream == "engine"]
-    assert runs
-    for run in runs:
+    for run in find_runs(context):
         handles = run.headers["Inputs"].split(",")
         stage = max(
             (p[1] for p in upstream.pieces.values() if p[0] == run.request),
@@ -221,6 +226,20 @@
     assert not foreign, (len(foreign), foreign[:3])
 
 
+@then("no engine is given results that were released before")
+def then_not_released(context):
+    releases = context.upstream.find_sendings(RELEASE)
+    for run in find_runs(context):
+        released = {
+            handle
+            for sending in releases
+            if sending.arrived_at <= run.at
+            for handle in json.loads(sending.content)["handles"]
+        }
+        handles = set(run.headers["Inputs"].split(","))
+        assert not handles & released, (run.at, handles & released)
+
+
 @then("it has sent {count:d} second answers")
 def then_sent(context, count):
     upstream = context.upstream
