Believe an answer without an id only if it is known to be new

Cause: calls, releases and reports have no id, so the connection alone ties an answer to its request. After an answer that was recognized as foreign the connection was used again, and each later answer on it was believed for the next request. An answer with reasons alone, one to a release or report, and one with a caller's id were not recognized at all. Change: an answer to a request without an id must have none, and its connection is closed unless the answer is known to be new. A call's answer is new if it has a handle that none before it on the connection had; no call goes on a connection that carried one of its pieces. Reports use a connection once. Answers to releases are alike and keep theirs; the latest four are repeated at the first sign of a refusal, a refused release or a call that finds the memory full. A release that was refused no longer counts as done. In the tests: a call made again now comes on another connection, so the stand-in has no place for its second answer, and the step that counts these is replaced by one on the connections.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -32,7 +32,7 @@
     Then no engine is given results that were released before
     And no engine and no call is given results of another request
     And no request is sent on a connection with an answer still to come
-    And it has sent 1 second answers
+    And its calls for one piece come on different connections
     And every caller gets an answer
 
   Scenario Outline: An answer with reasons alone comes again
@@ -118,11 +118,24 @@
       | earlier           | status |
       | a call            | 503    |
       | a call            | 429    |
-      | an earlier release | 503    |
-      | an earlier release | 429    |
       | an earlier report | 503    |
       | an earlier report | 429    |
 
+  Scenario Outline: The answer to a release comes again where that to a refused one is due
+    Guards against results that stay unreleased. Answers to releases are alike;
+    the refusal comes where the answer to the next release is due.
+    Given a stage upstream over HTTP that holds one result at a time
+    And its releases 2 to 6 are refused with <status>
+    And 3 times it sends the answer to an earlier release where that to a release is due
+    When 8 callers send staged requests with 1,0 pieces over 2 s
+    Then all results of refused releases are released later
+    And every caller gets an answer
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+
   Scenario Outline: A release is refused without a time to wait
     Guards against a refusal that counts as done, since it asks for no pause.
     Given a stage upstream over HTTP that holds one result at a time
--- a/features/steps/second_answer_stage_steps.py
+++ b/features/steps/second_answer_stage_steps.py
@@ -1,5 +1,6 @@
 """Steps about second answers of stage upstreams to requests without an id."""
 
+import collections
 import json
 
 import anyio
@@ -278,6 +279,27 @@
     assert not no_room, (len(no_room), no_room[:3])
 
 
+@then("all results of refused releases are released later")
+def then_released(context):
+    refused, released = set(), set()
+    for sending in context.upstream.find_sendings(RELEASE):
+        handles = json.loads(sending.content)["handles"]
+        (released if sending.ran else refused).update(handles)
+    assert refused and refused <= released, refused - released
+
+
+@then("its calls for one piece come on different connections")
+def then_other_connections(context):
+    connections = collections.defaultdict(list)
+    for sending in context.upstream.find_sendings(CALL):
+        for item in json.loads(sending.content)["items"]:
+            piece = (item["id"], item["stage"], item["segment"])
+            connections[piece].append(sending.connection)
+    repeated = [c for c in connections.values() if len(c) > 1]
+    assert repeated
+    assert all(len(set(c)) == len(c) for c in repeated), repeated
+
+
 @then("each figure that is set is that of the last report")
 def then_figures(context):
     reports = context.upstream.find_sendings(REPORT)
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -111,14 +111,18 @@
         status: HTTP status.
         headers: Raw headers, names and values.
         reply: Decoded headers.
+        is_new: Whether it is known that it was not sent before. If the request
+            has no id, the connection is closed unless the caller finds this.
     """
 
     __slots__ = (
         "status",
         "headers",
         "reply",
+        "is_new",
         "_response",
         "_upstream",
+        "_connection",
     )
 
     def __init__(
@@ -127,12 +131,40 @@
         headers: Headers,
         reply: UpstreamReply,
         upstream: str,
+        connection: Connection,
+        *,
+        is_new: bool,
     ) -> None:
         self.status = resp.status_code
         self._upstream = upstream
         self.headers = headers
         self.reply = reply
+        self.is_new = is_new
         self._response = resp
+        self._connection = connection
+
+    def check_new(self, marks: Sequence[str]) -> None:
+        """Checks that it is no second answer to an earlier request.
+
+        It is known to be new if it has a mark.
+
+        Args:
+            marks: What only one answer of the upstream can contain.
+
+        Raises:
+            StageError: An earlier answer on the connection had one of them.
+        """
+        if self._connection.has_carried(marks):
+            raise StageError(
+                FailureKind.MISMATCH,
+                Verdict.MAY_HAVE_RUN,
+                self._upstream,
+                "second answer to an earlier request: one of "
+                f"{', '.join(marks)} came before on connection "
+                f"{self._connection.number}",
+            )
+        self._connection.record(marks)
+        self.is_new = bool(marks)
 
     @property
     def has_end_mark(self) -> bool:
@@ -264,6 +296,7 @@
         body: bytes,
         *,
         request_id: str = "",
+        piece_ids: Sequence[str] = (),
         connections_max: int = 100,
         permit: Permit | None = None,
     ) -> AsyncIterator[Answer]:
@@ -279,7 +312,9 @@
             target: Path and query.
             headers: Headers; `Host` is added if it is missing.
             body: The body.
-            request_id: Id that the answer has to carry, or "" for any.
+            request_id: Id that the answer has to carry, or "" if it must have
+                none.
+            piece_ids: Ids of the pieces in a stage call, which has no id.
             connections_max: Most connections to the upstream; used when the
                 first call to it creates its connection pool.
             permit: Permit for the call; without one it is acquired if the
@@ -355,7 +390,7 @@
             try:
                 connection = await connection_pool.acquire(
                     "" if request_id else target.decode("latin-1"),
-                    request_id,
+                    (request_id,) if request_id else piece_ids,
                     CONNECT_TIMEOUT_S,
                 )
                 resp = await connection.transport.handle_async_request(request)
@@ -385,7 +420,7 @@
             )
             try:
                 yield answer
-                keep = True
+                keep = answer.is_new
             finally:
                 # Closing a response with an unread body closes its connection.
                 with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
@@ -418,7 +453,7 @@
             status=resp.status_code,
             sent_at=sent_at,
         )
-        if request_id and reply.request_id != request_id:
+        if reply.request_id != request_id:
             # An upstream may send a late second answer to an earlier request on
             # this connection. If that request had no id, neither has its
             # answer, so a missing id is a mismatch too.
@@ -430,7 +465,14 @@
                 f'"{request_id}", after {connection.requests} requests on '
                 f"connection {connection.number}",
             )
-        return Answer(resp, raw_headers, reply, upstream.name)
+        return Answer(
+            resp,
+            raw_headers,
+            reply,
+            upstream.name,
+            connection,
+            is_new=bool(request_id),
+        )
 
     async def _connection_pool(
         self, upstream: ListedUpstream, connections_max: int
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Container, Iterable, Sequence
 
 import anyio
@@ -32,7 +32,11 @@
 from applespring.peer import message
 from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, is_broken_off
-from applespring.relay.client import UpstreamClient, enforce_timeout
+from applespring.relay.client import (
+    Answer,
+    UpstreamClient,
+    enforce_timeout,
+)
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import PieceReply, Protocol
@@ -69,11 +73,15 @@
 # with a handle of at most 255 characters. An instance may read the answers of
 # all upstreams of its pools at once.
 ANSWER_BYTES_MAX = 256 * 1024
-# Handles for which the piece is recorded. A large pool makes several hundred
-# results per second, and a duplicate answer comes with the next call on its
-# connection.
+# Handles for which the piece is recorded, from all connections. A connection
+# remembers its own for as long as it is used.
 HANDLES_MAX = 4096
 
+# Latest releases that are repeated if one of them may have been refused, and
+# upstreams for which they are recorded.
+LATEST_RELEASES_MAX = 4
+RELEASING_UPSTREAMS_MAX = 1200
+
 # Why a scheduler refuses pieces. With MOVED it also returns queued pieces when
 # its instance shuts down.
 MOVED = "moved"
@@ -126,10 +134,14 @@
         self._metrics = metrics
         self._queues: dict[str, BatchQueue] = {}
         self._wake_events: dict[str, anyio.Event] = {}
-        # Request, stage and segment of each handle. An upstream that starts
-        # again may give out the same handles again.
-        self._pieces_by_handle: OrderedDict[
-            tuple[tuple[str, int], str], tuple[str, int, int]
+        # Id of the piece of each handle. An upstream that starts again may give
+        # out the same handles again.
+        self._piece_ids: OrderedDict[tuple[tuple[str, int], str], str] = (
+            OrderedDict()
+        )
+        # Handles of the latest releases of each upstream.
+        self._latest_releases: OrderedDict[
+            tuple[str, int], deque[Sequence[str]]
         ] = OrderedDict()
         # Handles to release once their upstream's pause has ended.
         self._held_releases: dict[tuple[str, int], list[str]] = {}
@@ -450,11 +462,11 @@
                     permit=permit,
                 ) as answer:
                     await answer.read(ANSWER_BYTES_MAX)
-                if answer.reply.self_report.pause_s and self._tasks is not None:
-                    self._tasks.start_soon(
-                        self._release_after_pause, pool, upstream, handles
-                    )
+                    answer.is_new = answer.status == 200
+                if not answer.is_new:
+                    self._repeat_release(pool, upstream, handles, answer)
                     return
+                self._record_release(upstream, handles)
                 # The memory is free only once the upstream has answered.
                 queue = self._queues.get(pool)
                 if queue is not None:
@@ -469,6 +481,53 @@
                 exc,
             )
 
+    def _record_release(
+        self, upstream: ListedUpstream, handles: Sequence[str]
+    ) -> None:
+        """Records a release that an upstream has answered.
+
+        Answers to releases are alike, so one to an earlier release may be taken
+        for that to the next, which was refused. The latest are repeated at the
+        first sign of that.
+        """
+        identity = upstream.identity
+        latest = self._latest_releases.setdefault(identity, deque())
+        self._latest_releases.move_to_end(identity)
+        latest.append(handles)
+        if len(latest) > LATEST_RELEASES_MAX:
+            latest.popleft()
+        if len(self._latest_releases) > RELEASING_UPSTREAMS_MAX:
+            self._latest_releases.popitem(last=False)
+
+    def _take_latest_releases(self, upstream: ListedUpstream) -> list[str]:
+        """Returns the handles of the latest releases, once."""
+        latest = self._latest_releases.pop(upstream.identity, ())
+        return [handle for handles in latest for handle in handles]
+
+    def _repeat_release(
+        self,
+        pool: str,
+        upstream: ListedUpstream,
+        handles: Sequence[str],
+        answer: Answer,
+    ) -> None:
+        """Releases results again if their upstream asks for a pause.
+
+        The refusal may be that of an earlier release.
+        """
+        handles = [*self._take_latest_releases(upstream), *handles]
+        if answer.reply.self_report.pause_s and self._tasks is not None:
+            self._tasks.start_soon(
+                self._release_after_pause, pool, upstream, handles
+            )
+            return
+        logger.bind(event="release_failed", upstream=upstream.name).debug(
+            "release of {} results at upstream {} failed: status {}",
+            len(handles),
+            upstream.name,
+            answer.status,
+        )
+
     async def _schedule_pool(
         self, pool: str, queue: BatchQueue, reporting: Sequence[ListedUpstream]
     ) -> None:
@@ -538,12 +597,13 @@
         timeout_s = max(
             CALL_TIMEOUT_MIN_S, CALL_TIMEOUT_FACTOR * call.expected_s
         )
+        piece_ids = [_piece_id(piece) for piece in call.pieces]
         log = logger.bind(
             event="stage_call",
             pool=pool,
             upstream=call.upstream.name,
             born_ms=call.upstream.born_ms,
-            pieces=[f"{p.request}/{p.stage}/{p.segment}" for p in call.pieces],
+            pieces=piece_ids,
         )
         path, headers, body = self._protocol.encode_call(
             call.pieces, call.upstream.name, now
@@ -561,14 +621,18 @@
         try:
             with limit.call_scope:
                 async with self._client.call(
-                    call.upstream, "POST", path.encode(), headers, body
+                    call.upstream,
+                    "POST",
+                    path.encode(),
+                    headers,
+                    body,
+                    piece_ids=piece_ids,
                 ) as answer:
                     data = await answer.read(ANSWER_BYTES_MAX)
                     if answer.status == 200:
-                        replies = self._protocol.decode_call(data, call.pieces)
-                        if not self._record_handles(call, replies):
-                            replies, failure = None, "answer of another call"
-                            detail = "a handle is recorded for another piece"
+                        decoded = self._protocol.decode_call(data, call.pieces)
+                        self._check_answer(call, decoded, answer)
+                        replies = decoded
                     else:
                         refused = answer.reply.not_run
                         turned_away = answer.reply.self_report.explains_refusal
@@ -663,30 +727,39 @@
                 await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)
             limit.call_scope.cancel()
 
-    def _record_handles(
-        self, call: Call, replies: Sequence[PieceReply]
-    ) -> bool:
-        """Records the handles in an answer, if it belongs to this call.
+    def _check_answer(
+        self, call: Call, replies: Sequence[PieceReply], answer: Answer
+    ) -> None:
+        """Checks that an answer belongs to a call, and records its handles.
 
-        Calls carry no id. A late duplicate answer to an earlier call is
-        recognized by handles that are already recorded for other pieces.
+        Calls carry no id. A second answer to an earlier call is recognized by
+        its handles, and one without handles by nothing, so that its connection
+        is closed.
 
-        Returns:
-            False if the answer belongs to another call; nothing is recorded.
+        Raises:
+            StageError: A handle was made for another piece.
         """
+        handles = [reply.handle for reply in replies if reply.handle]
+        answer.check_new(handles)
         maker = call.upstream.identity
         for piece, reply in zip(call.pieces, replies, strict=True):
-            piece_id = (piece.request, piece.stage, piece.segment)
-            recorded_id = self._pieces_by_handle.get((maker, reply.handle))
-            if reply.handle and recorded_id not in (None, piece_id):
-                return False
+            if not reply.handle:
+                continue
+            piece_id = _piece_id(piece)
+            recorded_id = self._piece_ids.get((maker, reply.handle), piece_id)
+            if recorded_id != piece_id or handles.count(reply.handle) > 1:
+                raise StageError(
+                    FailureKind.MISMATCH,
+                    Verdict.MAY_HAVE_RUN,
+                    call.upstream.name,
+                    f"handle {reply.handle} was made for another piece than "
+                    f"{piece_id}",
+                )
         for piece, reply in zip(call.pieces, replies, strict=True):
             if reply.handle:
-                piece_id = (piece.request, piece.stage, piece.segment)
-                self._pieces_by_handle[maker, reply.handle] = piece_id
-        while len(self._pieces_by_handle) > HANDLES_MAX:
-            self._pieces_by_handle.popitem(last=False)
-        return True
+                self._piece_ids[maker, reply.handle] = _piece_id(piece)
+        while len(self._piece_ids) > HANDLES_MAX:
+            self._piece_ids.popitem(last=False)
 
     async def _handle_failed_call(
         self,
@@ -748,6 +821,11 @@
         )
         unneeded_set = set(unneeded)
         if any(r.failure == PieceReply.NO_MEMORY for r in replies):
+            handles = self._take_latest_releases(call.upstream)
+            if handles:
+                self._tasks.start_soon(
+                    self._release_after_pause, pool, call.upstream, handles
+                )
             self._tasks.start_soon(
                 self._refresh_free_memory, pool, queue, call.upstream
             )
@@ -931,6 +1009,11 @@
         self.until = -math.inf
 
 
+def _piece_id(piece: Piece) -> str:
+    """Returns the id of a piece, the same each time that it is called."""
+    return f"{piece.request}/{piece.stage}/{piece.segment}"
+
+
 def _candidate_of(piece: Piece) -> str:
     """Returns what a crash under a piece is held against."""
     return piece_candidate(piece.fingerprint, piece.stage, piece.segment)
--- a/src/applespring/relay/upstream_connections.py
+++ b/src/applespring/relay/upstream_connections.py
@@ -10,7 +10,7 @@
 
 import itertools
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 import httpx
@@ -20,9 +20,10 @@
 KEEPALIVE_EXPIRY_S = 1.5
 # Time allowed for closing a connection whose answer was not read to the end.
 CLOSE_TIMEOUT_S = 1.0
-# Ids and handles that a connection remembers. One that has carried more is not
-# kept, since what is forgotten could not be recognized in a second answer.
-MARKS_MAX = 4096
+# Marks that a connection remembers: ids of requests and pieces that it carried,
+# and handles in answers. One that has more is not kept, since what is forgotten
+# could not be recognized in a second answer.
+MARKS_MAX = 1024
 
 _numbers = itertools.count(1)
 
@@ -46,7 +47,7 @@
         "requests",
         "idle_since",
         "is_idle",
-        "_owners",
+        "_marks",
     )
 
     def __init__(
@@ -58,20 +59,20 @@
         self.requests = 0
         self.idle_since = 0.0
         self.is_idle = False
-        self._owners: dict[str, object] = {}
+        self._marks: set[str] = set()
 
     @property
     def is_full(self) -> bool:
         """Whether it remembers as much as it can."""
-        return len(self._owners) >= MARKS_MAX
+        return len(self._marks) >= MARKS_MAX
 
-    def find_owner(self, mark: str) -> object | None:
-        """Returns what the request or answer with a mark was for, or None."""
-        return self._owners.get(mark)
+    def has_carried(self, marks: Iterable[str]) -> bool:
+        """Returns whether a request or an answer on it had one of the marks."""
+        return not self._marks.isdisjoint(marks)
 
-    def record(self, mark: str, owner: object) -> None:
-        """Remembers a mark of a request or an answer and what it was for."""
-        self._owners[mark] = owner
+    def record(self, marks: Iterable[str]) -> None:
+        """Remembers the marks of a request or an answer."""
+        self._marks.update(marks)
 
 
 class ConnectionPool:
@@ -107,27 +108,27 @@
         self._closed = False
 
     async def acquire(
-        self, purpose: str, request_id: str, wait_max_s: float
+        self, purpose: str, marks: Sequence[str], wait_max_s: float
     ) -> Connection:
         """Returns a connection for a request; the caller releases it.
 
         Args:
             purpose: Kind of the request.
-            request_id: Id of the request, or "".
+            marks: Ids of the request or its pieces. The connection has carried
+                none of them.
             wait_max_s: Longest wait while all connections are in use.
 
         Raises:
             TimeoutError: All were in use for `wait_max_s`.
         """
         await self._close_expired()
-        connection = await self._find(purpose, request_id)
+        connection = await self._find(purpose, marks)
         if connection is None:
             with anyio.fail_after(wait_max_s):
-                connection = await self._wait(purpose, request_id)
+                connection = await self._wait(purpose, marks)
         connection.is_idle = False
         connection.requests += 1
-        if request_id:
-            connection.record(request_id, request_id)
+        connection.record(marks)
         return connection
 
     async def release(self, connection: Connection, *, keep: bool) -> None:
@@ -149,12 +150,14 @@
         self._closed = True
         await self._close([c for c in self._connections if c.is_idle])
 
-    async def _find(self, purpose: str, request_id: str) -> Connection | None:
+    async def _find(
+        self, purpose: str, marks: Sequence[str]
+    ) -> Connection | None:
         """Returns an idle or a new connection, or None if all are in use."""
         idle = [c for c in self._connections if c.is_idle]
         for connection in idle:
-            if connection.purpose == purpose and not (
-                request_id and connection.find_owner(request_id)
+            if connection.purpose == purpose and not connection.has_carried(
+                marks
             ):
                 return connection
         if len(self._connections) >= self._connections_max:
@@ -165,7 +168,7 @@
         self._connections.append(connection)
         return connection
 
-    async def _wait(self, purpose: str, request_id: str) -> Connection:
+    async def _wait(self, purpose: str, marks: Sequence[str]) -> Connection:
         while True:
             event = anyio.Event()
             self._waiting.append(event)
@@ -177,7 +180,7 @@
                 else:
                     self._waiting.remove(event)
                 raise
-            connection = await self._find(purpose, request_id)
+            connection = await self._find(purpose, marks)
             if connection is not None:
                 return connection
 
