Tie each answer to its sending in the JSON interface

Cause: an upstream or proxy may answer a request twice, the second time where the answer to the next request on the connection is due. Results carry the identity of their call, but refusals, load reports, orders and the platform's answers carry none, and a connection stayed in use after an answer to another call.

Change: requests of the clients that keep connections have the header Applespring-Sending with a value of their own, which each answer repeats, refusals and errors too. An answer that names another sending, or none on a connection that has carried an earlier request, fails its request as a mismatch that may have run, and its connection is closed. A connection is used again only after an answer that repeats the value; an upstream that does not repeat it gets a new connection for each request, and no answer is lost. The stand-ins repeat it. The clients moved from main.py to http_clients.py, where a test reaches them.

--- a/features/standins_upstream.feature
+++ b/features/standins_upstream.feature
@@ -121,3 +121,19 @@
     Given a service stand-in
     When its state becomes leaving and a call follows
     Then the answer and the load report say leaving
+
+  Scenario Outline: Each answer repeats the sending of its request
+    Guards against a system that closes each connection to the stand-ins, since
+    their answers show to no request that they belong to it.
+    Given a service stand-in
+    And the faults <faults>
+    When "<method>" "<path>" is sent as the sending "p-7"
+    Then the upstream answers <status>
+    And the answer repeats the sending "p-7"
+
+    Examples:
+      | method | path     | faults               | status |
+      | GET    | /v1/load | []                   | 200    |
+      | POST   | /v1/call | []                   | 400    |
+      | GET    | /v1/load | [{"kind": "refuse"}] | 503    |
+      | GET    | /nothing | []                   | 404    |
--- a/features/steps/standins_upstream_steps.py
+++ b/features/steps/standins_upstream_steps.py
@@ -133,14 +133,27 @@
 
 
 @when('"{method}" "{path}" is sent')
-def when_sent(context, method, path):
+def when_sent(context, method, path, sending=""):
+    headers = {"Applespring-Sending": sending} if sending else {}
+
     async def scenario():
         app = await start_standin(context)
-        context.answer = await drive(app, method, path)
+        context.answer = await drive(app, method, path, headers=headers)
 
     run_virtual(scenario)
 
 
+@when('"{method}" "{path}" is sent as the sending "{sending}"')
+def when_sent_as(context, method, path, sending):
+    when_sent(context, method, path, sending)
+
+
+@then('the answer repeats the sending "{sending}"')
+def then_repeats(context, sending):
+    headers = context.answer.headers
+    assert headers["applespring-sending"] == sending, headers
+
+
 @when("its state becomes leaving and a call follows")
 def when_leaving(context):
     async def scenario():
--- a/src/applespring/entry/execution/calls.py
+++ b/src/applespring/entry/execution/calls.py
@@ -25,6 +25,7 @@
 )
 from applespring.core.self_report import SelfReport, make_self_report
 from applespring.core.verdict import Verdict
+from applespring.entry.answer_match import ForeignAnswerError
 from applespring.permits.broker import Permit
 
 RESULT_BYTES_MAX = 4 * 1024 * 1024
@@ -247,6 +248,8 @@
                 yield resp
         except ApplespringError:
             raise
+        except ForeignAnswerError as exc:
+            raise call.make_error(FailureKind.MISMATCH, str(exc)) from exc
         except (httpx.HTTPError, OSError) as exc:
             kind = FailureKind.CONNECT
             if call.write_probe.written:
--- a/src/applespring/entry/main.py
+++ b/src/applespring/entry/main.py
@@ -10,7 +10,6 @@
 from typing import Annotated, Literal
 
 import anyio
-import httpx
 import hypercorn.asyncio
 from hypercorn.config import Config
 from loguru import logger
@@ -19,7 +18,7 @@
 from applespring.clock import read_clock
 from applespring.core.errors import SettingsError
 from applespring.entry.compose import ExternalConnections, Instance
-from applespring.entry.execution.origins import OriginTransport
+from applespring.entry.http_clients import open_clients
 from applespring.entry.logs import set_up_logs
 from applespring.entry.settings import Settings
 from applespring.peer.link import SocketTransport
@@ -31,10 +30,6 @@
 BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
-# Longer than the interval at which each instance polls an upstream in a large
-# fleet (30 s), since a new connection costs more than the load report read over
-# it.
-CONTROL_KEEP_ALIVE_S = 60.0
 HEADERS_BYTES_MAX = 32 * 1024
 SERVER_CLOSE_TIMEOUT_S = 2.0
 
@@ -99,40 +94,14 @@
 async def _run(settings: Settings) -> int:
     """Runs the instance; returns its exit code."""
     sock = _bind(settings)
-    pooled_limits = httpx.Limits(
-        max_connections=settings.connections_max,
-        max_keepalive_connections=settings.connections_max,
-    )
-    single_limits = httpx.Limits(
-        max_connections=settings.connections_max, max_keepalive_connections=0
-    )
-    control_limits = httpx.Limits(
-        max_connections=settings.connections_max,
-        max_keepalive_connections=settings.connections_max,
-        keepalive_expiry=CONTROL_KEEP_ALIVE_S,
-    )
-    # Loading the trusted certificates takes tenths of a second, so the clients
-    # share one context. Proxies named by the environment are not used:
-    # addresses come from the settings and the configuration document alone.
-    tls = httpx.create_ssl_context(trust_env=False)
-    options = {"timeout": None, "verify": tls, "trust_env": False}
-    async with (
-        httpx.AsyncClient(
-            transport=OriginTransport(pooled_limits, tls), **options
-        ) as pooled,
-        httpx.AsyncClient(limits=single_limits, **options) as single_client,
-        httpx.AsyncClient(
-            transport=OriginTransport(control_limits, tls), **options
-        ) as control,
-        httpx.AsyncClient(
-            base_url=f"http://{settings.platform}", **options
-        ) as platform,
-    ):
+    async with open_clients(
+        settings.connections_max, settings.platform
+    ) as clients:
         external = ExternalConnections(
-            pooled=pooled,
-            single=single_client,
-            control=control,
-            platform=platform,
+            pooled=clients.pooled,
+            single=clients.single,
+            control=clients.control,
+            platform=clients.platform,
             transport=SocketTransport(settings.peer_host, settings.peer_port),
             refuses_connections=refuses_connections,
             clock=read_clock,
--- a/standins/web.py
+++ b/standins/web.py
@@ -24,6 +24,8 @@
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
 JSON_CONTENT_TYPE = "application/json"
+# Header of a request whose value each answer repeats.
+SENDING_HEADER = "applespring-sending"
 
 
 class WebError(Exception):
@@ -201,6 +203,8 @@
             self._request_scopes.add(tasks.cancel_scope)
             try:
                 reply = await self._answer(req, scope["method"])
+                if SENDING_HEADER in req.headers:
+                    reply.headers[SENDING_HEADER] = req.headers[SENDING_HEADER]
                 await self._send(reply, faults, send)
             except AbortConnection as exc:
                 # Raised again below: here the task group would wrap it in an
