Reject answers of the store that can't be to their call

Cause: an answer to a read or watch has no identity. If the store, or a proxy before it, answered a call twice, the second answer was taken for the answer to the next call on the connection, and each further call got the answer to the call before: a watch without events counted as a read of no items, after which no upstream is listed.

Change: a read's answer with events, a watch's answer with items, a revision below the one asked after, or events up to it, is a LateAnswerError, as an answer of an earlier era is now. The connection stays with its call until the answer is checked.

A second answer that fits the call, such as that to a watch without events, can't be told from its own; it has the same content.

--- a/src/applespring/platform/store.py
+++ b/src/applespring/platform/store.py
@@ -9,6 +9,8 @@
 from applespring.core.era import ERA_MAX, era_of, join_era, revision_of
 from applespring.core.errors import ApplespringError, MessageError
 
+RANGE_PATH = "/kv-range"
+WATCH_PATH = "/kv-watch"
 # Least and greatest timeout of a read. The store usually answers in
 # milliseconds. While it is slow, the timeout is twice the time of its last
 # answer, and doubles after each read without one.
@@ -36,6 +38,10 @@
     """The store no longer has the changes after a watch's revision."""
 
 
+class LateAnswerError(StoreError):
+    """An answer that belongs to an earlier call on its connection."""
+
+
 class Store:
     """Reads and watches keys of the platform's store.
 
@@ -72,21 +78,21 @@
             if page is None:
                 break
             if revision is None:
-                revision = join_era(self.era, _read_at("/kv-range", page))
+                revision = join_era(self.era, _read_at(RANGE_PATH, page))
                 era = self.era
             elif self.era != era:
                 raise HistoryGoneError(
-                    f"/kv-range: era {self.era} began during a read of era "
+                    f"{RANGE_PATH}: era {self.era} began during a read of era "
                     f"{era}"
                 )
-            page_items = _read_items("/kv-range", page, "items")
+            page_items = _read_items(RANGE_PATH, page, "items")
             items.extend(page_items)
             if not page.get("hasMore") or not page_items:
                 break
             last_key = page_items[-1].get("key")
             if not isinstance(last_key, str):
                 raise MessageError(
-                    f"/kv-range: the last item of a page has the key "
+                    f"{RANGE_PATH}: the last item of a page has the key "
                     f"{last_key!r:.80}, not a text"
                 )
             query = {"prefix": prefix, "after": last_key}
@@ -97,7 +103,7 @@
         started_at = anyio.current_time()
         next_timeout_s = self._read_timeout_s
         try:
-            page = await self._get("/kv-range", query, self._read_timeout_s)
+            page = await self._get(RANGE_PATH, query, self._read_timeout_s)
             next_timeout_s = 2 * (anyio.current_time() - started_at)
             return page
         except StoreError:
@@ -134,18 +140,18 @@
             "after": revision_of(after),
             "waitMs": wait_ms,
         }
-        page = await self._get("/kv-watch", query, wait_s + WATCH_MARGIN_S)
+        page = await self._get(WATCH_PATH, query, wait_s + WATCH_MARGIN_S)
         if page is None:
             raise StoreError(
                 f"watch after revision {after} was answered with status 404"
             )
         if self.era != era_of(after):
             raise HistoryGoneError(
-                f"/kv-watch: era {self.era} has begun, the watch is of era "
+                f"{WATCH_PATH}: era {self.era} has begun, the watch is of era "
                 f"{era_of(after)}"
             )
-        revision = _read_at("/kv-watch", {"at": revision_of(after), **page})
-        events = _read_items("/kv-watch", page, "events")
+        revision = _read_at(WATCH_PATH, {"at": revision_of(after), **page})
+        events = _read_items(WATCH_PATH, page, "events")
         return events, join_era(self.era, revision)
 
     async def _get(
@@ -165,6 +171,11 @@
                 resp = await self._transport.handle_async_request(request)
                 try:
                     body = await _read_body(resp, path)
+                    return self._decode_page(path, query, resp, body)
+                except LateAnswerError:
+                    # The answer to this call would be the one to the next.
+                    await _close_connection(resp)
+                    raise
                 finally:
                     await _close(resp)
         except TimeoutError as exc:
@@ -173,6 +184,21 @@
             ) from exc
         except (httpx.HTTPError, OSError) as exc:
             raise StoreError(f"{path}: {type(exc).__name__}: {exc}") from exc
+
+    def _decode_page(
+        self,
+        path: str,
+        query: dict[str, Any],
+        resp: httpx.Response,
+        body: bytes,
+    ) -> dict[str, Any] | None:
+        """Returns the page of a complete answer, or None if there is none.
+
+        Raises:
+            LateAnswerError: The answer can't be the one to the call.
+            StoreError: It is an error.
+            MessageError: It is malformed.
+        """
         self._check_era(path, resp.headers.get(ERA_HEADER))
         if resp.status_code == 404:
             return None
@@ -188,13 +214,17 @@
             raise StoreError(f"{path}: the answer is not JSON") from exc
         if not isinstance(page, dict):
             raise MessageError(f"{path}: the answer is not an object")
+        if path == WATCH_PATH:
+            _check_watch(query["after"], page)
+        elif "events" in page:
+            raise LateAnswerError(f"{path}: the answer is that to a watch")
         return page
 
     def _check_era(self, path: str, text: str | None) -> None:
         """Records the era of an answer; one without any is of the era held.
 
         Raises:
-            StoreError: The answer is of an earlier era, and came late.
+            LateAnswerError: The answer is of an earlier era.
             MessageError: The era is no number, or out of range.
         """
         if text is None:
@@ -205,13 +235,36 @@
             )
         era = int(text)
         if era < self.era:
-            raise StoreError(
+            raise LateAnswerError(
                 f"{path}: an answer of era {era} came after one of era "
                 f"{self.era}"
             )
         self.era = era
 
 
+def _check_watch(after: int, page: dict[str, Any]) -> None:
+    """Checks that an answer can be the one to a watch after a revision.
+
+    Raises:
+        LateAnswerError: It is that to a read, or to an earlier watch.
+    """
+    if "items" in page:
+        raise LateAnswerError(f"{WATCH_PATH}: the answer is that to a read")
+    events = page.get("events")
+    revisions = [
+        event.get("revision")
+        for event in (events if isinstance(events, list) else [])
+        if isinstance(event, dict)
+    ]
+    if any(type(r) is int and r <= after for r in revisions) or (
+        type(page.get("at")) is int and 0 <= page["at"] < after
+    ):
+        raise LateAnswerError(
+            f"{WATCH_PATH}: an answer of revision {page.get('at')} has changes "
+            f"up to revision {after}, after which it was asked for"
+        )
+
+
 def _read_at(path: str, page: dict[str, Any]) -> int:
     """Returns the revision of an answer.
 
@@ -250,7 +303,9 @@
         StoreError: It is longer than `BODY_BYTES_MAX`.
     """
     body = bytearray()
-    async for chunk in resp.aiter_bytes():
+    # The connection stays with this call until the answer is checked, which
+    # `aiter_bytes` would return at the end of the body.
+    async for chunk in resp.stream:
         body += chunk
         if len(body) > BODY_BYTES_MAX:
             raise StoreError(
@@ -259,6 +314,14 @@
     return bytes(body)
 
 
+async def _close_connection(resp: httpx.Response) -> None:
+    """Closes the connection of an answer, so that it is not used again."""
+    connection = resp.extensions.get("network_stream")
+    if connection is not None:
+        with anyio.move_on_after(CONNECT_TIMEOUT_S, shield=True):
+            await connection.aclose()
+
+
 async def _close(resp: httpx.Response) -> None:
     """Closes the connection if the body was not read to its end."""
     with anyio.move_on_after(CONNECT_TIMEOUT_S, shield=True):
