Test that late and second replies of peers are ignored

A reply is tied to its request by a number that no other request of the process has, and to its connection. No test showed it for replies that come after their request was given up, or twice.

--- a/features/keys_link.feature
+++ b/features/keys_link.feature
@@ -39,6 +39,17 @@
       | asyncio |
       | trio    |
 
+  Scenario Outline: A late or second reply is not taken for another one
+    Guards against a reply to an earlier request that is taken for that to a
+    later one: a refused key would count as accepted.
+    Given two linked instances on "<backend>"
+    Then each request gets its own reply of a peer that replies late and twice
+
+    Examples:
+      | backend |
+      | asyncio |
+      | trio    |
+
   Scenario Outline: Malformed frames close only their connection
     Given two linked instances on "<backend>"
     Then a frame length of 4 GB and random bytes each close the connection
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -1,6 +1,7 @@
 """Steps about the codec and the link between entry instances."""
 
 import random
+import struct
 from contextlib import asynccontextmanager
 
 import anyio
@@ -173,6 +174,50 @@
     run_linked(context, check)
 
 
+@then("each request gets its own reply of a peer that replies late and twice")
+def then_late_and_twice(context):
+    def make_reply(header, text):
+        reply = codec.encode(
+            message.KeyReply(
+                state="unknown", verdict="not_run", reason="", owner=text
+            )
+        )
+        return struct.pack(">I", 8 + len(reply)) + header[4:] + reply
+
+    async def answer(stream):
+        late = b""
+        async with stream:
+            while True:
+                header = await read(stream, 12)
+                length = int.from_bytes(header[:4])
+                query = codec.decode(await read(stream, length - 8))
+                if query.key == "stall":
+                    late = make_reply(header, "stall")
+                    continue
+                replies = [query.key, "second"]
+                data = [make_reply(header, text) for text in replies]
+                await stream.send(late + b"".join(data) + late)
+
+    async def read(stream, count):
+        data = b""
+        while len(data) < count:
+            data += await stream.receive(count - len(data))
+        return data
+
+    async def check(pair):
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        pair.services[0].set_peers([PeerInfo("two", f"{HOST}:{port}", "koper")])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, answer)
+            await expect_error(PeerLostError, pair, "stall", 0.5)
+            owners = [(await pair.ask(key)).owner for key in "abc"]
+            tasks.cancel_scope.cancel()
+        assert owners == ["a", "b", "c"], owners
+
+    run_linked(context, check)
+
+
 @then("a heartbeat arrives and is recorded")
 def then_heartbeat(context):
     async def check(pair):
