Give each submission of pieces to a scheduler its own ticket

Cause: pieces whose submission got no acknowledgement are submitted to the next scheduler, with the same ticket. If the first one had got them, what it sent for them counted as sent by the next: a failure there refused the request, or had the pieces made a third time, while the next scheduler had them made.

Change: each scheduler that is tried gets a ticket of its own. A submission without an acknowledgement, or with a reply that is none, is withdrawn as before but stays known: its results are still used, its failures are not, and it is not submitted again when its scheduler is lost. A second result of a piece is released, unless the piece has that very handle. Numbers of submissions that were refused are dropped at once.

Before, the four scenarios of "A scheduler whose acknowledgement was lost sends results" failed: requests were refused with deadline_unreachable, stage_failed and request_quarantined, and a piece was made twice. The scenario on its results passed before as well.

Result: features/relay_staging.feature passes, 40 scenarios.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -240,6 +240,29 @@
     And each piece was made 1 times
     And no result was released before the engine was called
 
+  Scenario Outline: A scheduler whose acknowledgement was lost sends results
+    Guards against a failure at one scheduler that counts as one at the next, to
+    which the pieces were submitted since: the request is refused while they are
+    made there.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When a scheduler does not acknowledge pieces and then says they <failed>
+    Then every caller gets an answer
+    And each piece was made 1 times
+
+    Examples:
+      | failed                 |
+      | failed: late           |
+      | failed: denied         |
+      | failed: error          |
+      | failed: quarantined    |
+
+  Scenario: A scheduler whose acknowledgement was lost makes the pieces
+    Guards against results that are thrown away while the request waits.
+    Given relay instances one, two, three with 1 stage upstreams and an engine
+    When a scheduler makes pieces that it did not acknowledge
+    Then every caller gets an answer
+    And the next stage got the results that were made first
+
   Scenario: A stage upstream is silent while the retry budget is used up
     Guards against a request that is refused after a second of silence of an
     upstream which then answers.
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -25,6 +25,8 @@
 # Time without an event after which the caller of a staged request leaves: four
 # times the latency target of its route.
 EVENT_WAIT_S = 5.2
+# Time until a scheduler without an acknowledgement says what became of pieces.
+SAID_AFTER_S = 0.25
 CONNECTION_CUT = httpx.RemoteProtocolError("cut")
 
 
@@ -781,6 +783,80 @@
     run_instances(context, actions)
 
 
+def lose_acknowledgement(context, handle_lost):
+    """Has a scheduler get pieces without an acknowledgement.
+
+    Args:
+        context: Context of the scenario.
+        handle_lost: Called with the peers of the scheduler and the message.
+    """
+
+    async def actions(tasks):
+        scheduler = find_scheduler(context)
+        submitter = next(n for n in context.names if n != scheduler)
+        transport = context.world.network.transports[scheduler]
+        handle = transport._on_request
+        peers = context.world.instances[scheduler].peers
+        lost = []
+
+        async def handle_and_lose(data):
+            msg = decode(data)
+            if isinstance(msg, message.StageSubmit) and not lost:
+                lost.append(msg)
+                tasks.start_soon(handle_lost, peers, msg)
+                return None
+            return await handle(data)
+
+        transport._on_request = handle_and_lose
+        send(context, tasks, submitter, "r0", "1,2")
+
+    # The next scheduler has the pieces made meanwhile.
+    context.world.upstreams["s0"].stage_delays = [2 * SAID_AFTER_S]
+    run_instances(context, actions)
+
+
+@when(
+    "a scheduler does not acknowledge pieces and then says they failed: {why}"
+)
+def when_unacknowledged(context, why):
+    async def fail(peers, msg):
+        await anyio.sleep(SAID_AFTER_S)
+        results = [
+            message.PieceResult(segment=piece.segment, failure=why)
+            for piece in msg.pieces
+        ]
+        done = message.StageDone(ticket=msg.ticket, results=results)
+        await peers.request(msg.origin_address, done)
+
+    lose_acknowledgement(context, fail)
+
+
+@when("a scheduler makes pieces that it did not acknowledge")
+def when_made(context):
+    async def make(peers, msg):
+        await anyio.sleep(SAID_AFTER_S)
+        results = [
+            message.PieceResult(segment=piece.segment, handle="first/1")
+            for piece in msg.pieces
+        ]
+        done = message.StageDone(ticket=msg.ticket, results=results)
+        reply = await peers.request(msg.origin_address, done)
+        assert reply.accepted, reply
+
+    lose_acknowledgement(context, make)
+
+
+@then("the next stage got the results that were made first")
+def then_first(context):
+    inputs = [
+        piece["inputs"]
+        for _, items in context.world.calls
+        for piece in items
+        if piece["stage"] == 1
+    ]
+    assert inputs and all(handles == ["first/1"] for handles in inputs), inputs
+
+
 @then("no result was released before the engine was called")
 def then_not_released_early(context):
     called_at = min(a.at for a in engine_arrivals(context, "r0"))
--- a/src/applespring/relay/stage_run.py
+++ b/src/applespring/relay/stage_run.py
@@ -141,6 +141,8 @@
         scheduler: Name of the scheduling instance.
         incarnation: Incarnation of that instance when it got the pieces.
         missing: Segments of the pieces without a result or failure so far.
+        withdrawn: Whether another scheduler has the pieces since. Results that
+            come all the same are used, and failures are not.
         run: The request that they belong to.
     """
 
@@ -150,6 +152,7 @@
         "scheduler",
         "incarnation",
         "missing",
+        "withdrawn",
         "run",
     )
 
@@ -167,6 +170,7 @@
         self.scheduler = scheduler
         self.incarnation = incarnation
         self.missing = set(missing)
+        self.withdrawn = False
         self.run = run
 
 
--- a/src/applespring/relay/stage_submitter.py
+++ b/src/applespring/relay/stage_submitter.py
@@ -187,7 +187,9 @@
         for number in list(run.submission_numbers):
             submission = self._submissions.pop(number, None)
             run.submission_numbers.discard(number)
-            if submission is not None and submission.missing:
+            if submission is None or submission.withdrawn:
+                continue
+            if submission.missing:
                 missing.setdefault(submission.stage, set()).update(
                     submission.missing
                 )
@@ -372,7 +374,7 @@
                 numbers.discard(number)
                 self._close_submission(number)
                 continue
-            if submission.scheduler == self._peers.name:
+            if submission.withdrawn or submission.scheduler == self._peers.name:
                 continue
             if not self._peers.table.is_reachable(
                 submission.scheduler, submission.incarnation, now
@@ -407,6 +409,7 @@
 
         They are submitted to another one, and would be executed twice.
         """
+        submission.withdrawn = True
         if self._tasks is None:
             return
         cancel = message.StageCancel(
@@ -434,8 +437,10 @@
         if self._peers.name not in candidates:
             candidates.append(self._peers.name)
         for name in candidates:
+            # A scheduler before may have got the message, and send results.
+            msg.ticket = next(self._submission_numbers)
             # Results may arrive before the acknowledgement.
-            self._open_submission(run, msg, name, segments)
+            submission = self._open_submission(run, msg, name, segments)
             try:
                 reply = await self._peers.request(
                     self._peers.address_of(name), msg
@@ -453,17 +458,20 @@
                     name,
                     exc,
                 )
-                if isinstance(exc, PeerLostError):
-                    self._withdraw(self._submissions[msg.ticket])
+                if isinstance(exc, PeerUnreachableError):
+                    self._submissions.pop(msg.ticket, None)
+                else:
+                    self._withdraw(submission)
                 continue
             self._peers.table.confirm(name, self._state.clock())
             if not isinstance(reply, message.StageAck):
                 detail = f"instance {name} sent no acknowledgement"
+                self._withdraw(submission)
                 continue
             if reply.accepted:
                 return
+            self._submissions.pop(msg.ticket, None)
             if reply.reason == OVERLOADED:
-                self._submissions.pop(msg.ticket, None)
                 raise RefusalError(
                     reason.OVERLOADED,
                     Verdict.NOT_RUN,
@@ -473,16 +481,13 @@
                     retry_after_known=reply.retry_after_known,
                 )
             if reply.reason == QUARANTINED:
-                self._submissions.pop(msg.ticket, None)
                 raise _make_quarantine_refusal(index)
             # Another scheduler may not have learned of an order's end yet.
             if reply.reason == EVACUATED and self._state.is_pool_evacuated(
                 step.pool
             ):
-                self._submissions.pop(msg.ticket, None)
                 raise _make_evacuation_refusal(index)
             detail = f"instance {name}: {reply.reason}"
-        self._submissions.pop(msg.ticket, None)
         raise RefusalError(
             reason.NO_UPSTREAM,
             Verdict.NOT_RUN,
@@ -504,7 +509,8 @@
         return message.StageSubmit(
             origin=self._peers.name,
             origin_address=self._peers.address,
-            ticket=next(self._submission_numbers),
+            # Each scheduler that is tried gets a ticket of its own.
+            ticket=0,
             pool=step.pool,
             request=run.req.request_id,
             stage=index,
@@ -535,13 +541,15 @@
         msg: message.StageSubmit,
         scheduler: str,
         segments: Sequence[int],
-    ) -> None:
+    ) -> StageSubmission:
         peer = self._peers.table.get(scheduler)
         incarnation = peer.incarnation if peer else self._peers.incarnation
-        self._submissions[msg.ticket] = StageSubmission(
+        submission = StageSubmission(
             msg.ticket, msg.stage, scheduler, incarnation, segments, run
         )
+        self._submissions[msg.ticket] = submission
         run.submission_numbers.add(msg.ticket)
+        return submission
 
     async def _on_done(self, msg: message.StageDone) -> message.Message:
         submission = self._submissions.get(msg.ticket)
@@ -552,10 +560,16 @@
                 accepted=msg.ticket in self._completed, detail="unknown ticket"
             )
         run = submission.run
+        unused: list[str] = []
         for result in msg.results:
             if result.segment not in submission.missing:
                 continue
             submission.missing.discard(result.segment)
+            if result.segment not in run.chain.missing(submission.stage):
+                # Another scheduler that got the piece has sent its result.
+                if result.handle not in run.chain.handles(submission.stage):
+                    unused.append(result.handle)
+                continue
             if result.handle:
                 run.chain.record_result(
                     submission.stage, result.segment, result.handle
@@ -568,10 +582,12 @@
                 bytes_by_domain[domain] = (
                     bytes_by_domain.get(domain, 0.0) + step.result_bytes
                 )
-            else:
+            elif not submission.withdrawn:
                 run.failures.append(
                     (submission.stage, result.segment, result.failure)
                 )
+        pool = run.chain.steps[submission.stage].pool
+        self._release(run, pool, [handle for handle in unused if handle])
         run.results_arrived.set()
         return message.Ack()
 
