Drop a peer's upstreams that arrive after the registry was read

Cause: an instance that can't read the registry asks a peer for newer entries. If it read the registry while it waited for the reply, the reply still counted: an upstream that had been removed was listed again, for good, since no removal follows, and the revision of the entries went back.

Change: the reply is used only if the registry is still unreachable and the reply is newer than what is held then. Documents and evacuations carry their revision and were compared on arrival already.

--- a/features/relay_staging.feature
+++ b/features/relay_staging.feature
@@ -146,6 +146,13 @@
     When the registry is unreachable, instance four starts, and a caller sends it a request
     Then every caller gets an answer
 
+  Scenario: A peer's upstreams arrive after the registry was read again
+    Guards against an upstream that was removed and is listed for good, since a
+    peer that was asked before still had it.
+    Given relay instances one, two with 2 stage upstreams and an engine
+    When the upstreams of a peer arrive at instance one after the registry, which lacks s2 by then
+    Then instance one lists s1 and not s2
+
   Scenario: A new upstream is read from a peer without the registry
     Guards against an instance that sends nothing to upstreams that were listed
     after it lost the registry.
--- a/features/steps/relay_staging_steps.py
+++ b/features/steps/relay_staging_steps.py
@@ -324,6 +324,48 @@
     list_late(context, name, late, "watch_hangs")
 
 
+@when(
+    "the upstreams of a peer arrive at instance {name} after the registry, "
+    "which lacks {gone} by then"
+)
+def when_arrive_late(context, name, gone):
+    world = context.world
+    context.late_replies = 0
+
+    async def actions(tasks):
+        del tasks
+        registry = world.registries[name]
+        transport = world.network.transports["two"]
+        handle = transport._on_request
+
+        async def handle_late(data):
+            reply = await handle(data)
+            if isinstance(decode(data), message.FetchUpstreams):
+                del world.listed[gone]
+                world.revision += 1
+                registry.unreachable = False
+                # Less than the time within which a peer has to reply.
+                await anyio.sleep(0.35)
+                context.late_replies += not world.instances[
+                    name
+                ].watcher.registry_unreachable
+                transport._on_request = handle
+            return reply
+
+        transport._on_request = handle_late
+        registry.unreachable = True
+        world.add_upstream("s2", "stage")
+
+    run_instances(context, actions)
+    assert context.late_replies == 1, context.late_replies
+
+
+@then("instance {name} lists {held} and not {gone}")
+def then_lists(context, name, held, gone):
+    listed = context.world.instances[name].state.catalog.all()
+    assert held in listed and gone not in listed, list(listed)
+
+
 @given("{count:d} relay instances with 1 stage upstreams and an engine")
 def given_large(context, count):
     given_world(context, ", ".join(f"r{n}" for n in range(count)), 1)
--- a/src/applespring/relay/peer_sync.py
+++ b/src/applespring/relay/peer_sync.py
@@ -131,7 +131,13 @@
                 reply = await self._request(
                     peer, message.FetchUpstreams(revision=local_revision)
                 )
-                if isinstance(reply, message.UpstreamList):
+                # The registry may have been read meanwhile. What it lacks since
+                # would stay listed.
+                if (
+                    isinstance(reply, message.UpstreamList)
+                    and self._watcher.registry_unreachable
+                    and reply.revision > self._state.entries_revision
+                ):
                     self._apply_upstreams(reply, peer.name)
                 return
 
