soak: second answers of workers, and an audit of each sending

Change: workers send complete answers of every kind a second time, byte for byte: refusals, failures, successes, streams, stage calls, releases and reports, after up to 0.5 s or just before the answer to the next request on the connection. The fault "workers answer twice" does so while all workers refuse (429, 503), fail and lose stage results, and in some pools only one worker is left. Each arrival records what the worker answered to it. `mixed` compares a success with the answer to the last sending to the worker that signed it, and a signed failure with that to the last sending that wasn't refused (an instance passes on the failure of an earlier run, as a refusal would say that the request did not run). `stages` also sees a result that is used twice. In the records of the steps a request has its arrival, and a refusal of the instance no signature, as in a run. The audit scenarios of features/soak.feature pass.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -26,9 +26,14 @@
       | mixed    | a caller gets the answer of another request                          |
       | mixed    | a caller gets a changed body                                         |
       | mixed    | a caller gets a success that no upstream signed                      |
+      | mixed    | an upstream refuses the last sending of a request that succeeds      |
+      | mixed    | an upstream fails the last sending of a request that succeeds        |
+      | mixed    | an upstream completes the last sending of a request that fails       |
+      | mixed    | an upstream fails a request and its caller gets another body         |
       | mixed    | a stream lacks its last event and ends as complete                   |
       | order    | a stream that breaks off has its events out of order                 |
       | stages   | a piece uses the results of another request                          |
+      | stages   | a piece uses the same result twice                                   |
       | stages   | a piece uses only some of its input results                          |
       | stages   | a stream is generated without its input results                      |
       | late     | 8 answers come 0.6 s after their deadline                            |
@@ -51,6 +56,13 @@
       | overstay | a process does not exit in time after SIGTERM                        |
       | recover  | no stream is served after the last fault                             |
 
+  Scenario: A request that has failed and is refused when sent again has failed
+    Guards against violations that are reported for a failure that an instance
+    passes on, since a refusal would say that the request did not run.
+    Given records of 1 successful request of each kind
+    When in the records an upstream fails a request and refuses its last sending
+    Then the audit finds nothing
+
   Scenario Outline: The audit finds a request that ends without an answer
     Guards against an audit that takes the end of a connection without an answer
     for a closed idle connection.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -30,6 +30,7 @@
     Notice,
     Piece,
     Records,
+    SentAnswer,
     Version,
 )
 from soak.testbed import Plan
@@ -95,9 +96,22 @@
     if kind in STREAMING:
         events = range(1, EVENTS + 1)
         request.answer = b"".join(make_event(request_id, n) for n in events)
+    add_arrival(records, request, body=request.answer)
     return request
 
 
+def add_arrival(records, request, status=200, body=b"answer", after_s=0.05):
+    """Adds a sending of a request to its upstream, which has answered it."""
+    answer = SentAnswer(status, body, complete=True)
+    at = request.sent_at + after_s
+    records.arrivals.append(Arrival("worker-1", request, at, answer))
+
+
+def refuse(request, status):
+    """Lets the instance refuse a request by itself."""
+    request.status, request.headers = status, {}
+
+
 def add_execution(records, request_id, upstream="worker-2"):
     """Adds another execution of a request, 10 ms after the first."""
     first = records.executions[request_id][0]
@@ -235,7 +249,7 @@
 
 @violation("a request that was executed is answered 503")
 def violate_refused(records):
-    records.requests[UNSAFE].status = 503
+    refuse(records.requests[UNSAFE], 503)
     records.faults_ended_at = SENT_AT + 1
 
 
@@ -254,6 +268,42 @@
     records.requests[SAFE].headers["response-signature"] = ""
 
 
+@violation("an upstream refuses the last sending of a request that succeeds")
+def violate_refusal_last(records):
+    add_arrival(records, records.requests[SAFE], 503, b"")
+
+
+@violation("an upstream fails the last sending of a request that succeeds")
+def violate_failure_last(records):
+    add_arrival(records, records.requests[RESUMABLE], 500, b"failed")
+
+
+@violation("an upstream completes the last sending of a request that fails")
+def violate_success_last(records):
+    request = fail_first(records)
+    add_arrival(records, request)
+
+
+@violation("an upstream fails a request and refuses its last sending")
+def violate_refused_again(records):
+    add_arrival(records, fail_first(records), 503, b"")
+
+
+def fail_first(records):
+    """Lets an upstream fail a request, and its caller get this answer."""
+    request = records.requests[SAFE]
+    request.status, request.answer = 500, b"failed"
+    answer = records.arrivals[0].answer
+    answer.status, answer.body = request.status, request.answer
+    records.faults_ended_at = SENT_AT + 1
+    return request
+
+
+@violation("an upstream fails a request and its caller gets another body")
+def violate_failure_body(records):
+    fail_first(records).answer = b"other"
+
+
 @violation("a stream lacks its last event and ends as complete")
 def violate_short(records):
     records.requests[STREAM].answer = make_event(STREAM, 1)
@@ -273,6 +323,11 @@
     records.requests["another"] = records.requests[STAGED]
 
 
+@violation("a piece uses the same result twice")
+def violate_repeated_input(records):
+    records.pieces[-1].inputs = records.pieces[-1].inputs[:1] * 2
+
+
 @violation("a piece uses only some of its input results")
 def violate_some(records):
     records.pieces[-1].inputs.pop()
@@ -393,7 +448,7 @@
 def violate_route(records):
     records.versions.append(Version(2, SENT_AT - 2.1))
     request = add_request(records, SAFE, "new", version=2)
-    request.status = 404
+    refuse(request, 404)
     records.executions.pop("new")
 
 
@@ -405,7 +460,7 @@
 
 @violation("a valid request gets 404")
 def violate_denied(records):
-    records.requests[SAFE].status = 404
+    refuse(records.requests[SAFE], 404)
     records.faults_ended_at = SENT_AT + 1
 
 
@@ -428,7 +483,7 @@
     records.notices.append(
         Notice("worker-1", request.instance, request.sent_at - 2.1)
     )
-    records.arrivals.append(Arrival("worker-1", request, SENT_AT + 0.01))
+    add_arrival(records, request, after_s=0.01)
 
 
 @violation(
@@ -440,7 +495,7 @@
         Notice("worker-1", request.instance, SENT_AT - 1.0, pause_s=2.0)
     )
     for n in range(3):
-        records.arrivals.append(Arrival("worker-1", request, SENT_AT + n / 100))
+        add_arrival(records, request, after_s=n / 100)
 
 
 @violation("a request reaches an upstream 5.1 s after its domain is evacuated")
@@ -448,7 +503,7 @@
     records.domains["worker-1"] = "zone-1"
     records.evacuations.append(Evacuation("zone-1", SENT_AT - 5.1))
     request = records.requests[SAFE]
-    records.arrivals.append(Arrival("worker-1", request, SENT_AT + 0.01))
+    add_arrival(records, request, after_s=0.01)
 
 
 @violation("12 requests in 4 s reach an upstream with a limit of 1 a second")
@@ -513,4 +568,4 @@
 
 @violation("no stream is served after the last fault")
 def violate_recover(records):
-    records.requests[STREAM].status = 502
+    refuse(records.requests[STREAM], 502)
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -18,6 +18,7 @@
     LimitedArrival,
     Piece,
     Records,
+    SentAnswer,
 )
 from soak.relays import TERM_GRACE_S
 from soak.upstream import DEADLY_PART, make_event
@@ -59,6 +60,8 @@
 RECOVERED_SHARE_MIN = 0.25
 # Statuses that guarantee that the request was not executed and never will be.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
+# Statuses with which workers refuse a request.
+REFUSED_STATUSES = NOT_RUN_STATUSES | {409}
 ROUTE_ERROR_STATUSES = frozenset([401, 403, 404])
 # Headers that only the system may set on a request to an upstream.
 SYSTEM_HEADERS = ("hold", "pin-ms", "kv-from", "kv-backup", "x-api-key")
@@ -159,7 +162,13 @@
 
 @check("mixed")
 def check_mixed(records: Records) -> Iterator[str]:
-    """A success is the complete answer of an upstream to this request."""
+    """A success is the complete answer of an upstream to this request.
+
+    It is the answer of that upstream to the last time that the request was sent
+    to it, and a failure with a signature that to the last time it didn't refuse
+    the request.
+    """
+    yield from _find_earlier_answers(records)
     for request in records.requests.values():
         if not request.served:
             continue
@@ -179,6 +188,43 @@
             yield f"{name} got a body that no upstream sent"
 
 
+def _find_earlier_answers(records: Records) -> Iterator[str]:
+    """Yields the signed answers that aren't those to the last sending."""
+    sent: dict[tuple[str, str], list[SentAnswer]] = {}
+    for arrival in records.arrivals:
+        upstream = arrival.start.partition("#")[0]
+        key = (arrival.request.request_id, upstream)
+        sent.setdefault(key, []).append(arrival.answer)
+    for request in records.requests.values():
+        signature = request.headers.get("response-signature", "")
+        if not request.complete or not signature:
+            continue
+        upstream = signature.partition(".")[0]
+        answers = sent.get((request.request_id, upstream), [])
+        if request.status != 200:
+            # An instance passes on the failure of an earlier run, since a
+            # refusal would say that the request did not run.
+            answers = [a for a in answers if a.status not in REFUSED_STATUSES]
+        if not answers or not _is_answer(request, answers[-1]):
+            shown = [(answer.status, len(answer.body)) for answer in answers]
+            yield (
+                f"{request.request_id} ({request.kind}) got {request.status} "
+                f"with {len(request.answer)} bytes, {upstream} sent {shown}"
+            )
+
+
+def _is_answer(request: CallerRequest, answer: SentAnswer) -> bool:
+    """Returns whether what a caller got may be the answer of an upstream.
+
+    A resumed stream ends with the events of the upstream that resumed it.
+    """
+    if request.status != answer.status:
+        return False
+    if request.kind in STREAMING and request.status == 200:
+        return not answer.complete or request.answer.endswith(answer.body)
+    return request.answer == answer.body
+
+
 @check("order")
 def check_order(records: Records) -> Iterator[str]:
     """A stream that breaks off consists of its first events in order."""
@@ -209,9 +255,10 @@
         elif piece.input_count != SEGMENTS[0] or not (
             set(_piece_names(piece.inputs))
             <= set(_expected_pieces(piece.request_id, 0))
+            and len(set(_piece_names(piece.inputs))) == len(piece.inputs)
         ):
             # A result may have expired or been released. Those that exist must
-            # belong to the request.
+            # belong to the request, and none may be used twice.
             yield (
                 f"{name} had the inputs {_piece_names(piece.inputs)} of "
                 f"{piece.input_count} named"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -51,6 +51,22 @@
 # Rate limits that workers name, and the shortest and longest time for which.
 RATE_LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 20.0)
 LIMITED_RANGE_S = (5.0, 12.0)
+# Kinds of misbehaviour that occur one at a time.
+MISBEHAVIOUR_NAMES = [
+    name
+    for name in Misbehaviour.__slots__
+    if name not in ("doubling", "forgetting")
+]
+# Least and greatest shares of answers that are sent twice, of requests that are
+# refused or fail and of results that are lost meanwhile, and the shortest and
+# longest time for which.
+DOUBLING_SHARES = {
+    "doubling": (0.4, 1.0),
+    "full": (0.1, 0.4),
+    "failing": (0.1, 0.3),
+    "forgetting": (0.0, 0.2),
+}
+DOUBLING_RANGE_S = (2.0, 4.0)
 # Shortest and longest time for which workers are cold.
 COLD_RANGE_S = (2.0, 5.0)
 # Shortest and longest age of a copy from which the store comes back, and time
@@ -445,7 +461,7 @@
 async def misbehave(testbed: "Testbed", rng: random.Random) -> None:
     """Applies one kind of misbehaviour to the workers of some hosts."""
     worker_hosts = _sample(rng, testbed.worker_hosts)
-    name = rng.choice(list(type(worker_hosts[0].misbehaviour).__slots__))
+    name = rng.choice(MISBEHAVIOUR_NAMES)
     with recorded_fault(
         testbed, f"workers {name}", [f"place:{p.name}" for p in worker_hosts]
     ):
@@ -460,6 +476,33 @@
             setattr(worker_host.misbehaviour, name, sound)
 
 
+@fault("workers answer twice")
+async def double_answers(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets all workers send answers twice, refuse, fail and lose results.
+
+    In some pools only one worker is left, so that it gets a request again that
+    it has refused or failed.
+    """
+    duration_s = rng.uniform(*DOUBLING_RANGE_S)
+    hosts = testbed.worker_hosts
+    pools = sorted({host.pool for host in hosts})
+    small_pools = _sample(rng, pools, 1.0)
+    places = [f"place:{host.name}" for host in hosts]
+    with recorded_fault(testbed, "workers answer twice", places):
+        for host in hosts:
+            for name, shares in DOUBLING_SHARES.items():
+                setattr(host.misbehaviour, name, rng.uniform(*shares))
+        async with anyio.create_task_group() as tasks:
+            for pool in small_pools:
+                pool_hosts = [host for host in hosts if host.pool == pool]
+                for host in pool_hosts[1:]:
+                    tasks.start_soon(_crash_worker, host, duration_s, True)
+            await anyio.sleep(duration_s)
+        for host in hosts:
+            for name in DOUBLING_SHARES:
+                setattr(host.misbehaviour, name, 0.0)
+
+
 @fault("workers silent")
 async def pause_answers(testbed: "Testbed", rng: random.Random) -> None:
     """Lets sound workers send nothing for about a second, then go on."""
--- a/soak/record.py
+++ b/soak/record.py
@@ -206,6 +206,25 @@
         self.pause_s = pause_s
 
 
+class SentAnswer:
+    """What an upstream has sent as its answer to one request.
+
+    Attributes:
+        status: Its status, 0 if nothing was sent.
+        body: Sent bytes of its body.
+        complete: Whether it was sent to its end.
+    """
+
+    __slots__ = ("status", "body", "complete")
+
+    def __init__(
+        self, status: int = 0, body: bytes = b"", *, complete: bool = False
+    ) -> None:
+        self.status = status
+        self.body = body
+        self.complete = complete
+
+
 class Arrival:
     """A request of a caller that arrived at an upstream, executed or not.
 
@@ -213,14 +232,22 @@
         start: Start of the upstream, see `Execution.start`.
         request: The request.
         at: When it arrived.
+        answer: The answer to this sending of the request.
     """
 
-    __slots__ = ("start", "request", "at")
+    __slots__ = ("start", "request", "at", "answer")
 
-    def __init__(self, start: str, request: CallerRequest, at: float) -> None:
+    def __init__(
+        self,
+        start: str,
+        request: CallerRequest,
+        at: float,
+        answer: SentAnswer | None = None,
+    ) -> None:
         self.start = start
         self.request = request
         self.at = at
+        self.answer = answer or SentAnswer()
 
 
 class Evacuation:
--- a/soak/server.py
+++ b/soak/server.py
@@ -1,12 +1,14 @@
 """HTTP/1.1 server whose handlers can send malformed or truncated answers."""
 
+import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 import h11
-from anyio.abc import TaskStatus
+from anyio.abc import TaskGroup, TaskStatus
 
 from soak.net import Address, Conn, ConnError, serve
+from soak.record import SentAnswer
 from soak.silence import BODY, CONTROL, HEAD, Silence
 
 # What is sent again and again as an answer without end, and the pause between.
@@ -35,6 +37,39 @@
         self.body = body
 
 
+class SecondAnswers:
+    """Second answers on a connection, which never interrupt another answer.
+
+    Attributes:
+        in_progress: Whether an answer has begun and not ended.
+    """
+
+    __slots__ = ("in_progress", "_conn", "_due")
+
+    def __init__(self, conn: Conn) -> None:
+        self.in_progress = False
+        self._conn = conn
+        self._due = b""
+
+    def add(self, data: bytes) -> None:
+        """Adds an answer that is sent before the next one."""
+        self._due += data
+
+    async def send_later(self, data: bytes, delay_s: float) -> None:
+        """Sends an answer after a delay, or before the next one after it."""
+        await anyio.sleep(delay_s)
+        self.add(data)
+        if not self.in_progress:
+            # The client may have closed the connection.
+            with contextlib.suppress(ConnError):
+                await self.send_due()
+
+    async def send_due(self) -> None:
+        """Sends the answers that are due."""
+        data, self._due = self._due, b""
+        await self._conn.send(data)
+
+
 class Reply:
     """Writes the answer to one request.
 
@@ -45,6 +80,10 @@
             with its connection.
         said: Headers in which the worker says something of itself.
         on_said: Called when they are sent, or None.
+        answer: What has been sent.
+        is_doubled: Whether the answer is sent a second time if it is complete.
+        second_after_s: Time until then, or None for just before the answer to
+            the next request on the connection.
     """
 
     __slots__ = (
@@ -53,18 +92,50 @@
         "unframed",
         "said",
         "on_said",
+        "answer",
+        "is_doubled",
+        "second_after_s",
         "_conn",
         "_state",
+        "_seconds",
+        "_sent",
     )
 
-    def __init__(self, conn: Conn, state: h11.Connection) -> None:
+    def __init__(
+        self, conn: Conn, state: h11.Connection, seconds: SecondAnswers
+    ) -> None:
         self.silence: Silence | None = None
         self.is_control = False
         self.unframed = False
         self.said: list[tuple[str, str]] = []
         self.on_said: Callable[[], None] | None = None
+        self.answer = SentAnswer()
+        self.is_doubled = False
+        self.second_after_s: float | None = None
         self._conn = conn
         self._state = state
+        self._seconds = seconds
+        self._sent = b""
+
+    def add_second(self, tasks: TaskGroup) -> None:
+        """Has the answer sent a second time if it is to be.
+
+        Args:
+            tasks: Tasks of the connection.
+        """
+        if not self.is_doubled:
+            return
+        if self.second_after_s is None:
+            self._seconds.add(self._sent)
+        else:
+            tasks.start_soon(
+                self._seconds.send_later, self._sent, self.second_after_s
+            )
+
+    async def _send(self, data: bytes) -> None:
+        if self.is_doubled:
+            self._sent += data
+        await self._conn.send(data)
 
     async def _wait(self, phase: str) -> None:
         if self.silence is not None:
@@ -75,6 +146,9 @@
     ) -> None:
         """Sends status and headers."""
         await self._wait(HEAD)
+        self._seconds.in_progress = True
+        await self._seconds.send_due()
+        self.answer.status = status
         headers = [*headers, *self.said]
         if self.on_said is not None:
             self.on_said()
@@ -88,22 +162,25 @@
             await self._conn.send("\r\n".join([*lines, "", ""]).encode())
             return
         event = h11.Response(status_code=status, headers=list(headers))
-        await self._conn.send(self._state.send(event))
+        await self._send(self._state.send(event))
 
     async def send_part(self, data: bytes) -> None:
         """Sends a part of the body."""
         await self._wait(BODY)
+        self.answer.body += data
         if not self.unframed:
             data = self._state.send(h11.Data(data=data))
-        await self._conn.send(data)
+        await self._send(data)
 
     async def send_end(self) -> None:
         """Sends the end of the answer."""
         await self._wait(BODY)
+        self.answer.complete = True
         if self.unframed:
             self._conn.close()
             return
-        await self._conn.send(self._state.send(h11.EndOfMessage()))
+        await self._send(self._state.send(h11.EndOfMessage()))
+        self._seconds.in_progress = False
 
     async def send_endless(self, *, with_head: bool) -> None:
         """Sends bytes that are no answer until the client closes."""
@@ -160,20 +237,29 @@
             conn.reset()
 
     async def _serve(self, conn: Conn) -> None:
-        state = h11.Connection(h11.SERVER)
         self._conns.add(conn)
+        try:
+            async with anyio.create_task_group() as tasks:
+                await self._serve_requests(conn, tasks)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._conns.discard(conn)
+
+    async def _serve_requests(self, conn: Conn, tasks: TaskGroup) -> None:
+        state = h11.Connection(h11.SERVER)
+        seconds = SecondAnswers(conn)
         try:
             while (req := await _read(conn, state)) is not None:
-                if not await self._answer(req, conn, state):
+                reply = Reply(conn, state, seconds)
+                if not await self._answer(req, conn, state, reply):
                     return
+                reply.add_second(tasks)
                 state.start_next_cycle()
-        except h11.RemoteProtocolError:
+        except (h11.RemoteProtocolError, ConnError):
             conn.reset()
-        finally:
-            self._conns.discard(conn)
 
     async def _answer(
-        self, req: Request, conn: Conn, state: h11.Connection
+        self, req: Request, conn: Conn, state: h11.Connection, reply: Reply
     ) -> bool:
         """Answers a request; returns whether the connection can be reused."""
         try:
@@ -181,7 +267,7 @@
                 tasks.start_soon(
                     _cancel_on_disconnect, conn, state, tasks.cancel_scope
                 )
-                await self._handler(req, Reply(conn, state))
+                await self._handler(req, reply)
                 tasks.cancel_scope.cancel()
         except* ConnError:
             # The client disconnected.
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -42,6 +42,9 @@
 FIRST_EVENT_DELAY_S = 0.04
 EVENT_GAP_S = 0.02
 PLAIN_RANGE_S = (0.01, 0.06)
+# Shortest and longest time until an answer is sent a second time, unless that
+# waits for the next request on the connection.
+SECOND_RANGE_S = (0.0, 0.5)
 
 
 class Misbehaviour:
@@ -58,6 +61,8 @@
         unframed: Share of answers without length or chunks.
         endless: Share of requests that are executed and answered with bytes
             without end, in a head or a body.
+        doubling: Share of answers of any kind that are sent a second time.
+        forgetting: Share of stage results that are gone at once.
     """
 
     __slots__ = (
@@ -70,6 +75,8 @@
         "extra",
         "unframed",
         "endless",
+        "doubling",
+        "forgetting",
     )
 
     def __init__(self) -> None:
@@ -82,6 +89,8 @@
         self.extra = 0.0
         self.unframed = 0.0
         self.endless = 0.0
+        self.doubling = 0.0
+        self.forgetting = 0.0
 
 
 class WorkerContext:
@@ -160,17 +169,27 @@
         elif await self._turn_away(req, reply, echo):
             return
         elif self._draw(self.misbehaviour.full):
-            await reply.send_complete(503, b"", [*echo, NOT_RUN_HEADER])
+            status = self._context.rng.choice([429, 503])
+            await reply.send_complete(status, b"", [*echo, NOT_RUN_HEADER])
         else:
             reply.unframed = self._draw(self.misbehaviour.unframed)
             await self.execute(request_id, req, reply)
 
     def speak(self, req: Request, reply: Reply) -> None:
-        """Lets the answer to a request say what the worker says of itself."""
+        """Lets the answer to a request say what the worker says of itself.
+
+        Decides also whether the answer is sent a second time.
+        """
         records, clock = self._context.records, self._context.clock
+        if self._draw(self.misbehaviour.doubling):
+            delay_s = self._context.rng.uniform(*SECOND_RANGE_S)
+            reply.is_doubled = True
+            reply.second_after_s = self._context.rng.choice([delay_s, None])
         request = records.requests.get(req.headers.get("request-id", ""))
         if request is not None:
-            records.arrivals.append(Arrival(self.start, request, clock()))
+            records.arrivals.append(
+                Arrival(self.start, request, clock(), reply.answer)
+            )
         if self.cold_from <= clock() < self.cold_until:
             records.cold_arrivals.append(ColdArrival(self.start, clock()))
         if self.limit_per_s not in (None, math.inf):
@@ -422,6 +441,8 @@
         handle = f"{self.address}/{self.name}-{self._made_count}"
         self._expiry_by_handle[handle] = now + RESULT_TTL_S
         self._context.results[handle] = piece
+        if self._draw(self.misbehaviour.forgetting):
+            self._release(handle)
         return {"handle": handle}
 
     def _release(self, handle: str) -> None:
