--- a/features/soak.feature
+++ b/features/soak.feature
@@ -184,6 +184,18 @@
     When the soak runs seed 9701 with 4 faults "workers name a rate limit"
     Then no guarantee is violated
 
+  Scenario Outline: Workers that answer twice
+    Guards against a second answer that is taken for the answer to another
+    sending of its request, or to another stage call. Incident
+    inc-second-answer showed this fault.
+    When the soak runs seed <seed> with 3 faults "workers answer twice"
+    Then no guarantee is violated
+
+    Examples:
+      | seed |
+      | 5204 |
+      | 5206 |
+
   Scenario: Workers that are cold
     Guards against requests beyond what cold workers take from all instances
     together, after a restart under their names as well.
