Keep connections to an upstream within their limit while one is replaced

Cause: if all connections are open and an idle one can't carry a request, it is closed for a new one. It left the list before the wait for its end, and the new one entered it after that, so that another request found a free place meanwhile. Change: the new one takes its place at once.

--- /dev/null
+++ b/features/steps/upstream_connection_steps.py
@@ -0,0 +1,69 @@
+"""Steps about requests that wait for connections to an upstream."""
+
+import anyio
+from behave import given, then, when
+
+from applespring.relay.upstream_connections import ConnectionPool
+from features.fixtures.virtual import run_virtual
+
+CLOSE_S = 0.01
+HOLD_S = 0.05
+
+
+class _Transport:
+    """A transport whose connection is open from its first request on."""
+
+    def __init__(self, context):
+        self.context = context
+        self.is_open = False
+
+    def send(self):
+        """Sends a request."""
+        if not self.is_open:
+            self.is_open = True
+            self.context.open_count += 1
+            self.context.most = max(self.context.most, self.context.open_count)
+
+    async def aclose(self):
+        """Closes its connection."""
+        # It counts no more once its end is being sent.
+        self.context.open_count -= self.is_open
+        await anyio.sleep(CLOSE_S)
+
+
+@given("an upstream with at most {limit:d} connections, all idle")
+def given_pool(context, limit):
+    context.limit, context.open_count, context.most = limit, 0, 0
+
+    async def open_all():
+        pool = context.pool = ConnectionPool(
+            lambda: _Transport(context), limit, anyio.current_time
+        )
+        used = [await pool.acquire("", ["first"], 0.4) for _ in range(limit)]
+        for connection in used:
+            connection.transport.send()
+            await pool.release(connection, keep=True)
+
+    context.open_all = open_all
+
+
+@when("{count:d} requests that they can't carry come at once")
+def when_at_once(context, count):
+    async def send():
+        connection = await context.pool.acquire("", ["first"], 10.0)
+        connection.transport.send()
+        await anyio.sleep(HOLD_S)
+        await context.pool.release(connection, keep=True)
+
+    async def run():
+        await context.open_all()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(send)
+
+    run_virtual(run)
+
+
+@then("it never has more than {limit:d} connections")
+def then_limit(context, limit):
+    assert context.most <= limit, context.most
--- /dev/null
+++ b/features/upstream_connections.feature
@@ -0,0 +1,16 @@
+Feature: Connections to an upstream that requests wait for
+  Guards against requests that fail, or connections beyond the limit, since
+  requests take connections at the same time.
+
+  Scenario Outline: Connections are replaced at the same time
+    Guards against more connections than the limit: while an idle one is closed
+    for a request that it can't carry, another request takes its place.
+    Given an upstream with at most <limit> connections, all idle
+    When <count> requests that they can't carry come at once
+    Then it never has more than <limit> connections
+
+    Examples:
+      | limit | count |
+      | 2     | 2     |
+      | 4     | 3     |
+      | 4     | 12    |
--- a/src/applespring/relay/upstream_connections.py
+++ b/src/applespring/relay/upstream_connections.py
@@ -160,12 +160,14 @@
                 marks
             ):
                 return connection
-        if len(self._connections) >= self._connections_max:
-            if not idle:
-                return None
-            await self._close(idle[:1])
+        is_full = len(self._connections) >= self._connections_max
+        if is_full and not idle:
+            return None
         connection = Connection(self._make_transport(), purpose)
+        # Before the wait below, in which another request might take its place.
         self._connections.append(connection)
+        if is_full:
+            await self._close(idle[:1])
         return connection
 
     async def _wait(self, purpose: str, marks: Sequence[str]) -> Connection:
