Give a free connection to the request that waits longest

Cause: a connection that is released wakes one request, but any request that came before that one ran took it, and the woken one went to the end of the queue. It could fail with "all connections were in use" although they had not been. Change: the woken request stays at the head until it has a connection, and later ones wait behind it; each that leaves the queue wakes the next. Result: features/upstream_connections.feature; before, the request of its second scenario got no connection in 0.4 s beside a client whose requests take 0.05 s.

--- a/features/steps/upstream_connection_steps.py
+++ b/features/steps/upstream_connection_steps.py
@@ -47,6 +47,22 @@
     context.open_all = open_all
 
 
+@given("a client that sends one request of {seconds:g} s after the other")
+def given_client(context, seconds):
+    context.ended = 0
+
+    async def send_all():
+        number = 0
+        while True:
+            number += 1
+            connection = await context.pool.acquire("", [str(number)], 10.0)
+            await anyio.sleep(seconds)
+            await context.pool.release(connection, keep=True)
+            context.ended += 1
+
+    context.send_all = send_all
+
+
 @when("{count:d} requests that they can't carry come at once")
 def when_at_once(context, count):
     async def send():
@@ -64,6 +80,28 @@
     run_virtual(run)
 
 
+@when("a request of another client comes and waits {seconds:g} s at most")
+def when_waits(context, seconds):
+    async def run():
+        await context.open_all()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.send_all)
+            await anyio.sleep(0.5 * HOLD_S)
+            try:
+                await context.pool.acquire("", ["other"], seconds)
+                context.ended_before = context.ended
+            except TimeoutError:
+                context.ended_before = None
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
 @then("it never has more than {limit:d} connections")
 def then_limit(context, limit):
     assert context.most <= limit, context.most
+
+
+@then("it gets a connection after one request of the first client")
+def then_first(context):
+    assert context.ended_before == 1, context.ended_before
--- a/features/upstream_connections.feature
+++ b/features/upstream_connections.feature
@@ -14,3 +14,11 @@
       | 2     | 2     |
       | 4     | 3     |
       | 4     | 12    |
+
+  Scenario: A request waits while others come
+    Guards against a request that gets no connection, since requests that came
+    later take each one that is released.
+    Given an upstream with at most 1 connections, all idle
+    And a client that sends one request of 0.05 s after the other
+    When a request of another client comes and waits 0.4 s at most
+    Then it gets a connection after one request of the first client
--- a/src/applespring/relay/upstream_connections.py
+++ b/src/applespring/relay/upstream_connections.py
@@ -122,7 +122,9 @@
             TimeoutError: All were in use for `wait_max_s`.
         """
         await self._close_expired()
-        connection = await self._find(purpose, marks)
+        connection = None
+        if not self._waiting:
+            connection = await self._find(purpose, marks)
         if connection is None:
             with anyio.fail_after(wait_max_s):
                 connection = await self._wait(purpose, marks)
@@ -171,24 +173,32 @@
         return connection
 
     async def _wait(self, purpose: str, marks: Sequence[str]) -> Connection:
-        while True:
-            event = anyio.Event()
-            self._waiting.append(event)
-            try:
+        event = anyio.Event()
+        self._waiting.append(event)
+        try:
+            while True:
                 await event.wait()
-            except BaseException:
-                if event.is_set():
-                    self._wake_next()
-                else:
-                    self._waiting.remove(event)
-                raise
-            connection = await self._find(purpose, marks)
-            if connection is not None:
-                return connection
+                connection = await self._find(purpose, marks)
+                if connection is not None:
+                    return connection
+                # The requests that came later wait longer.
+                self._waiting.remove(event)
+                event = anyio.Event()
+                self._waiting.appendleft(event)
+        finally:
+            self._waiting.remove(event)
+            self._wake_next()
 
     def _wake_next(self) -> None:
-        if self._waiting:
-            self._waiting.popleft().set()
+        """Wakes the request that waits longest, if it can get a connection.
+
+        It stays in the queue until it has one, and later requests behind it.
+        """
+        is_free = len(self._connections) < self._connections_max or any(
+            c.is_idle for c in self._connections
+        )
+        if is_free and self._waiting:
+            self._waiting[0].set()
 
     async def _close_expired(self) -> None:
         used_since = self._clock() - KEEPALIVE_EXPIRY_S
