Wake a waiting request before a connection is closed

Cause: a connection that is not kept was closed before the request that waited for its place was woken. Closing may take up to a second, longer than requests wait, and if it raised an error, none was woken. Change: the place is free as soon as the connection has left the list. Result: features/upstream_connections.feature; before, the request of its third scenario got none in 10 s.

--- a/features/steps/upstream_connection_steps.py
+++ b/features/steps/upstream_connection_steps.py
@@ -1,5 +1,7 @@
 """Steps about requests that wait for connections to an upstream."""
 
+import contextlib
+
 import anyio
 from behave import given, then, when
 
@@ -25,15 +27,22 @@
             self.context.most = max(self.context.most, self.context.open_count)
 
     async def aclose(self):
-        """Closes its connection."""
+        """Closes its connection.
+
+        Raises:
+            OSError: Connections fail to close.
+        """
         # It counts no more once its end is being sent.
         self.context.open_count -= self.is_open
         await anyio.sleep(CLOSE_S)
+        if self.context.close_fails:
+            raise OSError("not connected")
 
 
 @given("an upstream with at most {limit:d} connections, all idle")
 def given_pool(context, limit):
     context.limit, context.open_count, context.most = limit, 0, 0
+    context.close_fails = False
 
     async def open_all():
         pool = context.pool = ConnectionPool(
@@ -63,6 +72,11 @@
     context.send_all = send_all
 
 
+@given("its connections fail to close")
+def given_failing(context):
+    context.close_fails = True
+
+
 @when("{count:d} requests that they can't carry come at once")
 def when_at_once(context, count):
     async def send():
@@ -97,6 +111,28 @@
     run_virtual(run)
 
 
+@when("a request ends whose connection is closed, while another one waits")
+def when_closed(context):
+    async def wait():
+        ended_at = anyio.current_time() + HOLD_S
+        with contextlib.suppress(TimeoutError):
+            await context.pool.acquire("", ["other"], 10.0)
+            context.waited_s = anyio.current_time() - ended_at
+
+    async def run():
+        await context.open_all()
+        connection = await context.pool.acquire("", ["a"], 0.4)
+        context.waited_s = None
+        with anyio.move_on_after(20.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(wait)
+                await anyio.sleep(HOLD_S)
+                with contextlib.suppress(OSError):
+                    await context.pool.release(connection, keep=False)
+
+    run_virtual(run)
+
+
 @then("it never has more than {limit:d} connections")
 def then_limit(context, limit):
     assert context.most <= limit, context.most
@@ -105,3 +141,9 @@
 @then("it gets a connection after one request of the first client")
 def then_first(context):
     assert context.ended_before == 1, context.ended_before
+
+
+@then("that one gets a connection at once")
+def then_at_once(context):
+    assert context.waited_s is not None, "it got none"
+    assert context.waited_s <= 2 * CLOSE_S, context.waited_s
--- a/features/upstream_connections.feature
+++ b/features/upstream_connections.feature
@@ -22,3 +22,10 @@
     And a client that sends one request of 0.05 s after the other
     When a request of another client comes and waits 0.4 s at most
     Then it gets a connection after one request of the first client
+
+  Scenario: The connection that others wait for fails to close
+    Guards against requests that wait for a connection although none is in use.
+    Given an upstream with at most 1 connections, all idle
+    And its connections fail to close
+    When a request ends whose connection is closed, while another one waits
+    Then that one gets a connection at once
--- a/src/applespring/relay/upstream_connections.py
+++ b/src/applespring/relay/upstream_connections.py
@@ -143,9 +143,11 @@
         if keep and not connection.is_full and not self._closed:
             connection.is_idle = True
             connection.idle_since = self._clock()
-        else:
-            await self._close([connection])
+            self._wake_next()
+            return
+        self._connections.remove(connection)
         self._wake_next()
+        await self._close_transports([connection])
 
     async def aclose(self) -> None:
         """Closes the idle connections; the others close when released."""
@@ -215,6 +217,11 @@
         # take one of them.
         for connection in connections:
             self._connections.remove(connection)
+        await self._close_transports(connections)
+
+    async def _close_transports(
+        self, connections: Sequence[Connection]
+    ) -> None:
         for connection in connections:
             with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
                 await connection.transport.aclose()
