Close a connection whose answer is followed by unread bytes

What callers saw: an unsafe request gets 502 although nothing was known against its upstream, and it ran there. Cause: an upstream may send a second answer, or other bytes, after a complete one. httpcore looks for them in the socket before it uses a connection again, but not in the buffer of its parser, where bytes are that came in the same segment. The next request was sent and got them as its answer. Change: the connection is closed if bytes are left in that buffer.

--- a/features/second_answers.feature
+++ b/features/second_answers.feature
@@ -24,3 +24,17 @@
       | stream | 503, 503, 503 twice, 200 | 200    |
       | resume | 503 twice, 200, 503      | 200    |
       | staged | 409 twice, 200, 503      | 200    |
+
+  Scenario Outline: More bytes come together with an answer
+    Guards against a request that is sent on a connection with bytes still
+    unread, of which it is known that they are no answer to it.
+    Given an upstream of unsafe requests alone, which answers 200
+    And <what> follows its first answer in the same segment
+    When 3 callers send unsafe requests one after the other
+    Then each caller gets the answer to its request
+
+    Examples:
+      | what                   |
+      | the answer again       |
+      | bytes that are no HTTP |
+      | a part of an answer    |
--- a/features/steps/second_answer_steps.py
+++ b/features/steps/second_answer_steps.py
@@ -3,7 +3,13 @@
 import anyio
 from behave import given, then, when
 
-from features.fixtures.answering import AnsweringUpstream, make_steps
+from features.fixtures.answering import (
+    AnsweringUpstream,
+    Sending,
+    Step,
+    make_answer,
+    make_steps,
+)
 from features.fixtures.relay_world import RelayWorld
 from features.fixtures.virtual import run_virtual
 
@@ -17,6 +23,45 @@
     )
 
 
+@given("{what} follows its first answer in the same segment")
+def given_together(context, what):
+    def make_step(sending, number):
+        if number:
+            return Step(200)
+        # `make_answer` needs the answer, which the upstream records later.
+        copy = Sending(sending.connection, sending.request, sending.target)
+        copy.status, copy.ran, copy.body = 200, True, b"sending 1"
+        answer = make_answer(copy)
+        after = {
+            "the answer again": answer,
+            "bytes that are no HTTP": b"\x00\x01no answer\r\n\r\n",
+            "a part of an answer": answer[:20],
+        }
+        return Step(200, after=after[what])
+
+    context.upstream.make_step = make_step
+
+
+@when("{count:d} callers send unsafe requests one after the other")
+def when_in_turn(context, count):
+    context.replies = {}
+
+    async def run():
+        world = context.world = RelayWorld()
+        world.add_upstream("a", "plain")
+        world.upstreams["a"] = context.upstream
+        async with anyio.create_task_group() as tasks:
+            await world.start("one", tasks)
+            await anyio.sleep(1.0)
+            for n in range(count):
+                context.replies[f"r{n}"] = await world.request(
+                    "one", "/unsafe/x", request=f"r{n}"
+                )
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+
+
 @when("its caller sends a {kind} request")
 def when_request(context, kind):
     pool = "plain" if kind in PLAIN else "engines"
@@ -54,3 +99,13 @@
     if context.reply.status in (408, 421, 429, 503):
         ran = [s.body for s in context.upstream.sendings if s.ran]
         assert not ran, ran
+
+
+@then("each caller gets the answer to its request")
+def then_each(context):
+    answers = {s.request: s.body for s in context.upstream.sendings}
+    replies = {
+        request: reply.body if reply.status == 200 else reply.status
+        for request, reply in context.replies.items()
+    }
+    assert replies == answers, (replies, answers)
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -79,6 +79,18 @@
                 "the connection was reset while it was set up", request=request
             ) from exc
 
+    def has_unread_bytes(self) -> bool:
+        """Returns whether bytes were read that follow the last answer.
+
+        httpcore looks for bytes in the socket alone before it uses a connection
+        again.
+        """
+        for connection in self._pool.connections:
+            http11 = connection._connection
+            if http11 is not None and http11._h11_state.trailing_data[0]:
+                return True
+        return False
+
 
 def make_transport_factory(
     tls: ssl.SSLContext,
@@ -425,6 +437,13 @@
                 # Closing a response with an unread body closes its connection.
                 with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
                     await resp.aclose()
+                transport = connection.transport
+                if (
+                    isinstance(transport, HttpTransport)
+                    and transport.has_unread_bytes()
+                ):
+                    # They would be taken for the answer to the next request.
+                    keep = False
         finally:
             if connection is not None:
                 await connection_pool.release(connection, keep=keep)
