Read the answer behind a late second answer to an earlier request

What callers saw: an unsafe request gets 502 and has run, since the second answer to an earlier request came where its own was due; the true answer behind it was thrown away with the connection. Cause: the HTTP client knows one answer to each request. Change: a head with the id of an earlier request on the connection is read to its end, at most twice, and the answer behind it is taken, if it has the request's id. Why this is safe: the connection has carried each id once, so the answer with the request's id is the one to this sending.

--- a/features/second_answers.feature
+++ b/features/second_answers.feature
@@ -38,3 +38,19 @@
       | the answer again       |
       | bytes that are no HTTP |
       | a part of an answer    |
+
+  Scenario Outline: A late second answer comes before the true one
+    Guards against an answer that is thrown away, since the second answer to an
+    earlier request came before it: an unsafe request gets 502 and has run.
+    Given an upstream of <kind> requests alone, which answers <answers>
+    When 3 callers send <kind> requests one after the other
+    Then each caller gets the answer to its request
+    And <connections> connections to the upstream were opened
+
+    Examples:
+      | kind   | answers            | connections |
+      | unsafe | 200 twice, 200     | 1           |
+      | unsafe | 500 twice, 200     | 1           |
+      | unsafe | 200 twice          | 1           |
+      | safe   | 200 twice, 200     | 1           |
+      | stream | 200 twice, 200     | 1           |
--- a/features/steps/relay_forward_steps.py
+++ b/features/steps/relay_forward_steps.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from applespring.core.rate_limits import Limit
-from applespring.relay.client import HttpTransport
+from applespring.relay.http_transport import HttpTransport
 from features.fixtures.relay_world import SIGNED, RelayWorld, events
 from features.fixtures.virtual import run_virtual
 
--- a/features/steps/second_answer_steps.py
+++ b/features/steps/second_answer_steps.py
@@ -29,7 +29,9 @@
         if number:
             return Step(200)
         # `make_answer` needs the answer, which the upstream records later.
-        copy = Sending(sending.connection, sending.request, sending.target)
+        copy = Sending(
+            sending.connection, sending.target, sending.request_headers
+        )
         copy.status, copy.ran, copy.body = 200, True, b"sending 1"
         answer = make_answer(copy)
         after = {
@@ -42,20 +44,21 @@
     context.upstream.make_step = make_step
 
 
-@when("{count:d} callers send unsafe requests one after the other")
-def when_in_turn(context, count):
+@when("{count:d} callers send {kind} requests one after the other")
+def when_in_turn(context, count, kind):
     context.replies = {}
+    pool = "plain" if kind in PLAIN else "engines"
 
     async def run():
         world = context.world = RelayWorld()
-        world.add_upstream("a", "plain")
+        world.add_upstream("a", pool)
         world.upstreams["a"] = context.upstream
         async with anyio.create_task_group() as tasks:
             await world.start("one", tasks)
             await anyio.sleep(1.0)
             for n in range(count):
                 context.replies[f"r{n}"] = await world.request(
-                    "one", "/unsafe/x", request=f"r{n}"
+                    "one", f"/{kind}/x", request=f"r{n}"
                 )
             tasks.cancel_scope.cancel()
 
@@ -105,7 +108,12 @@
 def then_each(context):
     answers = {s.request: s.body for s in context.upstream.sendings}
     replies = {
-        request: reply.body if reply.status == 200 else reply.status
+        request: reply.body if reply.status in (200, 500) else reply.status
         for request, reply in context.replies.items()
     }
     assert replies == answers, (replies, answers)
+
+
+@then("{count:d} connections to the upstream were opened")
+def then_opened(context, count):
+    assert len(context.upstream.connections) == count
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -19,6 +19,7 @@
 
 import anyio
 import httpx
+from loguru import logger
 
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, StageError
@@ -26,6 +27,7 @@
 from applespring.core.verdict import Verdict
 from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.port_check import is_refused
+from applespring.relay.http_transport import HttpTransport
 from applespring.relay.notice_recorder import NoticeRecorder
 from applespring.relay.protocol import Headers, Protocol, UpstreamReply
 from applespring.relay.upstream_connections import (
@@ -35,6 +37,10 @@
     ConnectionPool,
 )
 
+# Second answers to earlier requests that are read before an answer.
+SECOND_ANSWERS_MAX = 2
+# Longest body of one.
+SECOND_ANSWER_BYTES_MAX = 1024 * 1024
 # A connection is set up in about a millisecond, while a machine without power
 # never answers.
 CONNECT_TIMEOUT_S = 0.4
@@ -55,43 +61,6 @@
 ]
 
 
-class HttpTransport(httpx.AsyncHTTPTransport):
-    """HTTP/1.1 transport that survives a reset during connection setup.
-
-    httpcore sets socket options on a connection that may already be closed. It
-    then raises an AttributeError, which no handler of HTTP errors catches.
-    """
-
-    async def handle_async_request(
-        self, request: httpx.Request
-    ) -> httpx.Response:
-        """See `httpx.AsyncBaseTransport.handle_async_request`.
-
-        Raises:
-            httpx.ConnectError: The connection was reset while it was set up.
-        """
-        try:
-            return await super().handle_async_request(request)
-        except AttributeError as exc:
-            if exc.obj is not None or exc.name != "setsockopt":
-                raise
-            raise httpx.ConnectError(
-                "the connection was reset while it was set up", request=request
-            ) from exc
-
-    def has_unread_bytes(self) -> bool:
-        """Returns whether bytes were read that follow the last answer.
-
-        httpcore looks for bytes in the socket alone before it uses a connection
-        again.
-        """
-        for connection in self._pool.connections:
-            http11 = connection._connection
-            if http11 is not None and http11._h11_state.trailing_data[0]:
-                return True
-        return False
-
-
 def make_transport_factory(
     tls: ssl.SSLContext,
 ) -> Callable[[ListedUpstream], httpx.AsyncBaseTransport]:
@@ -407,6 +376,9 @@
                 )
                 resp = await connection.transport.handle_async_request(request)
                 answered = True
+                resp = await self._skip_second_answers(
+                    resp, connection, request, upstream, request_id
+                )
             except TimeoutError as exc:
                 raise make_error(
                     FailureKind.RESET,
@@ -448,6 +420,50 @@
             if connection is not None:
                 await connection_pool.release(connection, keep=keep)
 
+    async def _skip_second_answers(
+        self,
+        resp: httpx.Response,
+        connection: Connection,
+        request: httpx.Request,
+        upstream: ListedUpstream,
+        request_id: str,
+    ) -> httpx.Response:
+        """Returns the answer behind second answers to earlier requests.
+
+        Without this, the answer would be lost with its connection.
+
+        Raises:
+            httpx.HTTPError: No further answer could be read.
+        """
+        transport = connection.transport
+        for _ in range(SECOND_ANSWERS_MAX):
+            answered_id = self._protocol.decode_reply(
+                resp.status_code, resp.headers.raw
+            ).request_id
+            if (
+                not request_id
+                or answered_id == request_id
+                or not connection.has_carried((answered_id,))
+                or not isinstance(transport, HttpTransport)
+            ):
+                break
+            logger.bind(
+                event="second_answer",
+                request=request_id,
+                upstream=upstream.name,
+            ).debug(
+                "upstream {} answered request {} again on connection {}, where "
+                "the answer to {} was due",
+                upstream.name,
+                answered_id,
+                connection.number,
+                request_id,
+            )
+            resp = await transport.read_next(
+                resp, request, SECOND_ANSWER_BYTES_MAX
+            )
+        return resp
+
     def _open_answer(
         self,
         resp: httpx.Response,
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -19,10 +19,10 @@
 from applespring.relay.application import make_text_app
 from applespring.relay.client import (
     TCP_USER_TIMEOUT_MS,
-    HttpTransport,
     make_transport_factory,
 )
 from applespring.relay.components import RelayComponents
+from applespring.relay.http_transport import HttpTransport
 from applespring.relay.log import LogWriter
 from applespring.relay.loop_monitor import LoopMonitor
 from applespring.relay.protocol import Protocol
