Repeat a release on another connection, and only if its answer proves nothing

What was seen: releases that grow for as long as a stage upstream says now and then that its memory is full. Each names all results released before, expired ones too. Cause: a call that finds the memory full repeats the latest releases. The repetition was recorded as one of the latest releases itself, whatever its length. Change: a release goes on no connection that has carried one of its handles, and is recorded only if an earlier answer on its connection can be taken for its own. The answer to the first request on a connection can't be that to another one.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -149,6 +149,16 @@
       | 503    |
       | 429    |
 
+  Scenario: Calls often find the memory full
+    Guards against results that are released again and again, in requests that
+    grow with each call that finds the memory full.
+    Given a stage upstream over HTTP whose calls take 0.2 s
+    And every second of its calls gives only the reason room
+    When 60 callers send staged requests with 1,0 pieces over 30 s
+    Then no result is released twice on one connection
+    And no release names a result that has expired
+    And every caller gets an answer
+
   Scenario Outline: An earlier answer comes where that to a report is due
     Guards against free memory that is set to the figure of an earlier report.
     Given a stage upstream over HTTP whose calls take 0.7 s
--- a/features/steps/second_answer_stage_steps.py
+++ b/features/steps/second_answer_stage_steps.py
@@ -136,6 +136,11 @@
     upstream.extra = Extra(CALL, (CALL, REPORT), send_again_without_result, 2)
 
 
+@given("every second of its calls gives only the reason {reason}")
+def given_often_failing(context, reason):
+    context.upstream.failing = dict.fromkeys(range(1, 1000, 2), reason)
+
+
 @given("{what} follows the answer to its call {number:d} in the same segment")
 def given_together(context, what, number):
     context.upstream.together[number] = EXTRA_BYTES[what]
@@ -288,6 +293,31 @@
     assert refused and refused <= released, refused - released
 
 
+@then("no result is released twice on one connection")
+def then_once(context):
+    counts = collections.Counter(
+        (sending.connection, handle)
+        for sending in context.upstream.find_sendings(RELEASE)
+        for handle in json.loads(sending.content)["handles"]
+    )
+    often = [n for n in counts.values() if n > 1]
+    assert counts and not often, (len(counts), len(often), max(often))
+
+
+@then("no release names a result that has expired")
+def then_not_expired(context):
+    upstream, made_at, late = context.upstream, {}, []
+    for sending in upstream.find_sendings(CALL):
+        for item in json.loads(sending.body)["items"]:
+            made_at[item.get("handle")] = sending.answer_at
+    for sending in upstream.find_sendings(RELEASE):
+        for handle in json.loads(sending.content)["handles"]:
+            age_s = sending.arrived_at - made_at[handle]
+            if age_s > upstream.ttl_s:
+                late.append((handle, round(age_s, 2)))
+    assert made_at and not late, (len(late), late[-1])
+
+
 @then("its calls for one piece come on different connections")
 def then_other_connections(context):
     connections = collections.defaultdict(list)
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -178,6 +178,11 @@
         self._connection.record(marks)
         self.is_new = bool(marks)
 
+    @property
+    def is_first(self) -> bool:
+        """Whether it is the first on its connection, so to no other request."""
+        return self._connection.requests == 1
+
     @property
     def has_end_mark(self) -> bool:
         """Whether the body has a length or chunks.
@@ -308,7 +313,7 @@
         body: bytes,
         *,
         request_id: str = "",
-        piece_ids: Sequence[str] = (),
+        marks: Sequence[str] = (),
         connections_max: int = 100,
         permit: Permit | None = None,
     ) -> AsyncIterator[Answer]:
@@ -326,7 +331,8 @@
             body: The body.
             request_id: Id that the answer has to carry, or "" if it must have
                 none.
-            piece_ids: Ids of the pieces in a stage call, which has no id.
+            marks: Ids of pieces, or handles, in a request without an id. It
+                goes on no connection that has carried one of them.
             connections_max: Most connections to the upstream; used when the
                 first call to it creates its connection pool.
             permit: Permit for the call; without one it is acquired if the
@@ -402,7 +408,7 @@
             try:
                 connection = await connection_pool.acquire(
                     "" if request_id else target.decode("latin-1"),
-                    (request_id,) if request_id else piece_ids,
+                    (request_id,) if request_id else marks,
                     CONNECT_TIMEOUT_S,
                 )
                 resp = await connection.transport.handle_async_request(request)
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -459,6 +459,7 @@
                     path.encode(),
                     headers,
                     body,
+                    marks=handles,
                     permit=permit,
                 ) as answer:
                     await answer.read(ANSWER_BYTES_MAX)
@@ -466,7 +467,8 @@
                 if not answer.is_new:
                     self._repeat_release(pool, upstream, handles, answer)
                     return
-                self._record_release(upstream, handles)
+                if not answer.is_first:
+                    self._record_release(upstream, handles)
                 # The memory is free only once the upstream has answered.
                 queue = self._queues.get(pool)
                 if queue is not None:
@@ -626,7 +628,7 @@
                     path.encode(),
                     headers,
                     body,
-                    piece_ids=piece_ids,
+                    marks=piece_ids,
                 ) as answer:
                     data = await answer.read(ANSWER_BYTES_MAX)
                     if answer.status == 200:
