Test checks of second answers that no scenario of stages detected

A piece that is called again comes on another connection, so with one call at a time no other call meets the true answer; the scheduler's record of handles covers what a connection remembers; a full memory repeats the releases too. Change: two calls at once where an answer has reasons alone, a scheduler that records no handles, one handle for all pieces, a bound of 1,024 pieces on a connection, and refused releases of an upstream whose memory is not full.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -21,6 +21,18 @@
       | 1      | 2,2    | 2       |
       | 3      | 4,4    | 2       |
 
+  Scenario: The answer to a call comes again when no handle is recorded
+    Guards against a second answer that is recognized only while the scheduler's
+    record, which has room for few handles of all upstreams, holds its handles.
+    Given a stage upstream over HTTP whose calls take 0.7 s
+    And a scheduler whose record has room for 0 handles
+    And 1 times it sends the answer to a call where that to a call is due
+    When 8 callers send staged requests with 4,0 pieces over 2 s
+    Then no engine and no call is given results of another request
+    And no request is sent on a connection with an answer still to come
+    And it has sent 1 second answers
+    And every caller gets an answer
+
   Scenario: The answer to a call comes again where that to its repetition is due
     Guards against results of an earlier call for the same piece, which have been
     released, that are taken for those of the call made again.
@@ -39,6 +51,7 @@
     Guards against a second answer by which no call is recognized: it names no
     handle, and the next call takes the true answer that follows it for its own.
     Given a stage upstream over HTTP whose calls take 0.7 s
+    And it executes <slots> calls at once
     And its calls 1 and 4 give only the reason <reason>, in two answers each
     When 8 callers send staged requests with 4,4 pieces over 1 s
     Then no engine and no call is given results of another request
@@ -46,9 +59,11 @@
     And every caller gets an answer
 
     Examples:
-      | reason |
-      | error  |
-      | room   |
+      | slots | reason |
+      | 1     | error  |
+      | 1     | room   |
+      | 2     | error  |
+      | 2     | room   |
 
   Scenario Outline: An answer to no call comes before the true one
     Guards against later answers on a connection that are believed after one
@@ -67,6 +82,7 @@
       | a body that is no JSON |
       | an item too many       |
       | an empty list          |
+      | one handle for all     |
       | a body of 300 kB       |
       | bytes that are no HTTP |
 
@@ -124,7 +140,7 @@
   Scenario Outline: The answer to a release comes again where that to a refused one is due
     Guards against results that stay unreleased. Answers to releases are alike;
     the refusal comes where the answer to the next release is due.
-    Given a stage upstream over HTTP that holds one result at a time
+    Given a stage upstream over HTTP <kind>
     And its releases 2 to 6 are refused with <status>
     And 3 times it sends the answer to an earlier release where that to a release is due
     When 8 callers send staged requests with 1,0 pieces over 2 s
@@ -132,9 +148,11 @@
     And every caller gets an answer
 
     Examples:
-      | status |
-      | 503    |
-      | 429    |
+      | kind                             | status |
+      | that holds one result at a time  | 503    |
+      | that holds one result at a time  | 429    |
+      | whose calls take 0.2 s           | 503    |
+      | whose calls take 0.2 s           | 429    |
 
   Scenario Outline: A release is refused without a time to wait
     Guards against a refusal that counts as done, since it asks for no pause.
@@ -220,6 +238,7 @@
     And the answer to the first call on a connection comes again after 4500 pieces
     When 40 callers send staged requests with 128,0 pieces over 32 s
     Then no engine and no call is given results of another request
+    And no connection carries calls of more than 1024 pieces
     And every caller gets an answer
 
   Scenario: Calls in a row use few connections
--- a/features/steps/second_answer_stage_steps.py
+++ b/features/steps/second_answer_stage_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from loguru import logger
 
+from applespring.relay import stage_scheduler
 from features.fixtures.platform_text import make_route
 from features.fixtures.relay_world import SIGNED, STAGES, RelayWorld, events
 from features.fixtures.stage_answering import (
@@ -61,6 +62,18 @@
     change_segments(context, batch=count, itemMs=1.0)
 
 
+@given("it executes {count:d} calls at once")
+def given_slots(context, count):
+    change_segments(context, slots=count)
+
+
+@given("a scheduler whose record has room for {count:d} handles")
+def given_record(context, count):
+    usual = stage_scheduler.HANDLES_MAX
+    stage_scheduler.HANDLES_MAX = count
+    context.add_cleanup(setattr, stage_scheduler, "HANDLES_MAX", usual)
+
+
 def build(context, call_s, length):
     """Makes the world with one stage upstream over HTTP and an engine."""
     stages = [{**stage, "length": length} for stage in STAGES]
@@ -273,6 +286,15 @@
     assert not early, (len(early), early[:3])
 
 
+@then("no connection carries calls of more than {count:d} pieces")
+def then_bounded(context, count):
+    pieces = collections.Counter()
+    for sending in context.upstream.find_sendings(CALL):
+        items = json.loads(sending.content)["items"]
+        pieces[sending.connection] += len(items)
+    assert pieces and max(pieces.values()) <= count, pieces
+
+
 @then("no call finds its memory full")
 def then_room(context):
     no_room = context.upstream.no_room
