--- a/src/applespring/relay/upstream_connections.py
+++ b/src/applespring/relay/upstream_connections.py
@@ -122,7 +122,9 @@
             TimeoutError: All were in use for `wait_max_s`.
         """
         await self._close_expired()
-        connection = await self._find(purpose, marks)
+        connection = None
+        if not self._waiting:
+            connection = await self._find(purpose, marks)
         if connection is None:
             with anyio.fail_after(wait_max_s):
                 connection = await self._wait(purpose, marks)
@@ -141,9 +143,11 @@
         if keep and not connection.is_full and not self._closed:
             connection.is_idle = True
             connection.idle_since = self._clock()
-        else:
-            await self._close([connection])
+            self._wake_next()
+            return
+        self._connections.remove(connection)
         self._wake_next()
+        await self._close_transports([connection])
 
     async def aclose(self) -> None:
         """Closes the idle connections; the others close when released."""
@@ -160,33 +164,43 @@
                 marks
             ):
                 return connection
-        if len(self._connections) >= self._connections_max:
-            if not idle:
-                return None
-            await self._close(idle[:1])
+        is_full = len(self._connections) >= self._connections_max
+        if is_full and not idle:
+            return None
         connection = Connection(self._make_transport(), purpose)
+        # Before the wait below, in which another request might take its place.
         self._connections.append(connection)
+        if is_full:
+            await self._close(idle[:1])
         return connection
 
     async def _wait(self, purpose: str, marks: Sequence[str]) -> Connection:
-        while True:
-            event = anyio.Event()
-            self._waiting.append(event)
-            try:
+        event = anyio.Event()
+        self._waiting.append(event)
+        try:
+            while True:
                 await event.wait()
-            except BaseException:
-                if event.is_set():
-                    self._wake_next()
-                else:
-                    self._waiting.remove(event)
-                raise
-            connection = await self._find(purpose, marks)
-            if connection is not None:
-                return connection
+                connection = await self._find(purpose, marks)
+                if connection is not None:
+                    return connection
+                # The requests that came later wait longer.
+                self._waiting.remove(event)
+                event = anyio.Event()
+                self._waiting.appendleft(event)
+        finally:
+            self._waiting.remove(event)
+            self._wake_next()
 
     def _wake_next(self) -> None:
-        if self._waiting:
-            self._waiting.popleft().set()
+        """Wakes the request that waits longest, if it can get a connection.
+
+        It stays in the queue until it has one, and later requests behind it.
+        """
+        is_free = len(self._connections) < self._connections_max or any(
+            c.is_idle for c in self._connections
+        )
+        if is_free and self._waiting:
+            self._waiting[0].set()
 
     async def _close_expired(self) -> None:
         used_since = self._clock() - KEEPALIVE_EXPIRY_S
@@ -203,6 +217,11 @@
         # take one of them.
         for connection in connections:
             self._connections.remove(connection)
+        await self._close_transports(connections)
+
+    async def _close_transports(
+        self, connections: Sequence[Connection]
+    ) -> None:
         for connection in connections:
             with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
                 await connection.transport.aclose()
