Add guards for second answers to requests without an id

Change: twelve guards for the pool of connections, the client and the scheduler; the guard of the id of an answer names the check as it reads now.

--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -24,6 +24,8 @@
 CHOICE_SLOWNESS = "choice_slowness"
 COLD = "relay_cold"
 COLD_RULES = "cold_upstreams"
+SECOND = "second_answers"
+SECOND_STAGES = "second_answers_stages"
 
 RELAY_GUARDS = (
     Guard(
@@ -113,10 +115,104 @@
     Guard(
         "relay: request id of an answer",
         "relay/client.py",
-        "if request_id and reply.request_id != request_id:",
+        "if reply.request_id != request_id:",
         "if False:",
         (FORWARD, "Which requests are retried"),
     ),
+    Guard(
+        "second answers: a connection carries an id once",
+        "relay/upstream_connections.py",
+        "if connection.purpose == purpose and not connection.has_carried(\n"
+        "                marks\n"
+        "            ):",
+        "if connection.purpose == purpose:",
+        (SECOND, "A request is sent again to an upstream that answers twice"),
+        (SECOND_STAGES, "comes again where that to its repetition is due"),
+    ),
+    Guard(
+        "second answers: a connection for each kind of request without an id",
+        "relay/upstream_connections.py",
+        "if connection.purpose == purpose and not connection.has_carried(",
+        "if not connection.has_carried(",
+        (SECOND_STAGES, "where that to a refused release is due -- @1.1"),
+    ),
+    Guard(
+        "second answers: a connection that remembers all is not kept",
+        "relay/upstream_connections.py",
+        "if keep and not connection.is_full and not self._closed:",
+        "if keep and not self._closed:",
+        (SECOND_STAGES, "comes again when its handles are forgotten"),
+    ),
+    Guard(
+        "second answers: the connection of a doubtful answer is closed",
+        "relay/client.py",
+        "keep = answer.is_new",
+        "keep = True",
+        (SECOND_STAGES, "reasons alone comes again -- @1.3"),
+        (
+            SECOND_STAGES,
+            "An earlier answer comes where that to a report is due",
+        ),
+    ),
+    Guard(
+        "second answers: without an id an answer is not known to be new",
+        "relay/client.py",
+        "is_new=bool(request_id),",
+        "is_new=True,",
+        (
+            SECOND_STAGES,
+            "An earlier answer comes where that to a report is due",
+        ),
+    ),
+    Guard(
+        "second answers: an answer without handles is not known to be new",
+        "relay/client.py",
+        "self.is_new = bool(marks)",
+        "self.is_new = True",
+        (SECOND_STAGES, "reasons alone comes again -- @1.4"),
+    ),
+    Guard(
+        "second answers: handles that came before on the connection",
+        "relay/client.py",
+        "if self._connection.has_carried(marks):",
+        "if False:",
+        (SECOND_STAGES, "comes again when no handle is recorded"),
+    ),
+    Guard(
+        "second answers: one handle for several pieces",
+        "relay/stage_scheduler.py",
+        "if recorded_id != piece_id or handles.count(reply.handle) > 1:",
+        "if False:",
+        (SECOND_STAGES, "An answer to no call .* -- @1.4"),
+    ),
+    Guard(
+        "second answers: a piece comes once on a connection",
+        "relay/client.py",
+        "(request_id,) if request_id else piece_ids,",
+        "(request_id,) if request_id else (),",
+        (SECOND_STAGES, "comes again where that to its repetition is due"),
+    ),
+    Guard(
+        "second answers: a refused release is not done",
+        "relay/stage_scheduler.py",
+        "answer.is_new = answer.status == 200",
+        "answer.is_new = True",
+        (SECOND_STAGES, "A release is refused without a time to wait"),
+    ),
+    Guard(
+        "second answers: releases before a refused one are repeated",
+        "relay/stage_scheduler.py",
+        "handles = [*self._take_latest_releases(upstream), *handles]",
+        "handles = [*handles]",
+        (SECOND_STAGES, "The answer to a release comes again .* -- @1.3"),
+    ),
+    Guard(
+        "second answers: releases before a full memory are repeated",
+        "relay/stage_scheduler.py",
+        "handles = self._take_latest_releases(call.upstream)",
+        "handles = []",
+        (SECOND_STAGES, "The answer to a release comes again .* -- @1.1"),
+    ),
     Guard(
         "relay: signature of a success",
         "relay/plain.py",
