Test the identity of tokens and of heartbeat echoes

Without the check of a token's request and attempt, and with each echo counted as that of the newest heartbeat, all scenarios passed.

--- a/features/keys_ownership.feature
+++ b/features/keys_ownership.feature
@@ -7,6 +7,12 @@
     instance lists that differ.
     Then 1500 generated histories of leases have one owner at a time
 
+  Scenario: A late echo extends the lease from its own heartbeat
+    Guards against a lease that lasts longer than the members wait, since an echo
+    came after a later heartbeat and counted as the echo of that one.
+    When the echoes of a heartbeat come 2 s later, after the next heartbeat
+    Then the lease ends 3 s after the first of the two
+
   Scenario: A changed home makes the new owner a recent one
     Guards against a key that runs again in the account's new home domain.
     Then the owner in the new home refuses the account's keys for 600 s
--- a/features/results.feature
+++ b/features/results.feature
@@ -14,6 +14,16 @@
       | attempt    | mismatch  |
       | digest     | mismatch  |
 
+  Scenario Outline: A token with another <field> is rejected
+    Guards against a token of another generation in a stream.
+    When a token with another <field> arrives in a stream
+    Then the result is rejected as mismatch
+
+    Examples:
+      | field      |
+      | request_id |
+      | attempt    |
+
   Scenario Outline: The stream of tokens <tokens> ends as <end>
     Guards against tokens that are lost, duplicated or delivered out of order.
     When a stream delivers the tokens "<tokens>" and its end marker
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -1,6 +1,6 @@
 """Steps on the ownership of caller-chosen keys, without a network."""
 
-from behave import then
+from behave import then, when
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -233,6 +233,32 @@
     assert sum(ran) > count
 
 
+@when(
+    "the echoes of a heartbeat come {seconds:g} s later, after the next "
+    "heartbeat"
+)
+def when_late_echoes(context, seconds):
+    model = context.model = make_model()
+    context.sent_at = model.real_s
+    model.send_heartbeat("a")
+    late = list(model.echoes)
+    assert len(late) == len(NAMES) - 1
+    model.real_s += seconds
+    model.send_heartbeat("a")
+    # Those of the next heartbeat are lost.
+    model.echoes = late
+    model.deliver()
+
+
+@then("the lease ends {seconds:g} s after the first of the two")
+def then_lease_ends(context, seconds):
+    model, held = context.model, []
+    for after_s in (seconds - 0.1, seconds + 0.1):
+        model.real_s = context.sent_at + after_s
+        held.append(model.ownerships["a"].holds_lease(model.clock("a")))
+    assert held == [True, False], held
+
+
 @then("the owner in the new home refuses the account's keys for 600 s")
 def then_home(context):
     ownership = Ownership("a", 1, "koper", 0.0)
--- a/features/steps/results_steps.py
+++ b/features/steps/results_steps.py
@@ -31,6 +31,26 @@
     context.kind = find_failure_kind(lambda: check_result(CALL, document))
 
 
+@when("a token with another {field} arrives in a stream")
+def when_token(context, field):
+    event = make_event(0, None)
+    stream = TokenStream()
+    assert stream.accept(CALL, event) == ["0"]
+    event = make_event(1, None) | {field: 7 if field == "attempt" else "other"}
+    context.kind = find_failure_kind(lambda: stream.accept(CALL, event))
+    assert stream.texts == ["0"], stream.texts
+
+
+def make_event(number, reason):
+    """Returns the event of a token, whose text is its number."""
+    return {
+        "request_id": CALL.request_id,
+        "attempt": CALL.attempt,
+        "index": number,
+        "choices": [{"text": str(number), "finish_reason": reason}],
+    }
+
+
 @then("the result is rejected as {kind}")
 def then_rejected(context, kind):
     assert context.kind == kind, context.kind
@@ -42,13 +62,7 @@
     for token in tokens.split():
         number = token.rstrip("!")
         reason = "stop" if token != number else None
-        event = {
-            "request_id": CALL.request_id,
-            "attempt": CALL.attempt,
-            "index": int(number),
-            "choices": [{"text": number, "finish_reason": reason}],
-        }
-        context.stream.accept(CALL, event)
+        context.stream.accept(CALL, make_event(int(number), reason))
     context.kind = find_failure_kind(context.stream.end)
 
 
