--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1,5 +1,6 @@
 """The guards that `tools/run_guards.py` removes, one at a time."""
 
+from answer_guards import ANSWER_GUARDS
 from engine_guards import ENGINE_GUARDS
 from evacuation_guards import EVACUATION_GUARDS
 from guard import Guard
@@ -211,4 +212,5 @@
     *QUEUEING_GUARDS,
     *EVACUATION_GUARDS,
     *ENGINE_GUARDS,
+    *ANSWER_GUARDS,
 )
