Record notices only from answers that belong to their request

What callers saw: refusals for lack of an upstream, although it took requests. Cause: what an answer says of its upstream was recorded before the check of its id. A late second answer to an earlier request asked again for a pause that had ended, and its rate limit counted as newer than one that the upstream had named since. Change: the id is checked first. Result: features/second_answers.feature; before, the last caller of the new scenario got 503.

--- a/features/second_answers.feature
+++ b/features/second_answers.feature
@@ -38,3 +38,11 @@
       | the answer again       |
       | bytes that are no HTTP |
       | a part of an answer    |
+
+  Scenario: A second answer asks for a pause again
+    Guards against a pause that is recorded as new from the second answer to an
+    earlier request: the upstream gets nothing although it takes requests.
+    Given an upstream of unsafe requests alone, which answers 503 twice, 200
+    And its refusals ask for a pause of 0.6 s
+    When callers send unsafe requests after 0, 0.8 and 0.1 s
+    Then the last caller gets the answer to its request
--- a/features/steps/second_answer_steps.py
+++ b/features/steps/second_answer_steps.py
@@ -42,8 +42,33 @@
     context.upstream.make_step = make_step
 
 
+@given("its refusals ask for a pause of {seconds:g} s")
+def given_pause(context, seconds):
+    make_first = context.upstream.make_step
+
+    def make_step(sending, number):
+        step = make_first(sending, number)
+        if step.status == 503:
+            step.headers = [b"Retry-After: %g" % seconds]
+        return step
+
+    context.upstream.make_step = make_step
+
+
 @when("{count:d} callers send unsafe requests one after the other")
 def when_in_turn(context, count):
+    send_in_turn(context, [0.0] * count)
+
+
+@when(
+    "callers send unsafe requests after {first:g}, {second:g} and {third:g} s"
+)
+def when_after(context, first, second, third):
+    send_in_turn(context, [first, second, third])
+
+
+def send_in_turn(context, waits):
+    """Sends requests, each some time after the answer to the one before."""
     context.replies = {}
 
     async def run():
@@ -53,7 +78,8 @@
         async with anyio.create_task_group() as tasks:
             await world.start("one", tasks)
             await anyio.sleep(1.0)
-            for n in range(count):
+            for n, wait_s in enumerate(waits):
+                await anyio.sleep(wait_s)
                 context.replies[f"r{n}"] = await world.request(
                     "one", "/unsafe/x", request=f"r{n}"
                 )
@@ -109,3 +135,11 @@
         for request, reply in context.replies.items()
     }
     assert replies == answers, (replies, answers)
+
+
+@then("the last caller gets the answer to its request")
+def then_last_answer(context):
+    request, reply = list(context.replies.items())[-1]
+    bodies = [s.body for s in context.upstream.sendings if s.request == request]
+    seen = (reply.status, reply.body, bodies)
+    assert reply.status == 200 and bodies == [reply.body], seen
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -470,14 +470,6 @@
         """
         raw_headers = resp.headers.raw
         reply = self._protocol.decode_reply(resp.status_code, raw_headers)
-        self._notices.record(
-            upstream,
-            reply.self_report,
-            request=request_id,
-            target=target.decode("latin-1"),
-            status=resp.status_code,
-            sent_at=sent_at,
-        )
         if reply.request_id != request_id:
             # An upstream may send a late second answer to an earlier request on
             # this connection. If that request had no id, neither has its
@@ -490,6 +482,14 @@
                 f'"{request_id}", after {connection.requests} requests on '
                 f"connection {connection.number}",
             )
+        self._notices.record(
+            upstream,
+            reply.self_report,
+            request=request_id,
+            target=target.decode("latin-1"),
+            status=resp.status_code,
+            sent_at=sent_at,
+        )
         return Answer(
             resp,
             raw_headers,
