Follow the marks of releases in the guards for second answers

Cause: since releases have marks too. The check that a piece comes once on a connection reads otherwise, and a release no longer meets the connection of its own call. Change: the snippet of the one guard, the scenario of the other.

--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -134,7 +134,7 @@
         "relay/upstream_connections.py",
         "if connection.purpose == purpose and not connection.has_carried(",
         "if not connection.has_carried(",
-        (SECOND_STAGES, "where that to a refused release is due -- @1.1"),
+        (SECOND_STAGES, "The answer to a release comes again .* -- @1.1"),
     ),
     Guard(
         "second answers: a connection that remembers all is not kept",
@@ -188,7 +188,7 @@
     Guard(
         "second answers: a piece comes once on a connection",
         "relay/client.py",
-        "(request_id,) if request_id else piece_ids,",
+        "(request_id,) if request_id else marks,",
         "(request_id,) if request_id else (),",
         (SECOND_STAGES, "comes again where that to its repetition is due"),
     ),
