Show that a refused release counts as done by an earlier answer

Cause: replaced the step "no call finds its memory full" for second answers to releases by one on results that are released later. That is another check: answers to releases are alike, their connection is kept, and the 200 of an earlier release still counts for a refused one until the releases are repeated.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -154,6 +154,21 @@
       | whose calls take 0.2 s           | 503    |
       | whose calls take 0.2 s           | 429    |
 
+  Scenario Outline: A refused release does not count as done by an earlier answer
+    Guards against results that are ordered for an upstream whose memory is still
+    full: the answer to an earlier release was taken for that to a refused one.
+    Given a stage upstream over HTTP that holds one result at a time
+    And its releases 2 to 6 are refused with <status>
+    And 3 times it sends the answer to an earlier release where that to a release is due
+    When 8 callers send staged requests with 1,0 pieces over 2 s
+    Then no call finds its memory full
+    And every caller gets an answer
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+
   Scenario Outline: A release is refused without a time to wait
     Guards against a refusal that counts as done, since it asks for no pause.
     Given a stage upstream over HTTP that holds one result at a time
