Show that releases are repeated for results that have expired

Not fixed; the scenario fails: releases are refused and repeated for as long as the upstream refuses them, each pause anew.

--- a/features/second_answers_stages.feature
+++ b/features/second_answers_stages.feature
@@ -149,6 +149,15 @@
       | 503    |
       | 429    |
 
+  Scenario: An upstream refuses all releases for longer than it holds results
+    Guards against releases of results that have expired, each of which starts
+    another pause.
+    Given a stage upstream over HTTP whose calls take 0.2 s
+    And its releases 0 to 999 are refused with 503
+    When 4 callers send staged requests with 1,0 pieces over 2 s
+    Then no release names a result that has expired
+    And every caller gets an answer
+
   Scenario: Calls often find the memory full
     Guards against results that are released again and again, in requests that
     grow with each call that finds the memory full.
