--- a/features/steps/second_answer_steps.py
+++ b/features/steps/second_answer_steps.py
@@ -146,3 +146,8 @@
     bodies = [s.body for s in context.upstream.sendings if s.request == request]
     seen = (reply.status, reply.body, bodies)
     assert reply.status == 200 and bodies == [reply.body], seen
+
+
+@then("{count:d} connections to the upstream were opened")
+def then_opened(context, count):
+    assert len(context.upstream.connections) == count
