--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -419,7 +419,7 @@
             writer.write(make_answer(409, [*echo, NOT_RUN]))
             return True
         self.world.note_run(request, self, req, made)
-        headers = [*echo, self.sign(request)]
+        headers = [*echo, self.sign(request), *self.said]
         lines = ["HTTP/1.1 200 x", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines += ["Transfer-Encoding: chunked", "", ""]
@@ -768,6 +768,8 @@
         self.relays: list[Relay] = []
         self.workers: list[Worker] = []
         self.runs: dict[str, list[str]] = {}
+        # Last worker that ran each request, and when.
+        self.run_times: dict[str, tuple[str, float]] = {}
         self.inputs: dict[str, list[dict]] = {}
         self.pieces: list[tuple[dict, list]] = []
         self._tasks: list[asyncio.Task] = []
@@ -799,6 +801,7 @@
     ) -> None:
         """Records that a worker began to work on a request."""
         self.runs.setdefault(request, []).append(worker.name)
+        self.run_times[request] = (worker.name, self.record.now())
         self.inputs[request] = list(inputs)
         self.record.add(
             f"worker {worker.name} runs {request} {req.method} {req.target}"
