--- a/review/6/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" || exit 2
-exec python3 case.py
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,8 @@
-"""A stage worker crashes between a result and its use; see claim.txt."""
+"""A relay gets SIGTERM while requests wait at a worker; see claim.txt."""
 
 import asyncio
-import itertools
 import pathlib
+import signal
 import sys
 
 CASE = pathlib.Path(__file__).resolve().parent
@@ -10,138 +10,152 @@
 
 import world as w  # noqa: E402
 
-ROUNDS = 1
-# From the first request of a round: the crash of the worker of stage 0, how
-# long it is down, and the second request.
-CRASH_AFTER_S = 0.6
-DOWN_S = 2.0
-SECOND_AFTER_S = 2.9
-ROUND_S = 12.0
-
-
-class NumberingWorker(w.StageWorker):
-    """A worker that numbers its results, from 1 after each start."""
+GRACE_S = 8.0
+# The route's deadline, and its latency objective. The client leaves after four
+# times the objective without an event.
+TIMEOUT_MS = 15000
+AIM_MS = 1500
+LEAVES_S = 6.0
+# Each stream takes 57 events, and the worker runs four at a time.
+EVENTS = 57
+STREAM_S = 2.9
+SLOTS = 4
+# When requests are sent, from SIGTERM, on channels opened before it.
+OPENED_AT_S = -0.5
+SENT_AT_S = (2.1,) * 4 + (2.15,) * 4 + (2.25,) * 4
+LENGTH_S = 12.0
+
+
+class QueueingEngine(w.EngineWorker):
+    """An engine that runs a few requests and queues the others in order."""
 
     def reset_state(self) -> None:
         """See `Worker.reset_state`."""
-        super().reset_state()
-        self._numbers = itertools.count(1)
-
-    def make_handle(self) -> str:
-        """See `StageWorker.make_handle`."""
-        return f"{self.address}/{next(self._numbers):x}"
-
-
-async def send(world: w.World, relay: w.Relay) -> None:
-    """Sends a request with one piece of stage 0 and eight of stage 1."""
-    channel = w.Channel(relay)
-    if not await channel.open():
-        raise w.CannotRunError("a channel was not accepted")
-    request = world.new_id()
-    world.record.add(f"client sends {request} to {relay.name}")
+        self._free = asyncio.Semaphore(SLOTS)
+
+    async def run(
+        self, req: w.Request, echo: w.Headers, writer: asyncio.StreamWriter
+    ) -> bool:
+        """See `Worker.run`."""
+        request = req.headers["request-id"]
+        self.world.record.add(f"worker {self.name} queues {request}")
+        async with self._free:
+            going_on = await super().run(req, echo, writer)
+        self.world.record.add(f"worker {self.name} has finished {request}")
+        return going_on
+
+
+class Sent:
+    """A request, what its client got, and when it was sent."""
+
+    def __init__(self, request: str, at_s: float) -> None:
+        self.request = request
+        self.at_s = at_s
+        self.answer: w.Answer | None = None
+        self.gave_up = False
+
+
+async def send(
+    world: w.World, channel: w.Channel, relay: w.Relay, sent: Sent
+) -> None:
+    """Sends a request, and waits as long as a client does."""
+    world.record.add(f"client sends {sent.request} to {relay.name}")
     headers = w.make_headers(
-        request,
-        15000,
+        sent.request,
+        TIMEOUT_MS,
         Model="m",
-        Token_Count="1460,30",
-        Prompt_Prefix=f"5c1e07a2:800,{request[:8]}:410",
-        Segments="1,8",
-        Segment_Key=request[:12],
+        Token_Count="1460,120",
+        Prompt_Prefix=f"5c1e07a2:800,{sent.request[:8]}:410",
     )
-    answer = await channel.request("POST", "/chat/1", headers, b"hut 7")
-    channel.close()
-    world.record.add(f"client of {request}: {answer.describe()}")
-
-
-def make_configuration() -> dict:
-    """Returns the configuration."""
-    stages = [
-        {"service": "permits", "after": [], "length": 60000},
-        {"service": "notices", "after": [], "length": 6000},
-    ]
-    permits = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 15,
-        "callMs": 150,
-        "itemMs": 8.5,
-        "headroomMb": 31,
-        "handleTtlS": 8,
-        "linkMbps": 1000,
-    }
-    notices = {**permits, "batch": 4, "callMs": 1500, "itemMs": 50}
-    return w.make_document(
-        7,
-        [
-            w.make_route(
-                "chat",
-                "streaming",
-                "pool",
-                15000,
-                targetLatencyMs=2000,
-                stages=stages,
-            )
-        ],
-        [
-            w.make_service(
-                "pool", engine={"slots": 64, "kvCapacityTokens": 635275}
-            ),
-            w.make_service("permits", segments=permits),
-            w.make_service("notices", segments=notices),
-        ],
+    answering = asyncio.ensure_future(
+        channel.request("POST", "/chat/1", headers, b"when does it open")
+    )
+    try:
+        # Without a first event the client leaves; with one it reads on.
+        await asyncio.wait_for(asyncio.shield(answering), LEAVES_S)
+    except TimeoutError:
+        if sent.request not in world.runs:
+            sent.gave_up = True
+            channel.close()
+    sent.answer = await answering
+    world.record.add(
+        f"client of {sent.request}: {sent.answer.describe()}"
+        f"{' (it gave up)' if sent.gave_up else ''}"
     )
 
 
 async def play(world: w.World) -> str:
     """Plays the case; returns how the rule was broken."""
     world.add_relays(("koper-hall", "izola-hall"))
-    common = {"slots": 1, "free_mb": 31.0, "handle_s": 8.0}
-    permits = NumberingWorker(
-        world,
-        "i-permits",
-        "permits",
-        world.address(70),
-        "koper-hall",
-        call_s=0.15,
-        item_s=0.0085,
-        **common,
-    )
-    world.workers += [
-        permits,
-        NumberingWorker(
+    world.workers.append(
+        QueueingEngine(
             world,
-            "i-notices",
-            "notices",
-            world.address(71),
+            "i-llm0",
+            "pool",
+            world.address(60),
             "koper-hall",
-            call_s=1.5,
-            item_s=0.05,
-            **common,
-        ),
-        w.EngineWorker(
-            world, "i-llm0", "pool", world.address(60), "koper-hall"
-        ),
-    ]
-    await world.start(make_configuration())
+            events=EVENTS,
+            gap_s=STREAM_S / EVENTS,
+            slots=SLOTS,
+        )
+    )
+    await world.start(
+        w.make_document(
+            7,
+            [
+                w.make_route(
+                    "chat",
+                    "streaming",
+                    "pool",
+                    TIMEOUT_MS,
+                    targetLatencyMs=AIM_MS,
+                )
+            ],
+            [
+                w.make_service(
+                    "pool", engine={"slots": SLOTS, "kvCapacityTokens": 635275}
+                )
+            ],
+        )
+    )
     relay = world.relays[0]
-    for _ in range(ROUNDS):
-        started_at = world.record.now()
-        world.spawn(send(world, relay))
-        await asyncio.sleep(CRASH_AFTER_S)
-        if world.trouble:
-            world.spawn(permits.crash(DOWN_S))
-        await asyncio.sleep(started_at + SECOND_AFTER_S - world.record.now())
-        world.spawn(send(world, relay))
-        await asyncio.sleep(started_at + ROUND_S - world.record.now())
-    mixed = []
-    for request, inputs in world.inputs.items():
-        foreign = sorted({i["id"] for i in inputs if i["id"] != request})
-        if foreign:
-            mixed.append(request)
-            world.record.add(f"MIXED {request} ran with inputs of {foreign}")
-    if not mixed:
+    relay.restart = False
+    sent_requests, tasks = [], []
+    term_at = world.record.now() + 3.0
+    await asyncio.sleep(term_at + OPENED_AT_S - world.record.now())
+    channels = [w.Channel(relay) for _ in SENT_AT_S]
+    for channel in channels:
+        if not await channel.open():
+            raise w.CannotRunError("a channel was not accepted")
+    await asyncio.sleep(term_at - world.record.now())
+    if world.trouble:
+        relay.send(signal.SIGTERM)
+    for channel, at_s in zip(channels, SENT_AT_S, strict=True):
+        await asyncio.sleep(max(0.0, term_at + at_s - world.record.now()))
+        sent = Sent(world.new_id(), at_s)
+        sent_requests.append(sent)
+        tasks.append(world.spawn(send(world, channel, relay, sent)))
+    await asyncio.sleep(term_at + LENGTH_S - world.record.now())
+    await asyncio.wait(tasks, timeout=5.0)
+    lost = []
+    for sent in sent_requests:
+        answer = sent.answer
+        if answer is None or answer.complete or sent.gave_up:
+            continue
+        # A worker that was at work on it in the last sixth excuses it.
+        if sent.request not in world.runs:
+            lost.append(sent)
+    for sent in lost:
+        world.record.add(
+            f"LOST {sent.request}, sent {sent.at_s:+.1f} s from the SIGTERM: "
+            "no answer, and no worker had begun to work on it"
+        )
+    if not lost:
         return ""
-    return f"MIXED: {len(mixed)} requests ran with inputs of another request"
+    return (
+        f"LOST: {len(lost)} requests were read and passed on, and their "
+        "channels ended without an answer; no worker was at work on them"
+    )
 
 
 if __name__ == "__main__":
--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -886,20 +886,23 @@
 
 
 def run_case(
-    case: pathlib.Path, play: Callable[[World], Awaitable[str]]
+    case: pathlib.Path,
+    play: Callable[[World], Awaitable[str]],
+    make_world: Callable[[pathlib.Path], World] = World,
 ) -> int:
     """Plays a case.
 
     Args:
         case: Folder of the case.
         play: Plays it, and returns how the rule was broken, or "".
+        make_world: Makes the world of the run.
 
     Returns:
         1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
 
     async def run() -> str:
-        world = World(case)
+        world = make_world(case)
         try:
             broken = await play(world)
             world.record.add(f"result: {broken or 'the rule held'}")
