--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A relay gets SIGTERM while requests wait at a worker; see claim.txt."""
 
 import asyncio
+import math
 import pathlib
 import signal
 import sys
@@ -24,6 +25,8 @@
 OPENED_AT_S = -0.5
 SENT_AT_S = (2.1,) * 4 + (2.15,) * 4 + (2.25,) * 4
 LENGTH_S = 12.0
+# Least time that a worker was at work on a request when its channel ended.
+BEGUN_S = 0.1
 
 
 class QueueingEngine(w.EngineWorker):
@@ -53,6 +56,7 @@
         self.at_s = at_s
         self.answer: w.Answer | None = None
         self.gave_up = False
+        self.ended_at = 0.0
 
 
 async def send(
@@ -78,6 +82,7 @@
             sent.gave_up = True
             channel.close()
     sent.answer = await answering
+    sent.ended_at = world.record.now()
     world.record.add(
         f"client of {sent.request}: {sent.answer.describe()}"
         f"{' (it gave up)' if sent.gave_up else ''}"
@@ -142,8 +147,10 @@
         answer = sent.answer
         if answer is None or answer.complete or sent.gave_up:
             continue
-        # A worker that was at work on it in the last sixth excuses it.
-        if sent.request not in world.runs:
+        # A worker that was at work on it in the last sixth excuses it. One that
+        # turned to it when the process ended, before it saw the close, was not.
+        _, ran_at = world.run_times.get(sent.request, ("", math.inf))
+        if ran_at > sent.ended_at - BEGUN_S:
             lost.append(sent)
     for sent in lost:
         world.record.add(
