Move the drain of a relay into a module of its own

Cause: the drain was a method of the class that also opens sockets and handles signals, so that no test could run it in virtual time. Change: RelayDrain in relay/drain.py has the code of RelayInstance._drain, unchanged, and takes what it needs as arguments.

--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -22,6 +22,7 @@
     make_transport_factory,
 )
 from applespring.relay.components import RelayComponents
+from applespring.relay.drain import RelayDrain
 from applespring.relay.http_transport import HttpTransport
 from applespring.relay.log import LogWriter
 from applespring.relay.loop_monitor import LoopMonitor
@@ -34,14 +35,6 @@
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
 # Limit of the server; the application checks the limit of the document.
 HEAD_BYTES_MAX = 64 * 1024
-# After SIGTERM new requests arrive until the load balancer has checked
-# twice whether the instance is ready.
-BALANCER_DELAY_S = 2.5
-# The process ends this long before the limit after which it is killed.
-KILL_MARGIN_S = 0.7
-# Time for connections to close after the last request.
-CONNECTION_CLOSE_S = 0.3
-POLL_INTERVAL_S = 0.05
 SETTINGS_RELOAD_INTERVAL_S = 1.0
 # Time after which an idle connection to the registry is closed.
 REGISTRY_IDLE_S = 5.0
@@ -133,7 +126,13 @@
                 await _wait_for_end(signals)
                 # The receiver stays open until the process ends. Without one, a
                 # further signal would end the process at once.
-                await self._drain(stop_serving, server_stopped)
+                drain = RelayDrain(
+                    self.state,
+                    self.peers,
+                    self.scheduler,
+                    self._components.application,
+                )
+                await drain.run(stop_serving.set, server_stopped)
             logger.bind(event="stop", instance=settings.name).info(
                 "instance {} stops", settings.name
             )
@@ -204,37 +203,6 @@
                 )
             await anyio.sleep(SETTINGS_RELOAD_INTERVAL_S)
 
-    async def _drain(
-        self, stop_serving: anyio.Event, server_stopped: anyio.Event
-    ) -> None:
-        """Waits for the requests to end, then stops the servers.
-
-        Ends within `drain_limit_s` of the settings, even with requests left.
-        """
-        started_at = self.state.clock()
-        self.state.leaving = True
-        self.peers.leaving = True
-        await self.peers.announce()
-        await self.scheduler.return_queued_pieces()
-        limit_s = self.state.settings.drain_limit_s - KILL_MARGIN_S
-        while True:
-            took_s = self.state.clock() - started_at
-            self.state.closed = took_s >= BALANCER_DELAY_S
-            idle = not self.state.requests and not self.scheduler.busy
-            if took_s >= limit_s or (took_s >= BALANCER_DELAY_S and idle):
-                break
-            await anyio.sleep(POLL_INTERVAL_S)
-        logger.bind(
-            event="drained",
-            took_s=round(self.state.clock() - started_at, 3),
-            left=self.state.requests,
-        ).info(
-            "drained; {} requests are still in progress", self.state.requests
-        )
-        stop_serving.set()
-        with anyio.move_on_after(CONNECTION_CLOSE_S):
-            await server_stopped.wait()
-
 
 async def _wait_for_end(signals: AsyncIterator[signal.Signals]) -> None:
     """Waits for SIGTERM or SIGINT.
@@ -290,7 +258,7 @@
     cfg.keep_alive_max_requests = REQUESTS_PER_CONNECTION_MAX
     cfg.h11_max_incomplete_size = HEAD_BYTES_MAX
     # Never reached: after a drain the server is told to stop, and the process
-    # exits within CONNECTION_CLOSE_S of that.
+    # exits within `drain.CONNECTION_CLOSE_S` of that.
     cfg.graceful_timeout = 10.0
     return cfg
 
