Compute each wait for a time from one reading of the clock

Cause: a wait was computed as the difference to a second reading of the clock. Where the pause ended between the two readings it was below 0, which is a ValueError, and that ended the process. A silent call that takes over 0.75 s with no retry left met the same error. Change: clock.wait_until is the one wait for a time; lint rejects anyio.sleep of a difference. Result: before the fix "The clock advances" (row 20 us) and "A long call that is silent" of relay_notices.feature fail with that ValueError, now they pass.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PY) tools/check_core_imports.py
+	$(PY) tools/check_waits.py
 	$(PY) tools/run_matrix.py --check
 
 test: lint
--- a/features/relay_notices.feature
+++ b/features/relay_notices.feature
@@ -117,6 +117,34 @@
     When a staged request ends while s0 is paused for 1 s
     Then its results are released by one call after the pause
 
+  Scenario Outline: The clock advances while the rest of a pause is computed
+    Guards against a wait below 0, which ended the process of the instance that
+    schedules the pool (inc-negative-wait).
+    Given 1 instances with 3 engines and 1 services that speak
+    And timers fire 1 % early by a clock that takes <us> us to read
+    When a staged request ends while s0 is paused for 1 s
+    Then its results are released by one call after the pause
+
+    Examples:
+      | us |
+      | 15 |
+      | 20 |
+      | 25 |
+
+  Scenario: A wait for a time ends, whatever the clock shows
+    Guards against a wait below 0, or of no number, that ends a process
+    (inc-negative-wait), and against one that ends too early.
+    Then any of 200 generated waits ends once its clock shows the time
+
+  Scenario: A long call that is silent has no retry left
+    Guards against a wait below 0 if a call already took longer than it may
+    without a retry, which ended the process (inc-negative-wait).
+    Given 1 instances with 3 engines and 1 services that speak
+    And a stage call takes 0.9 s and no call may be repeated
+    When a staged request is sent to a stage upstream that never answers it
+    Then the request is refused as not run before its caller leaves
+    And the instance still answers a staged request
+
   Scenario: A trial is not sent to a paused engine
     Guards against the one trial of a quarantined request that is sent to an
     upstream which takes no requests.
--- a/features/steps/relay_notice_steps.py
+++ b/features/steps/relay_notice_steps.py
@@ -1,12 +1,19 @@
 """Steps about upstreams that say that they leave or need a pause."""
 
 import json
+import math
 
 import anyio
 from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings
+from hypothesis import strategies as st
 
+from applespring.clock import wait_until
 from features.fixtures.crash_world import make_rng
 from features.fixtures.notice_world import NoticeWorld
+from features.fixtures.platform_text import make_configuration
+from features.fixtures.virtual import run_virtual
 from features.steps.relay_crash_steps import run_in_world
 from features.steps.relay_repeat_steps import stage_headers
 
@@ -37,6 +44,28 @@
     context.world.refusal_s = seconds
 
 
+@given(
+    "timers fire {percent:g} % early by a clock that takes {us:d} us to read"
+)
+def given_early_timers(context, percent, us):
+    context.world.clock_lag = percent / 100
+    context.world.clock_reading_s = us / 1e6
+
+
+@given("a stage call takes {seconds:g} s and no call may be repeated")
+def given_long_calls(context, seconds):
+    world = context.world
+    world.settings = {"retry_ratio": 0.0, "retry_extra": 0.0}
+    (stage,) = (
+        service
+        for service in json.loads(make_configuration())["services"]
+        if "segments" in service
+    )
+    stage["segments"]["callMs"] = 1000 * seconds
+    world.stage_service = stage
+    world.publish()
+
+
 def start_of(world, name):
     return (name, world.starts[name])
 
@@ -229,6 +258,61 @@
     run_in_world(context, scenario)
 
 
+@when("a staged request is sent to a stage upstream that never answers it")
+def when_silent_call(context):
+    async def scenario(world):
+        world.upstreams["s0"].stage_delays = [60.0]
+        async with anyio.create_task_group() as callers:
+            await send(context, callers, "silent", "staged", "i0")
+        async with anyio.create_task_group() as callers:
+            await send(context, callers, "next", "staged", "i0")
+
+    run_in_world(context, scenario)
+
+
+@then("the request is refused as not run before its caller leaves")
+def then_refused_in_time(context):
+    reply = context.world.replies["silent"]
+    assert reply.status == 503, (reply.status, reply.body)
+    assert json.loads(reply.body)["verdict"] == "not_run", reply.body
+
+
+@then("the instance still answers a staged request")
+def then_still_answers(context):
+    reply = context.world.replies["next"]
+    assert (reply.status, reply.ended) == (200, True), reply.body
+
+
+@then("any of {count:d} generated waits ends once its clock shows the time")
+def then_waits_end(context, count):
+    # Part of a second by which timers fire early, time to read the clock, and
+    # time of the wait from its first reading on.
+    @settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @given_values(
+        st.floats(0.0, 0.5),
+        st.floats(0.0, 0.1),
+        st.one_of(st.floats(-10.0, 10.0), st.sampled_from([math.nan, -1e308])),
+    )
+    def check(early, reading_s, wait_s):
+        shown = 0.0
+
+        def clock():
+            nonlocal shown
+            shown = max(shown + reading_s, (1.0 - early) * anyio.current_time())
+            return shown
+
+        async def wait():
+            at = clock() + wait_s
+            await wait_until(at, clock)
+            assert not shown < at, (shown, at)
+
+        run_virtual(wait)
+
+    check()
+
+
 @then("its results are released by one call after the pause")
 def then_released(context):
     told_at = min(notice.at for notice in context.world.notices)
--- a/src/applespring/entry/drain.py
+++ b/src/applespring/entry/drain.py
@@ -6,6 +6,7 @@
 import anyio
 from loguru import logger
 
+from applespring.clock import wait_until
 from applespring.core.drain import Drain, DrainState, WorkKind
 from applespring.core.errors import RefusalError
 from applespring.core.reason import SHUTTING_DOWN
@@ -13,7 +14,6 @@
 
 # Time to write the refusals to callers once the drain limit is reached.
 FINAL_ANSWERS_TIMEOUT_S = 1.0
-GRACE_WAIT_MIN_S = 0.001
 HANDOVER_TIMEOUT_S = 1.0
 RETRY_AFTER_S = 1.0
 
@@ -139,11 +139,7 @@
         """Waits for `start`, then returns when the shutdown is complete."""
         await self._started.wait()
         while self.drain.advance(self._clock()) is DrainState.GRACE:
-            # A timer may fire a clock tick early, and the clock may stand still
-            # while the process is paused. The minimum wait keeps this loop from
-            # using up the event loop in both cases.
-            until = self.drain.grace_ends_at
-            await anyio.sleep(max(GRACE_WAIT_MIN_S, until - self._clock()))
+            await wait_until(self.drain.grace_ends_at, self._clock)
         self._advance()
         self._run_callbacks(self._closing_callbacks)
         remaining_s = max(0.0, self.drain.limit_at - self._clock())
--- a/src/applespring/entry/external/members.py
+++ b/src/applespring/entry/external/members.py
@@ -9,6 +9,7 @@
 import httpx
 from loguru import logger
 
+from applespring.clock import wait_until
 from applespring.core.errors import ApplespringError
 from applespring.core.fleet import Fleet, Upstream
 from applespring.core.instances import InstanceList, ListOutcome
@@ -364,8 +365,7 @@
                 tasks.start_soon(self._probe_one, self._upstreams[name])
         self._probed_pauses = pauses
         self._notify_evidence()
-        elapsed_s = self._clock() - started_at
-        await anyio.sleep(max(0.0, PROBE_INTERVAL_S - elapsed_s))
+        await wait_until(started_at + PROBE_INTERVAL_S, self._clock)
 
     def _choose_probes(self, now: float) -> list[str]:
         """Returns the upstreams to probe in this round.
--- a/src/applespring/permits/broker.py
+++ b/src/applespring/permits/broker.py
@@ -14,6 +14,7 @@
 import anyio
 from loguru import logger
 
+from applespring.clock import wait_until
 from applespring.core.cold_upstreams import (
     COLD_MAX_S,
     ColdBound,
@@ -199,7 +200,7 @@
         self,
         upstreams: Sequence[Upstream],
         select: Callable[[Sequence[Upstream]], Upstream | None],
-        wait_until: float,
+        latest_at: float,
     ) -> tuple[Upstream | None, Permit | None]:
         """Selects an upstream that may get a request, and waits for its permit.
 
@@ -209,7 +210,7 @@
         Args:
             upstreams: Upstreams that accept new work.
             select: Selects one of a list of upstreams.
-            wait_until: Latest time at which the request is of use there.
+            latest_at: Latest time at which the request is of use there.
 
         Returns:
             The upstream and its permit. The permit is None without a limit, and
@@ -233,13 +234,13 @@
         if unlimited:
             return select(unlimited), None
         first = min(upstreams, key=self.opens_at, default=None)
-        wait_s = wait_until - clock()
-        if first is None or self.opens_at(first) > wait_until or wait_s <= 0.0:
+        wait_s = latest_at - clock()
+        if first is None or self.opens_at(first) > latest_at or wait_s <= 0.0:
             return None, None
         permit = await self.acquire(first, wait_s)
         if permit is None:
             return None, None
-        await anyio.sleep(max(0.0, permit.starts_at - clock()))
+        await wait_until(permit.starts_at, clock)
         return first, permit
 
     async def acquire(
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -5,6 +5,7 @@
 import anyio
 from loguru import logger
 
+from applespring.clock import wait_until
 from applespring.core import reason
 from applespring.core.errors import MessageError, RefusalError
 from applespring.core.placement import split_point
@@ -269,9 +270,9 @@
 
             async def watch_time() -> None:
                 nonlocal timed_out
-                await anyio.sleep(max(0.0, exchange.refuse_at - clock()))
+                await wait_until(exchange.refuse_at, clock)
                 if exchange.started:
-                    await anyio.sleep(max(0.0, exchange.deadline_at - clock()))
+                    await wait_until(exchange.deadline_at, clock)
                 timed_out = True
                 tasks.cancel_scope.cancel()
 
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from applespring.clock import wait_until
 from applespring.core.batch import BatchQueue
 from applespring.core.catalog import ListedUpstream
 from applespring.core.crash_culprits import REQUEST_POSITION, piece_candidate
@@ -409,10 +410,8 @@
             self._held_releases[identity] = list(handles)
             expire_at = clock() + queue.spec.result_ttl_s
             # The pause may be extended meanwhile.
-            while clock() < min(pauses.until(identity), expire_at):
-                await anyio.sleep(
-                    min(pauses.until(identity), expire_at) - clock()
-                )
+            while clock() < (end := min(pauses.until(identity), expire_at)):
+                await wait_until(end, clock)
             is_limited = self._permits.is_limited(upstream)
             if is_limited:
                 permit = await self._await_permit(upstream, expire_at)
@@ -438,7 +437,7 @@
         while clock() < until:
             permit = await self._permits.acquire(upstream, until - clock())
             if permit is not None:
-                await anyio.sleep(max(0.0, permit.starts_at - clock()))
+                await wait_until(permit.starts_at, clock)
                 return permit
             await anyio.sleep(POLL_INTERVAL_S)
         return None
@@ -719,14 +718,16 @@
 
         If the retry budget does not allow another one, its pieces would fail,
         and their requests be refused. The call then gets more time, in case its
-        upstream is sound and only silent.
+        upstream is sound and only silent, unless it has had that already.
         """
+        clock = self._state.clock
+        started_at = clock()
         with limit.wait_scope:
             await anyio.sleep(timeout_s)
             window = self._state.attempt_window(pool)
-            limit.may_retry = window.try_acquire(self._state.clock(), 1)
+            limit.may_retry = window.try_acquire(clock(), 1)
             if not limit.may_retry:
-                await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)
+                await wait_until(started_at + expected_s + SILENCE_MAX_S, clock)
             limit.call_scope.cancel()
 
     def _check_answer(
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -372,11 +372,11 @@
             )
 
         # A stream that has begun is late only when its caller leaves.
-        wait_until = exchange.target_at
+        latest_at = exchange.target_at
         if exchange.started:
-            wait_until = self._state.clock() + exchange.event_wait_s
-        wait_until = min(wait_until, exchange.deadline_at) - estimate.run_s
-        return await self._permits.choose(engines, select, wait_until)
+            latest_at = self._state.clock() + exchange.event_wait_s
+        latest_at = min(latest_at, exchange.deadline_at) - estimate.run_s
+        return await self._permits.choose(engines, select, latest_at)
 
     def _silence_limit_s(
         self, exchange: Exchange, attempt: Attempt, unread_tokens: int
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -1084,4 +1084,18 @@
         ("foreign_documents", "Whatever value"),
         ("foreign_documents", "is named with its place"),
     ),
+    Guard(
+        "relay: a wait is computed from the reading that shows its need",
+        "clock.py",
+        "await anyio.sleep(max(TIMER_RESOLUTION_S, remaining_s))",
+        "await anyio.sleep(at - clock())",
+        (NOTICES, "The clock advances"),
+    ),
+    Guard(
+        "relay: a silent call has had its time already",
+        "relay/stage_scheduler.py",
+        "await wait_until(started_at + expected_s + SILENCE_MAX_S, clock)",
+        "await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)",
+        (NOTICES, "A long call that is silent"),
+    ),
 )
