Estimate the wait of a stage pool that opens while its upstreams are paused

Cause: the wait divides by the throughput at the time at which the first upstream opens by its own word. One that failed may be paused for longer, so that it is 0. Change: the wait counts from when the first upstream may be called, for whatever reason. Waits are bounded where they are reported, since a Retry-After is computed from them. Result: "The estimates of a queue are numbers" of relay_batch.feature fails before with the ZeroDivisionError, and passes now.

--- a/features/relay_batch.feature
+++ b/features/relay_batch.feature
@@ -189,3 +189,16 @@
     And the first call ends at 0.3
     And the upstream in koper reports 5 MB of free memory at 0.3
     Then the call to one upstream holds pieces of a
+
+  Scenario: The estimates of a queue are numbers, whatever its upstreams allow
+    Guards against a division by a throughput of 0, which ended the process that
+    schedules the pool: the first upstream that a rate limit opens may be paused
+    for longer, since its calls failed (inc-negative-wait).
+    Then any of 300 generated queues has estimates from 0 to infinity
+
+  Scenario: The wait of a pool whose upstream failed and has a rate limit
+    Guards against requests that are admitted, or told to come back, as if the
+    upstream could be called as soon as its limit allows (inc-negative-wait).
+    Given a stage pool of 1 upstreams in koper with 4 pieces a call, 150 ms a call, 32 ms a piece, 28 MB of results
+    When its upstream has a limit of 2 calls a second that opens at 1.0, and is paused until 3.0
+    Then a new piece is expected to wait for 3.0 s at 0.0
--- a/features/steps/relay_batch_steps.py
+++ b/features/steps/relay_batch_steps.py
@@ -1,10 +1,15 @@
 """Steps about the batch queue of a stage pool."""
 
+import math
 import re
 
 from behave import given, then, use_step_matcher, when
+from hypothesis import given as generated
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from applespring.core.batch import BatchQueue
+from applespring.core.homes import DomainRegions
 from applespring.core.piece import Piece
 from applespring.core.route import BatchSpec
 from features.fixtures.relay import make_upstream
@@ -316,3 +321,80 @@
 def then_overdue(context, at):
     assert [p.request for p in context.queue.take_overdue(at)] == ["a"]
     assert len(context.queue) == 0
+
+
+# Domain, when an upstream opens and until when it is paused, its calls a second
+# and its slowdown.
+UPSTREAM_STATES = st.tuples(
+    st.sampled_from(["koper", "izola", "piran"]),
+    st.one_of(st.just(-math.inf), st.floats(-5.0, 5.0)),
+    st.one_of(st.just(-math.inf), st.floats(-5.0, 5.0)),
+    st.one_of(st.just(math.inf), st.floats(1e-9, 100.0)),
+    st.floats(0.0, 100.0),
+)
+
+
+@then("any of {count:d} generated queues has estimates from 0 to infinity")
+def then_estimates(context, count):
+    @settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @generated(
+        st.lists(UPSTREAM_STATES, max_size=4),
+        st.integers(0, 8),
+        st.sampled_from([0.0, 0.15]),
+        st.sampled_from([0.0, 0.03]),
+    )
+    def check(states, pieces, call_s, piece_s):
+        queue = BatchQueue(
+            BatchSpec(1, 4, call_s, piece_s, 28e6, 4.0),
+            DomainRegions({"koper": "north", "izola": "north", "piran": "x"}),
+        )
+        upstreams = [
+            make_upstream(f"u{n}", "stage", state[0])
+            for n, state in enumerate(states)
+        ]
+        named = dict(zip((u.name for u in upstreams), states, strict=True))
+        queue.set_upstreams(
+            upstreams,
+            {name: state[1] for name, state in named.items()},
+            {name: state[3] for name, state in named.items()},
+        )
+        for name, state in named.items():
+            queue._upstreams[name].pause.until = state[2]
+            queue._upstreams[name].slowdown = state[4]
+        context.queue = queue
+        offer(context, "r", pieces, 8e3, 0.0)
+        for now in (0.0, 0.05, 1.5, 4.0):
+            regions = frozenset(["north"])
+            estimates = [
+                queue.wait_s(now),
+                queue.wait_s(now, on_time=True),
+                queue.wait_s(now, regions=regions),
+                queue.opens_in_s(now),
+                queue.capacity_pieces_per_s(now),
+            ]
+            assert all(e >= 0.0 for e in estimates), estimates
+            queue.admits(1.0, now)
+            queue.take_overdue(now)
+            queue.next_calls(now)
+            assert not math.isnan(queue.next_wake_at(now))
+
+    check()
+
+
+@when(
+    "its upstream has a limit of {rate:g} calls a second that opens at "
+    "{opens:g}, and is paused until {until:g}"
+)
+def when_limited_and_paused(context, rate, opens, until):
+    (upstream,) = context.upstreams.values()
+    name = upstream.name
+    context.queue.set_upstreams([upstream], {name: opens}, {name: rate})
+    context.queue._upstreams[name].pause.until = until
+
+
+@then("a new piece is expected to wait for {seconds:g} s at {at:g}")
+def then_waits(context, seconds, at):
+    found = context.queue.wait_s(at)
+    assert abs(found - seconds) < 1e-9, found
--- a/src/applespring/core/batch.py
+++ b/src/applespring/core/batch.py
@@ -671,6 +671,15 @@
         ends = [u.closed_until for u in self._upstreams_in(regions)]
         return max(0.0, min(ends, default=now) - now)
 
+    def _callable_in_s(self, now: float, regions: Regions = None) -> float:
+        """Returns the time until the first upstream may be called.
+
+        One that failed may be paused for longer than it asked for, so this may
+        be later than `opens_in_s`.
+        """
+        times = [u.callable_at for u in self._upstreams_in(regions)]
+        return max(0.0, min(times, default=now) - now)
+
     def wait_s(
         self, now: float, *, on_time: bool = False, regions: Regions = None
     ) -> float:
@@ -688,10 +697,12 @@
         """
         if regions is not None:
             return self._wait_in_regions_s(now, regions)
-        opens_in_s = self.opens_in_s(now)
-        if opens_in_s > 0.0:
-            capacity = self._nominal_pieces_per_s(now + opens_in_s)
-            return opens_in_s + len(self._pieces) / capacity
+        if self.opens_in_s(now) > 0.0:
+            callable_in_s = self._callable_in_s(now)
+            capacity = self._nominal_pieces_per_s(now + callable_in_s)
+            if capacity <= 0.0:
+                return math.inf
+            return callable_in_s + len(self._pieces) / capacity
         capacity = self.capacity_pieces_per_s(now)
         if capacity <= 0.0:
             return math.inf
@@ -722,22 +733,23 @@
         and this share of the pieces that any upstream may execute.
         """
         upstreams = self._upstreams_in(regions)
-        opens_in_s = self.opens_in_s(now, regions)
-        at = now + opens_in_s
+        is_open = self.opens_in_s(now, regions) <= 0.0
+        starts_in_s = 0.0 if is_open else self._callable_in_s(now, regions)
+        at = now + starts_in_s
         nominal = self._nominal_pieces_per_s(at, upstreams)
         if nominal <= 0.0:
             return math.inf
         share = nominal / self._nominal_pieces_per_s(at)
         capacity = nominal
-        if opens_in_s <= 0.0:
+        if is_open:
             capacity = share * self.capacity_pieces_per_s(now)
-            opens_in_s = self._residual_s(now, upstreams)
+            starts_in_s = self._residual_s(now, upstreams)
         pieces_ahead = sum(
             share if p.regions is None else 1.0
             for p in self._pieces
             if _may_meet(p.regions, regions)
         )
-        return opens_in_s + pieces_ahead / capacity
+        return starts_in_s + pieces_ahead / capacity
 
     def _residual_s(
         self, now: float, upstreams: Iterable[StageUpstream] | None = None
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -60,6 +60,9 @@
 # Time allowed at a shutdown for returning pieces, two attempts at a submitter
 # that does not answer.
 RETURN_TIMEOUT_S = 0.8
+# Bound of reported queue waits, which are infinite while no upstream can be
+# called. A Retry-After is computed from them.
+REPORTED_WAIT_MAX_S = 60.0
 REPORT_TIMEOUT_S = 0.5
 # How long the first calls of a pool wait for the reports of its upstreams. A
 # report takes milliseconds, unless its upstream is silent.
@@ -188,14 +191,14 @@
 
         Returns:
             By pool, the seconds that a piece waits if it can be on time, those
-            that a late one waits, and those until the first pause ends if all
-            upstreams are paused.
+            that a late one waits, both at most `REPORTED_WAIT_MAX_S`, and those
+            until the first pause ends if all upstreams are paused.
         """
         now = self._state.clock()
         return {
             pool: (
-                queue.wait_s(now, on_time=True),
-                queue.wait_s(now),
+                min(REPORTED_WAIT_MAX_S, queue.wait_s(now, on_time=True)),
+                min(REPORTED_WAIT_MAX_S, queue.wait_s(now)),
                 queue.opens_in_s(now),
             )
             for pool, queue in self._queues.items()
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -50,9 +50,6 @@
 # the mean, and all within the maximum.
 READ_SPREAD_S = 0.005
 READ_SPREAD_MAX_S = 1.0
-# Longest queue wait that is reported; that of a pool without upstreams is
-# infinite.
-REPORTED_WAIT_MAX_S = 60.0
 # Loads of plain pools in a heartbeat; engines have the other places.
 PLAIN_LOADS_MAX = 3
 
@@ -431,8 +428,8 @@
         return [
             message.PoolWait(
                 pool=pool,
-                on_time_s=min(on_time_s, REPORTED_WAIT_MAX_S),
-                whole_s=min(total_s, REPORTED_WAIT_MAX_S),
+                on_time_s=on_time_s,
+                whole_s=total_s,
                 opens_in_s=opens_in_s,
             )
             for pool, (
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -1098,4 +1098,11 @@
         "await anyio.sleep(expected_s + SILENCE_MAX_S - timeout_s)",
         (NOTICES, "A long call that is silent"),
     ),
+    Guard(
+        "batch: a wait for upstreams that are paused after failures",
+        "core/batch.py",
+        "callable_in_s = self._callable_in_s(now)",
+        "callable_in_s = self.opens_in_s(now)",
+        (BATCH, "The wait of a pool whose upstream failed"),
+    ),
 )
