Let an error in the work for one upstream end nothing else

Cause: all background work of the scheduler shares the task group of the process. Change: relay/guarded.py runs such work, logs and counts the error as a fault. A stage call that meets one counts as failed and may be made again. Releases that wait for the end of a pause are not forgotten if the wait fails.

--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -9,7 +9,13 @@
 
 import math
 from collections import OrderedDict, deque
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Container,
+    Iterable,
+    Sequence,
+)
 
 import anyio
 from anyio.abc import TaskGroup
@@ -38,6 +44,7 @@
     UpstreamClient,
     enforce_timeout,
 )
+from applespring.relay.guarded import run_guarded
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.protocol import PieceReply, Protocol
@@ -164,6 +171,13 @@
                     self._state.queue_waits.put(pool, *waits, now)
                 await anyio.sleep(POLL_INTERVAL_S)
 
+    def _start(
+        self, work: Callable[..., Awaitable[None]], *args: object
+    ) -> None:
+        """Starts work in the background, for one call, release or delivery."""
+        assert self._tasks is not None
+        self._tasks.start_soon(run_guarded, self._metrics, work, *args)
+
     def apply_evacuations(self, ended: Container[str]) -> None:
         """Applies a change of the evacuated failure domains at once.
 
@@ -178,9 +192,7 @@
                 continue
             for upstream in self._state.usable_upstreams(pool):
                 if upstream.failure_domain in ended:
-                    self._tasks.start_soon(
-                        self._check_free_memory, pool, queue, upstream
-                    )
+                    self._start(self._check_free_memory, pool, queue, upstream)
 
     def queue_lengths(self) -> dict[str, int]:
         """Returns the number of waiting pieces by pool."""
@@ -221,7 +233,13 @@
         with anyio.move_on_after(RETURN_TIMEOUT_S):
             async with anyio.create_task_group() as tasks:
                 for pool, queue in self._queues.items():
-                    tasks.start_soon(self._return_pieces, pool, queue)
+                    tasks.start_soon(
+                        run_guarded,
+                        self._metrics,
+                        self._return_pieces,
+                        pool,
+                        queue,
+                    )
 
     async def _return_pieces(self, pool: str, queue: BatchQueue) -> None:
         pieces = queue.take_all()
@@ -387,7 +405,7 @@
                 None,
             )
             if upstream is not None and self._tasks is not None:
-                self._tasks.start_soon(
+                self._start(
                     self._release_after_pause, pool, upstream, address_handles
                 )
 
@@ -412,13 +430,15 @@
         if (is_paused or is_limited) and queue is not None:
             self._held_releases[identity] = list(handles)
             expire_at = clock() + queue.spec.result_ttl_s
-            # The pause may be extended meanwhile.
-            while clock() < (end := min(pauses.until(identity), expire_at)):
-                await wait_until(end, clock)
-            is_limited = self._permits.is_limited(upstream)
-            if is_limited:
-                permit = await self._await_permit(upstream, expire_at)
-            handles = self._held_releases.pop(identity)
+            try:
+                # The pause may be extended meanwhile.
+                while clock() < (end := min(pauses.until(identity), expire_at)):
+                    await wait_until(end, clock)
+                is_limited = self._permits.is_limited(upstream)
+                if is_limited:
+                    permit = await self._await_permit(upstream, expire_at)
+            finally:
+                handles = self._held_releases.pop(identity)
             if is_limited and permit is None:
                 logger.bind(
                     event="release_dropped", upstream=upstream.name
@@ -521,9 +541,7 @@
         """
         handles = [*self._take_latest_releases(upstream), *handles]
         if answer.reply.self_report.pause_s and self._tasks is not None:
-            self._tasks.start_soon(
-                self._release_after_pause, pool, upstream, handles
-            )
+            self._start(self._release_after_pause, pool, upstream, handles)
             return
         logger.bind(event="release_failed", upstream=upstream.name).debug(
             "release of {} results at upstream {} failed: status {}",
@@ -547,7 +565,12 @@
             async with anyio.create_task_group() as tasks:
                 for upstream in reporting:
                     tasks.start_soon(
-                        self._refresh_free_memory, pool, queue, upstream
+                        run_guarded,
+                        self._metrics,
+                        self._refresh_free_memory,
+                        pool,
+                        queue,
+                        upstream,
                     )
         if report_scope.cancelled_caught:
             logger.bind(event="report_failed", pool=pool).info(
@@ -559,35 +582,29 @@
             )
         assert self._tasks is not None
         for upstream in reporting:
-            self._tasks.start_soon(
-                self._follow_free_memory, pool, queue, upstream
-            )
+            self._start(self._follow_free_memory, pool, queue, upstream)
         while True:
             self._wake_events[pool] = anyio.Event()
             now = self._state.clock()
             self._update_upstreams(pool, queue)
             if len(queue) and self._state.is_pool_evacuated(pool):
-                self._tasks.start_soon(
-                    self._send_failures, queue.take_all(), EVACUATED
-                )
+                self._start(self._send_failures, queue.take_all(), EVACUATED)
             overdue = queue.take_overdue(now)
             if overdue:
                 # Not awaited: a silent submitter would hold up all calls.
-                self._tasks.start_soon(
-                    self._send_failures, overdue, PieceReply.LATE
-                )
+                self._start(self._send_failures, overdue, PieceReply.LATE)
             outside = queue.take_outside_homes()
             if outside:
-                self._tasks.start_soon(self._send_failures, outside, NO_HOME)
+                self._start(self._send_failures, outside, NO_HOME)
             withdrawn = queue.take_quarantined(
                 self._crash_watch.ledger.quarantined_fingerprints
             )
             if withdrawn:
-                self._tasks.start_soon(
+                self._start(
                     self._send_failures, withdrawn, PieceReply.QUARANTINED
                 )
             for call in queue.next_calls(now):
-                self._tasks.start_soon(self._make_call, pool, queue, call)
+                self._start(self._make_call, pool, queue, call)
             delay_s = min(
                 POLL_INTERVAL_S, max(0.0, queue.next_wake_at(now) - now)
             )
@@ -609,9 +626,6 @@
             born_ms=call.upstream.born_ms,
             pieces=piece_ids,
         )
-        path, headers, body = self._protocol.encode_call(
-            call.pieces, call.upstream.name, now
-        )
         evidence = self._describe_pieces(call.pieces)
         replies: list[PieceReply] | None = None
         refused, unreachable = False, False
@@ -619,11 +633,14 @@
         turned_away = False
         broken_off = False
         limit = _CallLimit()
-        self._tasks.start_soon(
+        self._start(
             self._end_silent_call, pool, limit, timeout_s, call.expected_s
         )
         try:
             with limit.call_scope:
+                path, headers, body = self._protocol.encode_call(
+                    call.pieces, call.upstream.name, now
+                )
                 async with self._client.call(
                     call.upstream,
                     "POST",
@@ -649,6 +666,14 @@
             broken_off = is_broken_off(exc)
         except MessageError as exc:
             failure, detail = type(exc).__name__, str(exc)
+        except Exception as exc:  # noqa: BLE001
+            # A bug in this program ends this call only.
+            failure, detail = type(exc).__name__, str(exc)
+            self._metrics.state_changes.inc("fault")
+            log.bind(event="fault").exception(
+                "stage call to upstream {} failed with an unexpected error",
+                call.upstream.name,
+            )
         finally:
             limit.wait_scope.cancel()
         took_s = self._state.clock() - now
@@ -829,12 +854,10 @@
         if any(r.failure == PieceReply.NO_MEMORY for r in replies):
             handles = self._take_latest_releases(call.upstream)
             if handles:
-                self._tasks.start_soon(
+                self._start(
                     self._release_after_pause, pool, call.upstream, handles
                 )
-            self._tasks.start_soon(
-                self._refresh_free_memory, pool, queue, call.upstream
-            )
+            self._start(self._refresh_free_memory, pool, queue, call.upstream)
         results: list[tuple[Piece, message.PieceResult]] = []
         for piece, reply in zip(call.pieces, replies, strict=True):
             if reply.handle in unneeded_set:
@@ -858,7 +881,9 @@
             self.release(pool, unneeded)
         async with anyio.create_task_group() as tasks:
             for delivery in _group_by_submission(results):
-                tasks.start_soon(self._deliver, pool, delivery)
+                tasks.start_soon(
+                    run_guarded, self._metrics, self._deliver, pool, delivery
+                )
 
     async def _follow_free_memory(
         self, pool: str, queue: BatchQueue, upstream: ListedUpstream
@@ -933,7 +958,9 @@
         ]
         async with anyio.create_task_group() as tasks:
             for delivery in _group_by_submission(results):
-                tasks.start_soon(self._deliver, "", delivery)
+                tasks.start_soon(
+                    run_guarded, self._metrics, self._deliver, "", delivery
+                )
 
     async def _deliver(self, pool: str, delivery: "_Delivery") -> None:
         """Sends results to the instance that submitted their pieces.
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -1105,4 +1105,11 @@
         "callable_in_s = self.opens_in_s(now)",
         (BATCH, "The wait of a pool whose upstream failed"),
     ),
+    Guard(
+        "relay: an error in the work for one upstream ends nothing else",
+        "relay/guarded.py",
+        "    except Exception:  # noqa: BLE001\n",
+        "    except KeyError:\n",
+        ("relay_background", "The work for one upstream"),
+    ),
 )
