Answer the requests that are left when a drain reaches its limit

Cause: the drain only waits; at its limit it ended the process whatever was left. Change: at the limit each request whose answer is not at hand is ended: 503, not run, if it was not sent, 502 if it was, and a begun stream is cut off. Complete answers are still sent. Pieces of a call that fails after SIGTERM go back to their submitters, and deliveries are waited for.

--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -43,20 +43,33 @@
 
 
 class _Arrival:
-    """When and how a request arrived.
+    """When and how a request arrived, and what has become of it.
 
     Attributes:
         at: When its head arrived.
         request_id: Its id, or "" before it is decoded.
         idle_s: How long its connection rested before, or None on a new one.
+        exchange: Its exchange, or None before it is admitted.
+        scope: Scope in which it is admitted and forwarded.
+        end_reason: Why the instance ends it, or "".
     """
 
-    __slots__ = ("at", "request_id", "idle_s")
+    __slots__ = (
+        "at",
+        "request_id",
+        "idle_s",
+        "exchange",
+        "scope",
+        "end_reason",
+    )
 
     def __init__(self, at: float, idle_s: float | None) -> None:
         self.at = at
         self.request_id = ""
         self.idle_s = idle_s
+        self.exchange: Exchange | None = None
+        self.scope = anyio.CancelScope()
+        self.end_reason = ""
 
 
 class RelayApplication:
@@ -76,6 +89,29 @@
         self._streams = streams
         self._metrics = metrics
         self._connections = ConnectionTimes()
+        # Requests that are being admitted or forwarded.
+        self._arrivals: set[_Arrival] = set()
+
+    def end_remaining(self, end_reason: str) -> int:
+        """Ends the requests whose answers are not at hand.
+
+        Those without an answer are refused, and the others cut off.
+
+        Args:
+            end_reason: Why, for the refusals and the log.
+
+        Returns:
+            Their number.
+        """
+        ended = [
+            arrival
+            for arrival in self._arrivals
+            if arrival.exchange is None or not arrival.exchange.ready
+        ]
+        for arrival in ended:
+            arrival.end_reason = end_reason
+            arrival.scope.cancel()
+        return len(ended)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serves one request; ASGI scopes other than `http` are ignored."""
@@ -101,17 +137,13 @@
     async def _answer(
         self, scope: dict, arrival: _Arrival, receive: Receive, send: Send
     ) -> None:
-        exchange: Exchange | None = None
         try:
-            req = self._decode(scope)
-            arrival.request_id = req.request_id
-            exchange = await self._admit(req, scope, receive, send, arrival.at)
-            await self._forward(exchange, receive)
+            await self._admit_and_forward(scope, arrival, receive, send)
         except CallerGoneError:
-            if exchange is not None:
-                exchange.outcome = "caller_gone"
+            if arrival.exchange is not None:
+                arrival.exchange.outcome = "caller_gone"
         except RefusalError as exc:
-            await self._fail(exc, arrival, exchange, send)
+            await self._fail(exc, arrival, send)
             return
         except Exception as exc:  # noqa: BLE001
             # Even after a bug in this program the caller gets an answer.
@@ -121,17 +153,36 @@
             failure = RefusalError(
                 reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN, repr(exc)
             )
-            await self._fail(failure, arrival, exchange, send)
+            await self._fail(failure, arrival, send)
             return
-        if exchange is not None:
-            self._log_request(arrival, exchange, None)
+        if arrival.exchange is not None:
+            self._log_request(arrival, None)
+
+    async def _admit_and_forward(
+        self, scope: dict, arrival: _Arrival, receive: Receive, send: Send
+    ) -> None:
+        """Admits and forwards a request, unless `end_remaining` ends it.
+
+        Raises:
+            RefusalError: The request gets a refusal, or its answer is cut off.
+            CallerGoneError: The caller disconnected.
+        """
+        self._arrivals.add(arrival)
+        try:
+            with arrival.scope:
+                req = self._decode(scope)
+                arrival.request_id = req.request_id
+                arrival.exchange = await self._admit(
+                    req, scope, receive, send, arrival.at
+                )
+                await self._forward(arrival.exchange, receive)
+        finally:
+            self._arrivals.discard(arrival)
+        if arrival.scope.cancelled_caught:
+            raise _make_end_refusal(arrival)
 
     async def _fail(
-        self,
-        exc: RefusalError,
-        arrival: _Arrival,
-        exchange: Exchange | None,
-        send: Send,
+        self, exc: RefusalError, arrival: _Arrival, send: Send
     ) -> None:
         """Refuses a request, or cuts off its answer if that has started.
 
@@ -140,11 +191,12 @@
                 connection without an end of body, which shows the caller that
                 the answer is incomplete.
         """
+        exchange = arrival.exchange
         if exchange is not None and exchange.started:
             exchange.outcome = f"cut_{exc.reason.code}"
-            self._log_request(arrival, exchange, exc)
+            self._log_request(arrival, exc)
             raise CutError(str(exc)) from exc
-        await self._refuse(exc, arrival, exchange, send)
+        await self._refuse(exc, arrival, send)
 
     def _decode(self, scope: dict) -> CallerRequest:
         target = scope["raw_path"]
@@ -299,13 +351,9 @@
             )
 
     async def _refuse(
-        self,
-        exc: RefusalError,
-        arrival: _Arrival,
-        exchange: Exchange | None,
-        send: Send,
+        self, exc: RefusalError, arrival: _Arrival, send: Send
     ) -> None:
-        retry_after_s = exc.retry_after_s
+        exchange, retry_after_s = arrival.exchange, exc.retry_after_s
         if (
             exchange is not None
             and retry_after_s is not None
@@ -317,20 +365,15 @@
             )
         if exchange is not None:
             exchange.outcome = exc.reason.code
-        self._log_request(arrival, exchange, exc)
+        self._log_request(arrival, exc)
         headers = self._protocol.refusal_headers(
             arrival.request_id, retry_after_s
         )
         headers.append(self._state.connection_header)
         await send_refusal(send, exc, headers)
 
-    def _log_request(
-        self,
-        arrival: _Arrival,
-        exchange: Exchange | None,
-        exc: RefusalError | None,
-    ) -> None:
-        request_id = arrival.request_id
+    def _log_request(self, arrival: _Arrival, exc: RefusalError | None) -> None:
+        exchange, request_id = arrival.exchange, arrival.request_id
         elapsed_s = self._state.clock() - arrival.at
         fields: dict[str, object] = {
             "event": "request",
@@ -370,6 +413,23 @@
             log.info("request {} ended: {}", request_id, outcome)
 
 
+def _make_end_refusal(arrival: _Arrival) -> RefusalError:
+    """Returns the refusal of a request that the instance ends."""
+    if arrival.exchange is None or not arrival.exchange.sent:
+        # What is ended before it was sent will not be sent any more.
+        return RefusalError(
+            reason.SHUTTING_DOWN,
+            Verdict.NOT_RUN,
+            arrival.end_reason,
+            retry_after_s=SHUTDOWN_RETRY_AFTER_S,
+        )
+    return RefusalError(
+        reason.UPSTREAM_FAILED,
+        Verdict.MAY_HAVE_RUN,
+        f"{arrival.end_reason} before an upstream had answered",
+    )
+
+
 class CutError(Exception):
     """An answer was started and cannot be completed."""
 
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -138,7 +138,7 @@
             )
             self._log.flush()
             # The server would wait for connections that callers keep open. They
-            # carry no requests any more, so the process ends without it.
+            # carry no requests that were read, so the process ends without it.
             os._exit(0)
 
     async def _serve_text(
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -61,6 +61,7 @@
         event_wait_s: Time for which the caller of a stream waits for an event.
         sent: Whether an upstream may have received the request.
         started: Whether the head of an answer was sent.
+        ready: Whether the whole rest of its answer is at hand, to be sent.
         ended: Whether the last part of the answer was sent.
         outcome: How it ended, for the log and the metrics.
         events: Number of events sent to the caller; set at the end.
@@ -79,6 +80,7 @@
         "event_wait_s",
         "sent",
         "started",
+        "ready",
         "ended",
         "outcome",
         "events",
@@ -121,6 +123,7 @@
         )
         self.sent = False
         self.started = False
+        self.ready = False
         self.ended = False
         self.outcome = ""
         self.events = 0
@@ -219,9 +222,17 @@
             {"type": "http.response.body", "body": data, "more_body": True}
         )
 
+    async def send_whole(
+        self, status: int, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Sends an answer whose body is complete."""
+        self.ready = True
+        await self.start(status, headers)
+        await self.finish(body)
+
     async def finish(self, data: bytes = b"") -> None:
         """Sends the last chunk of the body, which ends the answer."""
-        self.ended = True
+        self.ready = self.ended = True
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": False}
         )
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -288,8 +288,9 @@
                 headers = [h for h in headers if h[0].lower() != b"retry-after"]
                 retry_after_s = self._retry_after_s(exchange)
                 headers.append((b"retry-after", b"%.2f" % retry_after_s))
-            await exchange.start(last_answer.status, headers)
-            await exchange.finish(last_answer.body)
+            await exchange.send_whole(
+                last_answer.status, headers, last_answer.body
+            )
             return
         if verdict is Verdict.NOT_RUN:
             regions = exchange.regions_in(self._state.document)
--- a/src/applespring/relay/stage_scheduler.py
+++ b/src/applespring/relay/stage_scheduler.py
@@ -156,6 +156,8 @@
         ] = OrderedDict()
         # Handles to release once their upstream's pause has ended.
         self._held_releases: dict[tuple[str, int], list[str]] = {}
+        # Number of submissions whose results are being sent.
+        self._deliveries = 0
         self._tasks: TaskGroup | None = None
         peers.register_handler(message.StageSubmit, self._on_submit)
         peers.register_handler(message.StageCancel, self._on_cancel)
@@ -219,8 +221,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether pieces wait or calls are in progress."""
-        return any(
+        """Whether pieces wait, or calls or deliveries are in progress."""
+        return self._deliveries > 0 or any(
             len(q) or q.calls_in_progress() for q in self._queues.values()
         )
 
@@ -236,12 +238,13 @@
                     tasks.start_soon(
                         run_guarded,
                         self._metrics,
-                        self._return_pieces,
-                        pool,
-                        queue,
+                        self._send_failures,
+                        self._take_returned(pool, queue),
+                        MOVED,
                     )
 
-    async def _return_pieces(self, pool: str, queue: BatchQueue) -> None:
+    def _take_returned(self, pool: str, queue: BatchQueue) -> list[Piece]:
+        """Removes and returns the pieces that go back to their submitters."""
         pieces = queue.take_all()
         if pieces:
             logger.bind(
@@ -251,7 +254,7 @@
                 pool,
                 len(pieces),
             )
-            await self._send_failures(pieces, MOVED)
+        return pieces
 
     def _get_or_create_queue(self, pool: str) -> BatchQueue | None:
         queue = self._queues.get(pool)
@@ -587,6 +590,13 @@
             self._wake_events[pool] = anyio.Event()
             now = self._state.clock()
             self._update_upstreams(pool, queue)
+            if len(queue) and self._state.leaving:
+                # Their call failed after the queue was returned.
+                self._start(
+                    self._send_failures,
+                    self._take_returned(pool, queue),
+                    MOVED,
+                )
             if len(queue) and self._state.is_pool_evacuated(pool):
                 self._start(self._send_failures, queue.take_all(), EVACUATED)
             overdue = queue.take_overdue(now)
@@ -965,7 +975,15 @@
                 )
 
     async def _deliver(self, pool: str, delivery: "_Delivery") -> None:
-        """Sends results to the instance that submitted their pieces.
+        """Sends results to the instance that submitted their pieces."""
+        self._deliveries += 1
+        try:
+            await self._send_results(pool, delivery)
+        finally:
+            self._deliveries -= 1
+
+    async def _send_results(self, pool: str, delivery: "_Delivery") -> None:
+        """Sends results until they have arrived or are useless.
 
         An instance that does not answer may only be silent for a moment, and
         nothing else would tell it of the results. They are sent until they are
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -295,11 +295,13 @@
                     await call()
                 return
             except _InputsLostError as exc:
+                exchange.sent = attempts > 0
                 await self._repeat_stages(exchange, run, window, exc, attempts)
                 tried.pop()
                 continue
             except StageError as exc:
                 if exc.verdict is Verdict.NOT_RUN:
+                    exchange.sent = attempts > 0
                     if (
                         remaining_s < ATTEMPT_REMAINING_MIN_S
                         or not self._may_add_attempt(window, exc)
@@ -709,8 +711,7 @@
         attempt.sending = True
         exchange.outcome = f"status_{answer.status}"
         headers = self._protocol.reply_headers(answer.headers)
-        await exchange.start(answer.status, headers)
-        await exchange.finish(body)
+        await exchange.send_whole(answer.status, headers, body)
 
     async def _forward_events(
         self,
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -1126,4 +1126,32 @@
         "if False:\n                    raise MessageError",
         ("foreign_answers", "A report that is no success"),
     ),
+    Guard(
+        "drain: requests that are left at the limit are ended",
+        "relay/drain.py",
+        "ended = await self._end_remaining(limit_s) if self._busy else 0",
+        "ended = 0",
+        ("relay_drain", "A request that waits at the limit"),
+    ),
+    Guard(
+        "drain: answers at hand are sent",
+        "relay/application.py",
+        "if arrival.exchange is None or not arrival.exchange.ready",
+        "if True",
+        ("relay_drain", "An answer that is complete at the limit"),
+    ),
+    Guard(
+        "drain: requests that cross its end",
+        "relay/drain.py",
+        "            await self._wait_for_requests()\n\n    @property",
+        "            pass\n\n    @property",
+        ("relay_drain", "A request that crosses the end"),
+    ),
+    Guard(
+        "drain: pieces of a failed call are returned",
+        "relay/stage_scheduler.py",
+        "if len(queue) and self._state.leaving:",
+        "if False:",
+        ("relay_drain", "returns the pieces of a call that fails"),
+    ),
 )
