Apply removals at once when only a connection to the registry has died

Cause: any failed call to the registry counted as an outage, after which removals are put off for 2.2 s, also a watch of which only the connection had gone silent. The time was counted from when the registry was found back. Change: an outage is what a call on a new connection shows. After one, a removed upstream is kept until 2.95 s after the begin of the last failed call at the latest. A read that lacks most upstreams after a dead watch still counts as an outage. Watches last 2.2 s, on a connection each. A removal in a full read is logged and ends the state of the upstream.

--- a/features/relay_catalog.feature
+++ b/features/relay_catalog.feature
@@ -18,9 +18,40 @@
     When the registry removes a, b at 5.1
     Then a, b may receive work
     When the registry lists a again at 6
-    And the time is 8 s
+    And the time is 6.9 s
+    Then a, b may receive work
+    When the time is 8 s
     Then a may receive work
 
+  Scenario: A removal is kept back no longer than until all are in touch
+    Guards against work for a removed upstream later than 3 s after an instance
+    reaches the registry again, however late it finds that (inc-late-removal).
+    Given the registry lists a, b
+    And the registry is unreachable from 1 to 5.9
+    When the registry removes a at 5.9
+    And the time is 7.9 s
+    Then a, b may receive work
+    When the time is 7.96 s
+    Then b may receive work
+
+  Scenario: A removal takes effect at once though a watch has ended
+    Guards against a dead connection that is taken for an outage, after which
+    removals were put off (inc-late-removal).
+    Given the registry lists a, b, c
+    When a full listing names b, c at 5 after a watch that ended
+    Then b, c may receive work
+
+  Scenario: Most entries lapse in an outage that no call has met
+    Guards against running upstreams that are dropped after a short outage of
+    which only a dead connection is left.
+    Given the registry lists a, b, c
+    When a full listing names c at 5 after a watch that ended
+    Then a, b, c may receive work
+    When the time is 7.1 s
+    Then a, b, c may receive work
+    When the time is 7.3 s
+    Then c may receive work
+
   Scenario: A removal long after an outage takes effect at once
     Given the registry lists a, b
     And the registry is unreachable from 1 to 5
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -202,6 +202,12 @@
     When the soak runs seed 10601 with 6 faults "workers spoil answers"
     Then no guarantee is violated
 
+  Scenario: A worker is removed after connections to the store went silent
+    Guards against requests to a worker that is gone; the seed showed them up to
+    1 s late (inc-late-removal).
+    When the soak runs seed 10701 with 4 faults "worker removed behind silence"
+    Then no guarantee is violated
+
   Scenario: Workers that are cold
     Guards against requests beyond what cold workers take from all instances
     together, after a restart under their names as well.
--- a/features/steps/relay_catalog_steps.py
+++ b/features/steps/relay_catalog_steps.py
@@ -5,6 +5,9 @@
 from applespring.core.catalog import Catalog, UpstreamState
 from features.fixtures.relay import make_upstream
 
+# Time between the begins of two calls that a registry does not answer.
+CALL_INTERVAL_S = 1.0
+
 
 def names(text):
     return text.split(", ")
@@ -19,8 +22,10 @@
 
 @given("the registry is unreachable from {lost:g} to {regained:g}")
 def given_unreachable(context, lost, regained):
-    del lost
-    context.catalog.lose_contact()
+    called_at = lost
+    while called_at < regained:
+        context.catalog.lose_contact(called_at)
+        called_at += CALL_INTERVAL_S
     context.catalog.regain_contact(regained)
 
 
@@ -54,6 +59,12 @@
     context.catalog.replace([make_upstream(name, "p", revision=6)], at)
 
 
+@when("a full listing names {listed} at {at:g} after a watch that ended")
+def when_listing_after_gap(context, listed, at):
+    entries = [make_upstream(n, "p", revision=6) for n in names(listed)]
+    context.catalog.replace(entries, at, after_gap=True)
+
+
 @when("the time is {at:g} s")
 def when_passed(context, at):
     context.catalog.expire(at)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 import anyio
 
 from soak import document
+from soak.audit import CONTACT_S
 from soak.proxy import LinkFaults
 from soak.record import (
     RESUMABLE,
@@ -69,6 +70,8 @@
     "forgetting": (0.0, 0.2),
 }
 DOUBLING_RANGE_S = (2.0, 4.0)
+# Shortest and longest time from the silence to the removal of an entry.
+REMOVED_RANGE_S = (0.1, 1.5)
 # Shortest and longest time for which workers are cold.
 COLD_RANGE_S = (2.0, 5.0)
 # Shortest and longest age of a copy from which the store comes back, and time
@@ -393,6 +396,28 @@
             worker_host.start_worker()
 
 
+@fault("worker removed behind silence", by_default=False)
+async def remove_worker(testbed: "Testbed", rng: random.Random) -> None:
+    """Removes a worker's entry after connections to the store went silent.
+
+    The worker does not drain first, and serves longer than `DRAIN_NOTICE_S`.
+    """
+    worker_host = rng.choice(testbed.worker_hosts)
+    worker = worker_host.worker
+    if worker is None:
+        return
+    with recorded_fault(testbed, "leave", [f"leaving:{worker_host.name}"]):
+        for relay in testbed.relays:
+            relay.store_proxy.block_connections()
+        in_touch_at = testbed.clock() + CONTACT_S
+        await anyio.sleep(rng.uniform(*REMOVED_RANGE_S))
+        if worker_host.worker is worker:
+            await worker_host.remove_worker(in_touch_at)
+        await anyio.sleep(ADDRESS_REUSE_S)
+        if worker_host.worker is None:
+            worker_host.start_worker()
+
+
 @fault("worker says that it leaves")
 async def announce_leave(testbed: "Testbed", rng: random.Random) -> None:
     """Lets a worker say that it leaves, and drains it some time later.
--- a/src/applespring/core/catalog.py
+++ b/src/applespring/core/catalog.py
@@ -1,23 +1,29 @@
 """Upstreams as listed in the platform's registry.
 
 The registry lags, may be unreachable, and drops entries of running upstreams
-during an outage. The catalog keeps the last listed state. While the registry
-is reachable, a removal takes effect at once. During an outage and shortly
-after it, a removed upstream is kept until running ones have had time to be
-listed again.
+during an outage. The catalog keeps the last listed state. A removal takes
+effect at once, unless the registry may have been away: then the upstream is
+kept until running ones have had time to be listed again. That a connection
+ended is no sign of it, since removals go on meanwhile.
 """
 
 import enum
 import math
 from collections.abc import Iterable, Mapping
 
-# How long a removed upstream is kept after an outage. Running upstreams are
-# listed again about 2 s after the registry is back (users' letter); the
-# remaining 0.2 s cover the delay of a read.
+# How long removed upstreams are kept once the registry is back. Running ones
+# are listed again about 2 s after that (users' letter); the remaining 0.2 s
+# cover the delay of a read.
 RELIST_GRACE_S = 2.2
-# How long after an outage a removal is attributed to it, since removals that it
-# caused are still being read.
-SETTLE_S = 2.2
+# When that is over at the latest, from the begin of the last call that failed.
+# The registry was away, or cut off, at that time, and may be back since. 3 s
+# after it is back a removal counts for all instances (`contactMs`), and calls
+# begin up to 1 s apart, so that running upstreams have 1.95 s at least.
+UNANSWERED_GRACE_S = 2.95
+# Share of all upstreams above which a read that lacks them shows, after a time
+# without contact, that their entries have lapsed. A registry that was away for
+# less than that time leaves no other trace.
+LAPSED_SHARE = 0.5
 # How long an upstream that has left is remembered. A registry may come back
 # from a copy some seconds old, which lists it as ready.
 LEFT_KEPT_S = 60.0
@@ -96,9 +102,10 @@
 
     __slots__ = (
         "_listed",
-        "_drop_at",
+        "_removed",
         "_unreachable",
-        "_regained_at",
+        "_unanswered_at",
+        "_relisted_at",
         "_era",
         "_era_began_at",
         "_left_at",
@@ -107,9 +114,13 @@
 
     def __init__(self) -> None:
         self._listed: dict[str, ListedUpstream] = {}
-        self._drop_at: dict[str, float] = {}
+        # Names of removed upstreams that are kept for a time.
+        self._removed: set[str] = set()
         self._unreachable = False
-        self._regained_at = -math.inf
+        # When the last call began that the registry did not answer.
+        self._unanswered_at = -math.inf
+        # When running upstreams have been listed again.
+        self._relisted_at = -math.inf
         self._era = -1
         self._era_began_at = -math.inf
         # When upstreams were last listed as leaving, or removed.
@@ -117,15 +128,28 @@
         # Entries of a copy that list upstreams as ready that had left.
         self._unbelieved: dict[str, ListedUpstream] = {}
 
-    def lose_contact(self) -> None:
-        """Records that the registry cannot be read."""
+    def lose_contact(self, called_at: float) -> None:
+        """Records that the registry cannot be read.
+
+        Args:
+            called_at: When the call began that it did not answer.
+        """
         self._unreachable = True
+        self._unanswered_at = called_at
 
     def regain_contact(self, now: float) -> None:
         """Records that the registry can be read again."""
         if self._unreachable:
             self._unreachable = False
-            self._regained_at = now
+            self._keep_removed_until(
+                min(
+                    now + RELIST_GRACE_S,
+                    self._unanswered_at + UNANSWERED_GRACE_S,
+                )
+            )
+
+    def _keep_removed_until(self, at: float) -> None:
+        self._relisted_at = max(self._relisted_at, at)
 
     def enter_era(self, era: int, now: float) -> bool:
         """Records the era of the registry; a copy may be read in a new one.
@@ -139,7 +163,8 @@
         known, begun = self._era >= 0, era > self._era
         self._era = max(era, self._era)
         if known and begun:
-            self._regained_at = self._era_began_at = now
+            self._era_began_at = now
+            self._keep_removed_until(now + RELIST_GRACE_S)
         return known and begun
 
     def put(self, upstream: ListedUpstream, now: float = -math.inf) -> bool:
@@ -167,7 +192,7 @@
             self._record_left(upstream.identity, now)
         else:
             self._left_at.pop(upstream.identity, None)
-        self._drop_at.pop(upstream.name, None)
+        self._removed.discard(upstream.name)
         if current is not None:
             if upstream.revision < current.revision:
                 return False
@@ -192,21 +217,44 @@
         self._unbelieved.pop(name, None)
         if name not in self._listed:
             return False
-        if self._unreachable or now < self._regained_at + SETTLE_S:
-            start = now if self._unreachable else self._regained_at
-            self._drop_at.setdefault(name, start + RELIST_GRACE_S)
+        if self._unreachable or now < self._relisted_at:
+            self._removed.add(name)
             return False
         return self._drop(name, now)
 
-    def replace(self, entries: Iterable[ListedUpstream], now: float) -> None:
-        """Applies a full listing: upstreams that it lacks are removed."""
+    def replace(
+        self,
+        entries: Iterable[ListedUpstream],
+        now: float,
+        *,
+        after_gap: bool = False,
+    ) -> list[str]:
+        """Applies a full listing: upstreams that it lacks are removed.
+
+        Args:
+            entries: The entries.
+            now: Current time.
+            after_gap: Whether there was no contact before it, for as long as it
+                takes to find that a watch is not answered.
+
+        Returns:
+            The names of those whose removal took effect at once.
+        """
         entries = list(entries)
         names = {entry.name for entry in entries}
         for entry in entries:
             self.put(entry, now)
-        for name in list(self._listed):
-            if name not in names:
-                self.remove(name, now)
+        missing = [name for name in self._listed if name not in names]
+        if after_gap and len(missing) > LAPSED_SHARE * len(self._listed):
+            self._keep_removed_until(now + RELIST_GRACE_S)
+        return [name for name in missing if self.remove(name, now)]
+
+    @property
+    def expires_at(self) -> float:
+        """When `expire` drops an upstream next; infinite if none is due."""
+        if self._unreachable or not self._removed:
+            return math.inf
+        return self._relisted_at
 
     def expire(self, now: float) -> list[str]:
         """Drops removed upstreams that were not listed again in time.
@@ -216,9 +264,9 @@
         Returns:
             The names of the dropped upstreams.
         """
-        if self._unreachable:
+        if self._unreachable or now < self._relisted_at:
             return []
-        due = [name for name, at in self._drop_at.items() if at <= now]
+        due = sorted(self._removed)
         for name in due:
             self._drop(name, now)
         return due
@@ -236,7 +284,7 @@
         return [upstream for upstream in taken if self._put(upstream, now)]
 
     def _drop(self, name: str, now: float) -> bool:
-        self._drop_at.pop(name, None)
+        self._removed.discard(name)
         dropped = self._listed.pop(name, None)
         if dropped is not None:
             self._record_left(dropped.identity, now)
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -36,8 +36,6 @@
 # Limit of the server; the application checks the limit of the document.
 HEAD_BYTES_MAX = 64 * 1024
 SETTINGS_RELOAD_INTERVAL_S = 1.0
-# Time after which an idle connection to the registry is closed.
-REGISTRY_IDLE_S = 5.0
 
 
 class RelayInstance:
@@ -57,7 +55,8 @@
         self._reload_settings = reload_settings
         registry_transport = HttpTransport(
             verify=tls,
-            limits=httpx.Limits(keepalive_expiry=REGISTRY_IDLE_S),
+            # A connection that rested may be dead, which only a time-out shows.
+            limits=httpx.Limits(max_keepalive_connections=0),
             socket_options=[
                 (
                     socket.IPPROTO_TCP,
--- a/src/applespring/relay/watch.py
+++ b/src/applespring/relay/watch.py
@@ -9,6 +9,7 @@
 import anyio
 from loguru import logger
 
+from applespring.clock import wait_until
 from applespring.core.catalog import ListedUpstream
 from applespring.core.engines.learned import LearnedEngines
 from applespring.core.era import era_of, revision_of
@@ -35,11 +36,12 @@
 EXPIRY_INTERVAL_S = 0.2
 # Timeout of a watch. It is long, since the platform charges for every call.
 # With the time to detect a dead connection it stays below the 3 s after which
-# an unknown route may be due to a stale document. Each watch is shortened by a
+# an unknown route may be due to a stale document, and after which a removed
+# upstream must get no more work (`contactMs`). Each watch is shortened by a
 # random factor, so that not all instances miss the same change on dead
 # connections.
-WATCH_TIMEOUT_MAX_S = 2.4
-WATCH_TIMEOUT_SHARE_MIN = 0.5
+WATCH_TIMEOUT_MAX_S = 2.2
+WATCH_TIMEOUT_SHARE_MIN = 0.6
 # Pause between two watches, so that changes in quick succession share a call.
 # Each change ends the watch of every instance, and the platform charges for
 # every call. The pause is short, since a removed upstream must get no more work
@@ -54,6 +56,10 @@
 PLAIN_LOADS_MAX = 3
 
 
+class _WatchEndedError(ApplespringError):
+    """A watch was not answered; the registry may be there all the same."""
+
+
 class Watcher:
     """Applies the registry's changes to the state, and reports it to peers."""
 
@@ -79,6 +85,8 @@
         self._metrics = metrics
         self._rng = rng
         self._contact_lost = False
+        # Whether a watch was not answered before the next read.
+        self._had_gap = False
         self._rejections = RejectionFilter()
         self._watch_scope: anyio.CancelScope | None = None
         peers.set_gossip_source(self)
@@ -110,12 +118,24 @@
             self._watch_scope.cancel()
 
     async def _watch_with_retries(self) -> None:
-        """Watches the registry, and starts again after each failure."""
+        """Watches the registry, and starts again after each failure.
+
+        A watch that ends may only have lost its connection. Whether the
+        registry is away shows the read that follows on another one.
+        """
         delay_s = RETRY_DELAY_MIN_S
         while True:
             started_at = self._state.clock()
             try:
                 await self._watch()
+            except _WatchEndedError as exc:
+                self._had_gap = True
+                self._metrics.state_changes.inc("watch_ended")
+                logger.bind(event="watch_ended").info(
+                    "a watch of the registry was not answered; reading it "
+                    "again: {}",
+                    exc,
+                )
             except HistoryLostError as exc:
                 logger.bind(event="history_lost").info(
                     "changes of the registry were missed; reading it again: {}",
@@ -126,7 +146,7 @@
                 await anyio.sleep(self._rng.uniform(0.0, self._spread_s()))
                 continue
             except (ApplespringError, ValueError, TypeError) as exc:
-                self._record_lost_contact(exc)
+                self._record_lost_contact(exc, started_at)
             if self._state.clock() - started_at > 1.0:
                 delay_s = RETRY_DELAY_MIN_S
             await anyio.sleep(delay_s)
@@ -137,8 +157,8 @@
         count = 1 + len(self._peers.table.all_peers())
         return min(READ_SPREAD_MAX_S, READ_SPREAD_S * count)
 
-    def _record_lost_contact(self, exc: Exception) -> None:
-        self._state.catalog.lose_contact()
+    def _record_lost_contact(self, exc: Exception, called_at: float) -> None:
+        self._state.catalog.lose_contact(called_at)
         if not self._contact_lost:
             self._contact_lost = True
             self._metrics.state_changes.inc("registry_lost")
@@ -151,14 +171,25 @@
 
         Raises:
             HistoryLostError: Changes of the registry were missed.
-            ApplespringError: The registry did not answer.
+            _WatchEndedError: A watch was not answered.
+            ApplespringError: The read was not answered.
         """
         update = await self._registry.read()
         self._record_contact(update)
         self.record_rejections(update.changes, "registry")
         listed = [c.upstream for c in update.changes if c.upstream is not None]
         self.apply_upstreams(listed)
-        self._state.catalog.replace(listed, self._state.clock())
+        for name in self._state.catalog.replace(
+            listed, self._state.clock(), after_gap=self._had_gap
+        ):
+            logger.bind(
+                event="upstream_removed",
+                upstream=name,
+                revision=update.revision,
+                dropped=True,
+            ).info("upstream {} is no longer listed", name)
+            self._remove_upstream(name)
+        self._had_gap = False
         self._evacuations.record_read(update.evacuations, update.revision)
         while True:
             update = await self._wait_for_changes(update.revision)
@@ -183,6 +214,10 @@
                     return await self._registry.wait_for_changes(
                         revision, wait_s
                     )
+                except HistoryLostError:
+                    raise
+                except (ApplespringError, ValueError, TypeError) as exc:
+                    raise _WatchEndedError(str(exc)) from exc
                 finally:
                     self._watch_scope = None
 
@@ -348,8 +383,11 @@
         self._plain.selector.remove(name)
 
     async def _expire_upstreams(self) -> None:
+        clock, catalog = self._state.clock, self._state.catalog
         while True:
-            await anyio.sleep(EXPIRY_INTERVAL_S)
+            await wait_until(
+                min(clock() + EXPIRY_INTERVAL_S, catalog.expires_at), clock
+            )
             self._evacuations.settle()
             for name in self._state.catalog.expire(self._state.clock()):
                 logger.bind(event="upstream_lapsed", upstream=name).info(
--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -455,7 +455,7 @@
     Guard(
         "relay: no removal during a registry outage",
         "core/catalog.py",
-        "if self._unreachable or now < self._regained_at + SETTLE_S:",
+        "if self._unreachable or now < self._relisted_at:",
         "if False:",
         ("relay_catalog", "lapse during an outage"),
     ),
@@ -1154,4 +1154,27 @@
         "if False:",
         ("relay_drain", "returns the pieces of a call that fails"),
     ),
+    Guard(
+        "relay: a dead watch is no outage",
+        "relay/watch.py",
+        "raise _WatchEndedError(str(exc)) from exc",
+        "raise",
+        ("relay_removal", "An upstream leaves while the contact"),
+    ),
+    Guard(
+        "relay: a removal counts once all are in touch",
+        "core/catalog.py",
+        "                    self._unanswered_at + UNANSWERED_GRACE_S,\n",
+        "                    now + RELIST_GRACE_S,\n",
+        ("relay_catalog", "A removal is kept back no longer"),
+        ("relay_removal", "An upstream leaves while the contact"),
+    ),
+    Guard(
+        "relay: most entries lapse in a short outage",
+        "core/catalog.py",
+        "if after_gap and len(missing) > LAPSED_SHARE * len(self._listed):",
+        "if False:",
+        ("relay_catalog", "Most entries lapse in an outage"),
+        ("relay_removal", "Entries lapse while the registry is away"),
+    ),
 )
