--- a/tools/relay_guards.py
+++ b/tools/relay_guards.py
@@ -216,7 +216,7 @@
     Guard(
         "relay: signature of a success",
         "relay/plain.py",
-        "if answer.status < 300 and not answer.reply.signed:",
+        "if answer.is_unsigned:",
         "if False:",
         (FORWARD, "Which requests are retried"),
     ),
@@ -455,8 +455,9 @@
     Guard(
         "relay: no removal during a registry outage",
         "core/catalog.py",
-        "if self._unreachable or now < self._relisted_at:",
-        "if False:",
+        "if self._unreachable or now < self._relisted_at:\n"
+        "            self._removed.add(name)",
+        "if False:\n            self._removed.add(name)",
         ("relay_catalog", "lapse during an outage"),
     ),
     Guard(
@@ -1157,8 +1158,8 @@
     Guard(
         "relay: a dead watch is no outage",
         "relay/watch.py",
-        "raise _WatchEndedError(str(exc)) from exc",
-        "raise",
+        "self._had_gap = True",
+        "self._record_lost_contact(exc, self._state.clock())",
         ("relay_removal", "An upstream leaves while the contact"),
     ),
     Guard(
