Test crowds of clients that keep to no limit against a real relay

Cause: nothing bounds what a process holds for its clients. The scenarios start the real program with the memory and descriptors of the users' smallest machines and fix crowds and bounds; features with the tag @alone run one at a time.

--- /dev/null
+++ b/features/steps/client_crowd_steps.py
@@ -0,0 +1,224 @@
+"""Steps with crowds of clients that keep to no limit, and real processes."""
+
+import tempfile
+
+import anyio
+from behave import given, then, when
+
+from demo.process import PortChooser
+from features.fixtures.client_crowd import (
+    BODY_BYTES_MAX,
+    Client,
+    Crowd,
+    make_head,
+    send_bytes,
+)
+from features.fixtures.relay_process import (
+    CALLER_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READY_PORT,
+    WAIT_LIMIT_S,
+    RelayProcess,
+)
+from soak.net import ConnError, connect
+
+PORTS = {
+    "callers": CALLER_PORT,
+    "readiness": READY_PORT,
+    "metrics": METRICS_PORT,
+    "peers": PEER_PORT,
+}
+# Clients that are not read from stop sending after this time.
+SEND_LIMIT_S = 20.0
+# Time for the process to close the connections of clients that have left. It is
+# shorter than the idle limit, after which it closes any.
+LEFT_LIMIT_S = 10.0
+# Sockets of a process at rest: listeners, peers, the store, the worker.
+SOCKETS_AT_REST_MAX = 40
+
+
+@given("a relay process with {memory_mb:d} MB and {descriptors:d} descriptors")
+def given_relay(context, memory_mb, descriptors):
+    context.relay_limits = {"memoryMb": memory_mb, "maxFds": descriptors}
+    context.reads_log = True
+
+
+@given("nothing reads its log")
+def given_unread_log(context):
+    context.reads_log = False
+
+
+@when('{count:d} clients {act} at the port for "{port}"')
+def when_crowd_at(context, count, act, port):
+    run_crowd(context, count, act, port)
+
+
+@when("{count:d} clients {act}")
+def when_crowd(context, count, act):
+    run_crowd(context, count, act, "callers")
+
+
+@when("a client in calm sends a whole body of {size:d} bytes")
+def when_calm(context, size):
+    async def check(relay, tasks):
+        del tasks
+        context.answer = await send_ordinary(relay, size)
+
+    run_with_relay(context, check)
+
+
+@when('a client sends "{line}" with "Expect: 100-continue"')
+def when_expect(context, line):
+    async def check(relay, tasks):
+        conn = await connect(relay.address, WAIT_LIMIT_S)
+        client = Client()
+        client.conn = conn
+        length = int(line.split()[1])
+        tasks.start_soon(client.watch)
+        await conn.send(make_head(1, line, "Expect: 100-continue"))
+        await wait_for(lambda: b"\r\n\r\n" in client.received)
+        context.first_status = client.status
+        if client.status == 100 and length <= BODY_BYTES_MAX:
+            await conn.send(bytes(length))
+            await wait_for(lambda: client.received.count(b"HTTP/1.1 ") > 1)
+            rest = client.received.partition(b"\r\n\r\n")[2]
+            context.last_status = int(rest.split(b" ", 2)[1])
+        conn.close()
+
+    run_with_relay(context, check)
+
+
+def run_crowd(context, count, act, port):
+    """Runs a crowd beside an ordinary client, and records what was used."""
+
+    async def check(relay, tasks):
+        crowd = Crowd(act, count, (relay.host, PORTS[port]))
+        context.crowd = crowd
+        tasks.start_soon(crowd.run)
+        # Clients that nobody reads from never finish.
+        with anyio.move_on_after(SEND_LIMIT_S):
+            await crowd.done.wait()
+        await relay.settle()
+        context.answer = await send_ordinary(relay, 100)
+        context.probe = await relay.probe()
+        relay.answers_due.set()
+        await relay.settle()
+        crowd.leave()
+        with anyio.move_on_after(LEFT_LIMIT_S):
+            while relay.sockets() > SOCKETS_AT_REST_MAX:
+                await anyio.sleep(0.05)
+        context.sockets_left = relay.sockets()
+
+    run_with_relay(context, check)
+
+
+def run_with_relay(context, check):
+    """Runs a check with a relay process; records what the process used."""
+    chooser = PortChooser()
+    context.add_cleanup(chooser.close)
+
+    async def run():
+        with tempfile.TemporaryDirectory() as directory:
+            relay = RelayProcess(
+                directory,
+                chooser.choose(),
+                context.relay_limits,
+                context.reads_log,
+            )
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(relay.run)
+                await check(relay, tasks)
+                context.lives = relay.child.running
+                if context.lives:
+                    context.peak_mb = relay.peak_mb()
+                    print(f"peak: {context.peak_mb:.0f} MB")
+                context.most_sockets = relay.most_sockets
+                print(f"most sockets: {relay.most_sockets}")
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def send_ordinary(relay, size):
+    """Sends one request within the limits; returns the head of its answer.
+
+    If the connection is closed before the request was read, it is sent on
+    another one, as clients do.
+    """
+    with anyio.fail_after(WAIT_LIMIT_S):
+        while True:
+            try:
+                return await _send_ordinary(relay, size)
+            except ConnError:
+                await anyio.sleep(0.1)
+
+
+async def _send_ordinary(relay, size):
+    conn = await connect(relay.address, WAIT_LIMIT_S)
+    try:
+        head = make_head(
+            "ordinary", f"Content-Length: {size}", request_id="ordinary"
+        )
+        await conn.send(head)
+        await send_bytes(conn, size)
+        received = b""
+        while b"\r\n\r\n" not in received:
+            data = await conn.receive()
+            if not data:
+                raise ConnError("closed without an answer")
+            received += data
+        return received
+    finally:
+        conn.close()
+
+
+async def wait_for(condition):
+    with anyio.fail_after(WAIT_LIMIT_S):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+@then("the process lives")
+def then_lives(context):
+    assert context.lives
+
+
+@then("it has used less than {memory_mb:d} MB")
+def then_memory(context, memory_mb):
+    assert context.peak_mb < memory_mb, context.peak_mb
+
+
+@then("it has had at most {count:d} sockets open")
+def then_sockets(context, count):
+    assert context.most_sockets <= count, context.most_sockets
+
+
+@then("an ordinary request was answered meanwhile")
+def then_answered(context):
+    assert context.answer.startswith(b"HTTP/1.1 200"), context.answer[:600]
+
+
+@then("the process answered probes of its readiness meanwhile")
+def then_ready(context):
+    assert context.probe
+
+
+@then("the sockets of the clients that left are closed")
+def then_closed(context):
+    assert context.sockets_left <= SOCKETS_AT_REST_MAX, context.sockets_left
+
+
+@then("it is answered")
+def then_one_answered(context):
+    assert context.answer.startswith(b"HTTP/1.1 200"), context.answer[:600]
+
+
+@then("the first answer has the status {status:d}")
+def then_first_status(context, status):
+    assert context.first_status == status, context.first_status
+
+
+@then("the last answer has the status {status:d}")
+def then_last_status(context, status):
+    assert context.last_status == status, context.last_status
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,8 +1,9 @@
 """Runs the behave features in parallel and prints `N passed, N failed`.
 
-Each feature file runs in its own process. A scenario listed in KNOWN-RED.txt
-may fail: it is printed as known red and counted as failed, but the run does not
-fail.
+Each feature file runs in its own process, and those with the tag `@alone` run
+one after the other when the others have ended. A scenario listed in
+KNOWN-RED.txt may fail: it is printed as known red and counted as failed, but
+the run does not fail.
 """
 
 import concurrent.futures
@@ -16,6 +17,7 @@
 FEATURES = pathlib.Path("features")
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 FEATURE_TIMEOUT_S = 900
+ALONE_TAG = "@alone"
 WORKERS = max(2, (os.cpu_count() or 2) // 2)
 
 
@@ -104,9 +106,11 @@
 def main() -> int:
     """Runs everything; returns 1 on any failure not in KNOWN-RED.txt."""
     paths = sorted(FEATURES.glob("*.feature"))
+    alone = [p for p in paths if p.read_text().startswith(ALONE_TAG)]
     known = read_known_red()
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
-        runs = list(pool.map(run_feature, paths))
+        runs = list(pool.map(run_feature, [p for p in paths if p not in alone]))
+    runs += map(run_feature, alone)
     passed = sum(len(run.passed) for run in runs)
     failed = [name for run in runs for name in run.failed]
     crashed = [str(run.path) for run in runs if run.crashed]
