Close the connections of callers that were refused or have left

What callers saw: a request that was refused while its body still arrived blocked its connection for good. 60 such clients left 69 sockets open 10 s after all had gone, each with a task and up to a megabyte, and the drain waited for them until its limit. A connection that rested when its client closed it kept its descriptor until the idle limit, up to 17 s. 300 clients that pipelined behind a held request filled 226 MB.

Cause: hypercorn passes a body through a queue of ten messages. The application answers and reads no more; the end of the request is put into the same full queue, by the very task that would have to read from it. The task group of a connection waits for its idle timer. The event loop reads 256 KiB from each connection at a time, ahead of what is read from it.

Change: serving/ runs hypercorn's connections with a channel that joins small chunks, holds 64 KiB and drops what arrives after the answer; reads 16 KiB at a time; ends the timer with the connection. After a refusal a connection is closed for sending, read for 2 s or 256 KiB more, and then closed, so that the client gets the answer. A head has its limit of the document and 2 s. Reads with many short lines, which are small chunks or headers, are handled in slices, one in each pass of the loop, so that they delay no other request. "100 Continue" is sent when the application wants the body.

--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -8,12 +8,12 @@
 
 import anyio
 import httpx
-import hypercorn.asyncio
 from hypercorn.config import Config
 from loguru import logger
 
 from applespring.clock import read_clock
 from applespring.core.errors import SettingsError
+from applespring.core.route import CallerLimits
 from applespring.peer.link import SocketTransport, split_address
 from applespring.quarantine.port_check import refuses_connections
 from applespring.relay.application import make_text_app
@@ -30,12 +30,15 @@
 from applespring.relay.registry import Registry
 from applespring.relay.settings import RelaySettings
 from applespring.relay.state import RelayState
+from applespring.serving.server import Server
 
 BACKLOG = 512
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
 # Limit of the server; the application checks the limit of the document.
 HEAD_BYTES_MAX = 64 * 1024
 SETTINGS_RELOAD_INTERVAL_S = 1.0
+# Added to the document's limit for a head, which counts from when it was sent.
+HEAD_MARGIN_S = 2.0
 
 
 class RelayInstance:
@@ -100,16 +103,15 @@
             await tasks.start(self._components.run)
             tasks.start_soon(self._watch_settings)
             server_stopped = anyio.Event()
-            server_config = make_server_config(
-                settings.caller_address, CallerServerConfig(self.state)
+            sock = open_socket(settings.caller_address)
+            server = Server(
+                self._components.application,
+                complete_server_config(CallerServerConfig(self.state)),
+                self._head_limit_s,
             )
 
             async def serve_callers() -> None:
-                await hypercorn.asyncio.serve(
-                    self._components.application,
-                    server_config,
-                    shutdown_trigger=stop_serving.wait,
-                )
+                await server.run(sock, stop_serving.wait)
                 server_stopped.set()
 
             tasks.start_soon(serve_callers)
@@ -143,11 +145,17 @@
     async def _serve_text(
         self, address: str, read: Callable[[], tuple[int, str]]
     ) -> None:
-        await hypercorn.asyncio.serve(
+        server = Server(
             make_text_app(read),
-            make_server_config(address),
-            shutdown_trigger=anyio.sleep_forever,
+            complete_server_config(Config()),
+            self._head_limit_s,
         )
+        await server.run(open_socket(address), anyio.sleep_forever)
+
+    def _head_limit_s(self) -> float:
+        doc = self.state.document
+        limits = doc.limits if doc is not None else CallerLimits()
+        return limits.header_s + HEAD_MARGIN_S
 
     def _ready(self) -> tuple[int, str]:
         return (200, "ready\n") if self.state.ready else (503, "not ready\n")
@@ -232,23 +240,25 @@
         return self._state.idle_limit.held_s(self._state.clock())
 
 
-def make_server_config(address: str, cfg: Config | None = None) -> Config:
-    """Returns the configuration of a server, with its listening socket open.
+def open_socket(address: str) -> socket.socket:
+    """Returns the listening socket of a server.
 
     Args:
         address: IP:port.
-        cfg: Configuration to complete; a new one if None.
 
     Raises:
         OSError: The address is in use or not a local one.
     """
-    host, port = split_address(address)
-    sock = socket.create_server((host, port), backlog=BACKLOG)
+    sock = socket.create_server(split_address(address), backlog=BACKLOG)
+    sock.setblocking(False)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
-    cfg = cfg or Config()
-    cfg.bind = [f"fd://{sock.detach()}"]
+    return sock
+
+
+def complete_server_config(cfg: Config) -> Config:
+    """Returns the configuration with what all servers share."""
     cfg.backlog = BACKLOG
     cfg.loglevel = "CRITICAL"
     cfg.errorlog = None
--- /dev/null
+++ b/src/applespring/serving/http11.py
@@ -0,0 +1,85 @@
+"""HTTP/1.1 on a connection of a caller."""
+
+import h11
+from hypercorn.protocol import ProtocolWrapper
+from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.typing import H11SendableEvent
+
+_SENT_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+
+class Http11(H11Protocol):
+    """HTTP/1.1 that asks for a body only when the application reads it."""
+
+    _body_wanted = False
+
+    @property
+    def head_begun(self) -> bool:
+        """Whether a head has begun to arrive and has not ended."""
+        conn = self.connection
+        return conn.their_state is h11.IDLE and bool(conn.trailing_data[0])
+
+    @property
+    def reads_chunks(self) -> bool:
+        """Whether what arrives next may be a head or chunks of a body."""
+        return self.stream is None or self._is_chunked
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the client has sent its whole request."""
+        return self.connection.their_state in _SENT_STATES
+
+    async def ask_for_body(self) -> None:
+        """Sends "100 Continue" if the client waits for it."""
+        self._body_wanted = True
+        if self.connection.they_are_waiting_for_100_continue:
+            await self._send_h11_event(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+
+    async def reject_head(self) -> None:
+        """Answers that the head did not arrive in time."""
+        if self.connection.our_state is h11.IDLE:
+            await self._send_error_response(408)
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        self._body_wanted = False
+        self._is_chunked = any(
+            name == b"transfer-encoding" for name, _ in request.headers
+        )
+        await super()._create_stream(request)
+
+    async def _send_h11_event(self, event: H11SendableEvent) -> None:
+        # The server offers to send this as soon as it has read the head.
+        if (
+            isinstance(event, h11.InformationalResponse)
+            and event.status_code == 100
+            and not self._body_wanted
+        ):
+            return
+        await super()._send_h11_event(event)
+
+    _is_chunked = False
+
+
+class HttpProtocols(ProtocolWrapper):
+    """The protocol of a connection, HTTP/1.1 until its client changes it."""
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self.protocol = Http11(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.state,
+            self.ssl,
+            self.client,
+            self.server,
+            self.send,
+        )
+
+    @property
+    def http11(self) -> Http11 | None:
+        """The protocol if it is HTTP/1.1, else None."""
+        return self.protocol if isinstance(self.protocol, Http11) else None
--- /dev/null
+++ b/src/applespring/serving/server.py
@@ -0,0 +1,136 @@
+"""A server of one port."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.config import Config
+from loguru import logger
+
+from applespring.serving.connection import READ_BYTES, Connection
+
+AsgiApp = Callable[..., Awaitable[None]]
+
+
+class _Reader(asyncio.BufferedProtocol):
+    """Protocol that reads into a buffer shared by all connections.
+
+    The event loop would otherwise read up to 256 KiB from each connection
+    before anything can bound it.
+    """
+
+    def __init__(
+        self,
+        buffer: bytearray,
+        serve: Callable[
+            [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+        ],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._buffer = buffer
+        self._reader = asyncio.StreamReader(limit=READ_BYTES, loop=loop)
+        self._streams = asyncio.StreamReaderProtocol(
+            self._reader, serve, loop=loop
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._streams.connection_made(transport)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        del sizehint
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._reader.feed_data(self._buffer[:nbytes])
+
+    def eof_received(self) -> bool | None:
+        return self._streams.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._streams.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        self._streams.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._streams.resume_writing()
+
+
+class Server:
+    """Serves an ASGI application on a socket.
+
+    Attributes:
+        app: The application.
+        cfg: Configuration of hypercorn.
+        loop: The event loop.
+        context: Tells connections that the server stops.
+    """
+
+    def __init__(
+        self,
+        app: AsgiApp,
+        cfg: Config,
+        head_limit_s: Callable[[], float],
+    ) -> None:
+        """Opens nothing yet.
+
+        Args:
+            app: The application.
+            cfg: Configuration of hypercorn.
+            head_limit_s: Returns how long a head may take to arrive.
+        """
+        self.app = app
+        self.cfg = cfg
+        self.head_limit_s = head_limit_s
+        self.loop = asyncio.get_running_loop()
+        self.context = WorkerContext(None)
+        self._buffer = bytearray(READ_BYTES)
+        self._turn = asyncio.Lock()
+        self._connections: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self, sock: socket.socket, wait_stop: Callable[[], Awaitable[object]]
+    ) -> None:
+        """Serves until `wait_stop` returns, then closes the connections.
+
+        Connections with requests are closed after their answers, within
+        `graceful_timeout` of the configuration.
+
+        Args:
+            sock: The listening socket.
+            wait_stop: Returns when the server is to stop.
+        """
+        server = await self.loop.create_server(
+            lambda: _Reader(self._buffer, self._serve, self.loop),
+            sock=sock,
+            backlog=self.cfg.backlog,
+        )
+        try:
+            await wait_stop()
+        finally:
+            await self.context.terminated.set()
+            server.close()
+        if self._connections:
+            await asyncio.wait(
+                self._connections, timeout=self.cfg.graceful_timeout
+            )
+
+    async def wait_turn(self) -> None:
+        """Waits for a pass of the event loop that no other connection uses."""
+        async with self._turn:
+            await asyncio.sleep(0)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._connections.add(task)
+        try:
+            await Connection(self, reader, writer).run()
+        except Exception as exc:  # noqa: BLE001
+            logger.bind(event="connection_failed").exception(
+                "a connection ended with an unexpected error: {}", exc
+            )
+        finally:
+            self._connections.discard(task)
