Bound the memory that requests of callers hold

What callers saw: 60 clients that stopped just short of 4 MiB had the process hold 320 MB, whole bodies 414 MB, bodies announced as 64 MiB 210 MB; on a machine of 160 MB it ends.

Cause: each request was bounded, at 4 MiB, and all of them together were not.

Change: core/caller_memory.py has a holding for each request. They share 0.4 of the machine's memory (limits.memoryMb). Who yields, or finds no room, gets 503 memory_full, which is true: nothing of it was sent.

--- a/src/applespring/core/reason.py
+++ b/src/applespring/core/reason.py
@@ -71,6 +71,12 @@
 BODY_TOO_LARGE = _define(
     "body_too_large", 413, "The request body is too large.", retryable=False
 )
+MEMORY_FULL = _define(
+    "memory_full",
+    503,
+    "The instance has no memory for this request.",
+    retryable=True,
+)
 REFUSED_BY_RULE = _define(
     "refused_by_rule", 403, "A rule refuses this request.", retryable=False
 )
--- a/src/applespring/platform/settings.py
+++ b/src/applespring/platform/settings.py
@@ -8,6 +8,7 @@
 
 # Fixed, since the deployment configuration names this port.
 METRICS_PORT = 9464
+BYTES_PER_MB = 1_000_000
 # Settings with this prefix name the region of each failure domain.
 ZONE_PREFIX = "zones."
 
@@ -116,6 +117,8 @@
         retry_window_s=number("bounds.budgetWindowS", 10.0),
         retry_extra=number("bounds.budgetExtraRetries", 50.0),
         link_mbps=number("limits.linkMbps", 1000.0),
+        memory_bytes=int(number("limits.memoryMb", 300.0) * BYTES_PER_MB),
+        descriptors_max=int(number("limits.maxFds", 4096.0)),
         region=values.get("region", ""),
         regions=decode_regions(values),
         cold_overshoot=number("bounds.coldOvershoot", 0.0)
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -7,6 +7,7 @@
 
 from applespring.clock import wait_until
 from applespring.core import reason
+from applespring.core.caller_memory import Holding, MemoryFullError
 from applespring.core.errors import MessageError, RefusalError
 from applespring.core.placement import split_point
 from applespring.core.route import ClientAccount, RouteKind, RoutingDocument
@@ -34,6 +35,9 @@
 SHUTDOWN_RETRY_AFTER_S = 0.05
 # Time allowed for reading a request body.
 BODY_TIMEOUT_S = 5.0
+# Short for the same reason. Memory of requests that have stopped arriving is
+# free within `BODY_TIMEOUT_S`.
+MEMORY_RETRY_AFTER_S = 0.5
 # Route label of requests that are refused before their route is found.
 UNKNOWN_ROUTE_LABEL = "none"
 
@@ -52,6 +56,7 @@
         exchange: Its exchange, or None before it is admitted.
         scope: Scope in which it is admitted and forwarded.
         end_reason: Why the instance ends it, or "".
+        holding: What it holds in memory, or None before its account is known.
     """
 
     __slots__ = (
@@ -61,6 +66,7 @@
         "exchange",
         "scope",
         "end_reason",
+        "holding",
     )
 
     def __init__(self, at: float, idle_s: float | None) -> None:
@@ -70,6 +76,7 @@
         self.exchange: Exchange | None = None
         self.scope = anyio.CancelScope()
         self.end_reason = ""
+        self.holding: Holding | None = None
 
 
 class RelayApplication:
@@ -131,6 +138,8 @@
         try:
             await self._answer(scope, arrival, receive, send)
         finally:
+            if arrival.holding is not None:
+                arrival.holding.close()
             if caller:
                 self._connections.record_answer(caller, self._state.clock())
 
@@ -173,7 +182,7 @@
                 req = self._decode(scope)
                 arrival.request_id = req.request_id
                 arrival.exchange = await self._admit(
-                    req, scope, receive, send, arrival.at
+                    req, scope, receive, send, arrival
                 )
                 await self._forward(arrival.exchange, receive)
         finally:
@@ -217,7 +226,7 @@
         scope: dict,
         receive: Receive,
         send: Send,
-        arrived_at: float,
+        arrival: _Arrival,
     ) -> Exchange:
         """Finds the route, pool and client account, and reads the body.
 
@@ -246,14 +255,7 @@
         client_account = None
         if doc.needs_key(route):
             client_account = self._find_client_account(doc, req)
-        with anyio.move_on_after(BODY_TIMEOUT_S) as body_scope:
-            req.body = await _read_body(receive, doc.limits.body_bytes)
-        if body_scope.cancelled_caught:
-            raise RefusalError(
-                reason.INVALID_REQUEST,
-                Verdict.NOT_RUN,
-                f"the body did not arrive within {BODY_TIMEOUT_S:g} s",
-            )
+        req.body = await self._read_body(receive, doc, client_account, arrival)
         total_weight = sum(weight for _, weight in route.targets)
         if not total_weight:
             raise RefusalError(reason.NO_UPSTREAM, Verdict.NOT_RUN)
@@ -263,11 +265,55 @@
             route,
             route.choose_pool(split_point(req.request_id)),
             client_account,
-            arrived_at,
+            arrival.at,
             send,
             lambda: self._state.connection_header,
         )
 
+    async def _read_body(
+        self,
+        receive: Receive,
+        doc: RoutingDocument,
+        client_account: ClientAccount | None,
+        arrival: _Arrival,
+    ) -> bytes:
+        """Returns the complete body of a request.
+
+        Raises:
+            RefusalError: It is too long, takes too long, or the memory for it
+                is used for other requests.
+            CallerGoneError: The caller disconnected before its end.
+        """
+        body_scope = anyio.move_on_after(BODY_TIMEOUT_S)
+        holding = arrival.holding = self._state.memory.open(
+            client_account.name if client_account is not None else "",
+            self._state.clock(),
+            body_scope.cancel,
+        )
+        detail = "it was needed for other requests"
+        try:
+            with body_scope:
+                body = await _read_body(
+                    receive, doc.limits.body_bytes, holding, self._state.clock
+                )
+                holding.complete()
+                return body
+        except MemoryFullError as exc:
+            detail = str(exc)
+        else:
+            if not holding.has_yielded:
+                raise RefusalError(
+                    reason.INVALID_REQUEST,
+                    Verdict.NOT_RUN,
+                    f"the body did not arrive within {BODY_TIMEOUT_S:g} s",
+                )
+        raise RefusalError(
+            reason.MEMORY_FULL,
+            Verdict.NOT_RUN,
+            f"no memory for the request: {detail}",
+            retry_after_s=MEMORY_RETRY_AFTER_S,
+        )
+
     def _find_client_account(
         self, doc: RoutingDocument, req: CallerRequest
     ) -> ClientAccount:
@@ -434,11 +480,17 @@
     """An answer was started and cannot be completed."""
 
 
-async def _read_body(receive: Receive, bytes_max: int) -> bytes:
+async def _read_body(
+    receive: Receive,
+    bytes_max: int,
+    holding: Holding,
+    clock: Callable[[], float],
+) -> bytes:
     """Returns the complete body of a request.
 
     Raises:
         CallerGoneError: The caller disconnected before the end of the body.
+        MemoryFullError: There is no memory for it.
         RefusalError: The body is longer than `bytes_max`.
     """
     chunks, size = [], 0
@@ -449,8 +501,14 @@
         data = event.get("body", b"")
         size += len(data)
         if size > bytes_max:
-            raise RefusalError(reason.BODY_TOO_LARGE, Verdict.NOT_RUN)
-        chunks.append(data)
+            raise RefusalError(
+                reason.BODY_TOO_LARGE,
+                Verdict.NOT_RUN,
+                f"the body is longer than {bytes_max} bytes",
+            )
+        if data:
+            holding.grow(len(data), clock())
+            chunks.append(data)
         if not event.get("more_body"):
             return b"".join(chunks)
 
--- a/src/applespring/relay/settings.py
+++ b/src/applespring/relay/settings.py
@@ -25,6 +25,8 @@
         retry_extra: Added attempts allowed on top of that in a window; all
             instances share them in equal parts.
         link_mbps: Speed of the machine's network link in Mbit/s.
+        memory_bytes: Memory of the machine for the process.
+        descriptors_max: Most descriptors of the process.
         region: Region of its failure domain, or "" if none is named.
         regions: Region of each failure domain.
         cold_overshoot: Multiple of a pool's cold rate that a cold upstream of
@@ -51,6 +53,8 @@
         "retry_window_s",
         "retry_extra",
         "link_mbps",
+        "memory_bytes",
+        "descriptors_max",
         "region",
         "regions",
         "cold_overshoot",
@@ -76,6 +80,8 @@
         retry_window_s: float = 10.0,
         retry_extra: float = 50.0,
         link_mbps: float = 1000.0,
+        memory_bytes: int = 300_000_000,
+        descriptors_max: int = 4096,
         region: str = "",
         regions: Mapping[str, str] | None = None,
         cold_overshoot: float | None = None,
@@ -97,6 +103,8 @@
         self.retry_window_s = retry_window_s
         self.retry_extra = retry_extra
         self.link_mbps = link_mbps
+        self.memory_bytes = memory_bytes
+        self.descriptors_max = descriptors_max
         self.region = region
         self.regions = dict(regions or {})
         self.cold_overshoot = cold_overshoot
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from applespring.core.caller_memory import CallerMemory
 from applespring.core.catalog import Catalog, ListedUpstream
 from applespring.core.engine_selector import EngineSelector
 from applespring.core.engines.learned import LearnedEngines
@@ -21,6 +22,10 @@
 from applespring.core.window import AttemptWindow
 from applespring.relay.settings import RelaySettings
 
+# Share of the machine's memory for what is held for callers. The program at
+# rest takes 60 MB, and the smallest machine has 160 MB.
+CALLER_MEMORY_SHARE = 0.4
+
 
 class RelayState:
     """Last known state of the environment, and the state of the instance.
@@ -44,6 +49,7 @@
         leaving: Whether this instance is shutting down.
         closed: Whether it refuses new requests, late in a shutdown.
         requests: Number of requests in progress.
+        memory: What is held in memory for callers.
         clock: Monotonic clock in seconds that includes time spent suspended.
     """
 
@@ -65,6 +71,7 @@
         "leaving",
         "closed",
         "requests",
+        "memory",
         "clock",
         "_answer_limit_s",
         "_return_times",
@@ -97,6 +104,9 @@
         self.leaving = False
         self.closed = False
         self.requests = 0
+        self.memory = CallerMemory(
+            int(CALLER_MEMORY_SHARE * settings.memory_bytes)
+        )
         self.clock = clock
         self._attempt_windows: dict[str, AttemptWindow] = {}
         self._first_events: dict[str, FirstEventEstimate] = {}
