Refuse a body by its announced length, before any of it is read

What callers saw: 40 requests that announced 64 MB were read up to the limit of 4 MiB each; a client that waited for "100 Continue" was told to send on, and then got 413.

Cause: the length was counted as it arrived.

Change: a stated length above the limit is refused before the body is asked for.

--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -262,6 +262,7 @@
         client_account = None
         if doc.needs_key(route):
             client_account = self._find_client_account(doc, req)
+        _check_announced_length(scope, doc)
         head_cost = head_bytes + HEADER_COST_BYTES * len(scope["headers"])
         req.body = await self._read_body(
             receive, doc, client_account, arrival, head_cost
@@ -499,6 +500,26 @@
     """An answer was started and cannot be completed."""
 
 
+def _check_announced_length(scope: dict, doc: RoutingDocument) -> None:
+    """Checks the length that a request states, before its body is read.
+
+    Raises:
+        RefusalError: It is above the limit of the document.
+    """
+    for name, value in scope["headers"]:
+        # The server has checked that it is a number.
+        if name == b"content-length" and int(value) > doc.limits.body_bytes:
+            raise _make_length_refusal(doc.limits.body_bytes)
+
+
+def _make_length_refusal(bytes_max: int) -> RefusalError:
+    return RefusalError(
+        reason.BODY_TOO_LARGE,
+        Verdict.NOT_RUN,
+        f"the body is longer than {bytes_max} bytes",
+    )
+
+
 async def _read_body(
     receive: Receive,
     bytes_max: int,
@@ -520,11 +541,7 @@
         data = event.get("body", b"")
         size += len(data)
         if size > bytes_max:
-            raise RefusalError(
-                reason.BODY_TOO_LARGE,
-                Verdict.NOT_RUN,
-                f"the body is longer than {bytes_max} bytes",
-            )
+            raise _make_length_refusal(bytes_max)
         if data:
             holding.grow(len(data), clock())
             chunks.append(data)
