Serve callers of the relay over HTTP/1.1 only

What callers saw: 10 clients that went on with HTTP/2, with 20 streams each, had the process hold 295 MB. Requests that only offered an upgrade got 101 or 400 in place of the answer of their upstream.

Cause: hypercorn accepts HTTP/2 and websockets on any port. The users' pages speak HTTP/1.1, and streams share none of the bounds of a connection.

Change: the relay's servers ignore offers to upgrade and take the preface of HTTP/2 for a malformed request.

--- a/features/client_crowd.feature
+++ b/features/client_crowd.feature
@@ -75,3 +75,15 @@
     When a client sends "Content-Length: 1000" with "Expect: 100-continue"
     Then the first answer has the status 100
     And the last answer has the status 200
+
+  Scenario Outline: An offer to upgrade is ignored
+    Guards against a request within the limits that gets no answer of its
+    upstream, since the server goes on with another protocol.
+    Given a relay process with 160 MB and 1638 descriptors
+    When a client offers to upgrade to "<protocol>"
+    Then it is answered
+
+    Examples:
+      | protocol  |
+      | h2c       |
+      | websocket |
--- a/features/steps/client_crowd_steps.py
+++ b/features/steps/client_crowd_steps.py
@@ -69,6 +69,17 @@
     run_with_relay(context, check)
 
 
+@when('a client offers to upgrade to "{protocol}"')
+def when_upgrade(context, protocol):
+    lines = ("Connection: Upgrade", f"Upgrade: {protocol}")
+
+    async def check(relay, tasks):
+        del tasks
+        context.answer = await send_ordinary(relay, 0, *lines, method="GET")
+
+    run_with_relay(context, check)
+
+
 @when('a client sends "{line}" with "Expect: 100-continue"')
 def when_expect(context, line):
     async def check(relay, tasks):
@@ -143,7 +154,7 @@
     anyio.run(run)
 
 
-async def send_ordinary(relay, size):
+async def send_ordinary(relay, size, *lines, method="POST"):
     """Sends one request within the limits; returns the head of its answer.
 
     If the connection is closed before the request was read, it is sent on
@@ -152,17 +163,17 @@
     with anyio.fail_after(WAIT_LIMIT_S):
         while True:
             try:
-                return await _send_ordinary(relay, size)
+                return await _send_ordinary(relay, size, lines, method)
             except ConnError:
                 await anyio.sleep(0.1)
 
 
-async def _send_ordinary(relay, size):
+async def _send_ordinary(relay, size, lines, method):
     conn = await connect(relay.address, WAIT_LIMIT_S)
     try:
-        head = make_head(
-            "ordinary", f"Content-Length: {size}", request_id="ordinary"
-        )
+        if size:
+            lines = (*lines, f"Content-Length: {size}")
+        head = make_head(0, *lines, method=method, request_id="ordinary")
         await conn.send(head)
         await send_bytes(conn, size)
         received = b""
--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -111,6 +111,7 @@
             async with RequestTasks(self) as tasks:
                 self._task_group = tasks
                 self.protocol = HttpProtocols(
+                    self._server.allows_http2,
                     self.app,
                     self.config,
                     self.context,
--- a/src/applespring/serving/http11.py
+++ b/src/applespring/serving/http11.py
@@ -2,7 +2,9 @@
 
 import h11
 from hypercorn.protocol import ProtocolWrapper
-from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.protocol.events import Request
+from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
+from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.typing import H11SendableEvent
 
 _SENT_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
@@ -11,7 +13,17 @@
 class Http11(H11Protocol):
     """HTTP/1.1 that asks for a body only when the application reads it."""
 
-    _body_wanted = False
+    def __init__(self, allows_http2: bool, *args: object) -> None:
+        """Waits for a head.
+
+        Args:
+            allows_http2: Whether the client may go on with HTTP/2.
+            *args: Those of `H11Protocol`.
+        """
+        super().__init__(*args)
+        self._allows_http2 = allows_http2
+        self._body_wanted = False
+        self._is_chunked = False
 
     @property
     def head_begun(self) -> bool:
@@ -43,11 +55,38 @@
             await self._send_error_response(408)
 
     async def _create_stream(self, request: h11.Request) -> None:
+        # Other than hypercorn's, this one serves no websockets. A server that
+        # does not know what a client offers to upgrade to ignores the offer.
         self._body_wanted = False
         self._is_chunked = any(
             name == b"transfer-encoding" for name, _ in request.headers
         )
-        await super()._create_stream(request)
+        self.stream = HTTPStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            STREAM_ID,
+        )
+        await self.stream.handle(
+            Request(
+                stream_id=STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                method=request.method.decode("ascii").upper(),
+                raw_path=request.target,
+                state=self.connection_state,
+            )
+        )
+        self.keep_alive_requests += 1
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        if self._allows_http2:
+            await super()._check_protocol(event)
 
     async def _send_h11_event(self, event: H11SendableEvent) -> None:
         # The server offers to send this as soon as it has read the head.
@@ -59,15 +98,20 @@
             return
         await super()._send_h11_event(event)
 
-    _is_chunked = False
-
 
 class HttpProtocols(ProtocolWrapper):
     """The protocol of a connection, HTTP/1.1 until its client changes it."""
 
-    def __init__(self, *args: object) -> None:
+    def __init__(self, allows_http2: bool, *args: object) -> None:
+        """Begins with HTTP/1.1.
+
+        Args:
+            allows_http2: Whether the client may go on with HTTP/2.
+            *args: Those of `ProtocolWrapper`.
+        """
         super().__init__(*args)
         self.protocol = Http11(
+            allows_http2,
             self.app,
             self.config,
             self.context,
--- a/src/applespring/serving/server.py
+++ b/src/applespring/serving/server.py
@@ -65,6 +65,8 @@
         cfg: Configuration of hypercorn.
         loop: The event loop.
         context: Tells connections that the server stops.
+        head_limit_s: Returns how long a head may take to arrive.
+        allows_http2: Whether clients may use HTTP/2.
     """
 
     def __init__(
@@ -72,6 +74,8 @@
         app: AsgiApp,
         cfg: Config,
         head_limit_s: Callable[[], float],
+        *,
+        allows_http2: bool = False,
     ) -> None:
         """Opens nothing yet.
 
@@ -79,10 +83,12 @@
             app: The application.
             cfg: Configuration of hypercorn.
             head_limit_s: Returns how long a head may take to arrive.
+            allows_http2: Whether clients may use HTTP/2.
         """
         self.app = app
         self.cfg = cfg
         self.head_limit_s = head_limit_s
+        self.allows_http2 = allows_http2
         self.loop = asyncio.get_running_loop()
         self.context = WorkerContext(None)
         self._buffer = bytearray(READ_BYTES)
