Go on with the log after its reader has paused

What operators saw: once more than 1 MiB of log lines had waited for the pipe, the process never wrote another line, though the pipe was read again. Found by reading the code for the bound of log lines.

Cause: the writer skipped writing while that much waited, which was to bound it; nothing else made it shorter.

Change: it always writes.

Result: the scenario "The log goes on after more than 1 MiB was not read" timed out before and passes.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -164,6 +164,13 @@
     When the pipe is read again
     Then the number of dropped lines is logged
 
+  Scenario: The log goes on after more than 1 MiB was not read
+    Guards against a log that stays silent for good after its reader has paused.
+    Given a log whose reader has paused while 1400 lines of 1000 bytes came
+    When the reader goes on
+    Then all of these lines arrive
+    And so does one that is logged then
+
   Scenario: Instances of a large fleet receive each other's state through others
     Load pattern: 84 instances of which each sends heartbeats to 6 others.
     Given a table of 84 peers with state forwarded by others at 0
--- a/features/steps/relay_decisions_steps.py
+++ b/features/steps/relay_decisions_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 
+import anyio
 from behave import given, then, when
 from loguru import logger
 
@@ -15,6 +16,9 @@
 from applespring.relay.protocol import CallerRequest
 from features.fixtures.platform_text import make_configuration
 
+# Far above what reading a pipe takes.
+READ_LIMIT_S = 20.0
+
 
 @given("a retry budget of {ratio:g} a request plus {extra:d} shared in {s:d} s")
 def given_budget(context, ratio, extra, s):
@@ -155,3 +159,56 @@
 def then_order(context, names):
     ordered = sorted(context.priorities, key=context.priorities.get)
     assert ordered == names.split(", "), context.priorities
+
+
+@given(
+    "a log whose reader has paused while {count:d} lines of {size:d} bytes came"
+)
+def given_paused_reader(context, count, size):
+    context.paused_lines = count
+    # The other fields of a line have over 100 bytes.
+    half = "x" * ((size - 100) // 2)
+    context.line_fields = {"detail": half, "route": half}
+
+
+@when("the reader goes on")
+def when_reader_goes_on(context):
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    log = LogWriter(writer)
+    log.install("INFO")
+    context.read = b""
+
+    async def read_until(text):
+        with anyio.fail_after(READ_LIMIT_S):
+            while text not in context.read:
+                with contextlib.suppress(BlockingIOError):
+                    context.read += os.read(reader, 1 << 16)
+                await anyio.sleep(0.001)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(log.run)
+            for n in range(context.paused_lines):
+                logger.bind(**context.line_fields).info("paused line {};", n)
+            with anyio.fail_after(READ_LIMIT_S):
+                while len(log._partial) < 1 << 20:
+                    await anyio.sleep(0.01)
+            await read_until(b"paused line %d;" % (context.paused_lines - 1))
+            logger.info("later line;")
+            await read_until(b"later line;")
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    logger.remove()
+
+
+@then("all of these lines arrive")
+def then_all_arrive(context):
+    count = context.read.count(b"paused line ")
+    assert count == context.paused_lines, count
+
+
+@then("so does one that is logged then")
+def then_later_arrives(context):
+    assert b"later line;" in context.read
--- a/src/applespring/relay/log.py
+++ b/src/applespring/relay/log.py
@@ -111,7 +111,7 @@
             if not self._lines and not self._partial:
                 self._lines_added = anyio.Event()
                 await self._lines_added.wait()
-            complete = self.flush() if len(self._partial) < 1 << 20 else False
+            complete = self.flush()
             await anyio.sleep(
                 FLUSH_INTERVAL_S if complete else RETRY_INTERVAL_S
             )
