Bound the bytes of log lines that are not written yet

What callers saw: 3,000 requests with ids of 15,000 bytes had the process hold 230 MB while nothing read its log.

Cause: the buffer was bounded in lines, and a line repeats what a caller sent.

Change: texts in a line are cut to 512 characters and their length; lines and what the pipe has not accepted are bounded by 2 MiB together, of which 0.5 MiB are for warnings.

--- a/src/applespring/relay/log.py
+++ b/src/applespring/relay/log.py
@@ -2,7 +2,8 @@
 
 Each line is a JSON object. Lines are kept in a bounded buffer and written when
 the pipe accepts them. When the buffer is full, lines are dropped, those below
-WARNING first. The number of dropped lines is logged once the buffer is less
+WARNING first. Long texts in a line, which callers and upstreams may have sent,
+are shortened. The number of dropped lines is logged once the buffer is less
 than half full.
 """
 
@@ -17,6 +18,11 @@
 BUFFER_LINES_MAX = 2000
 # Lines of the buffer that are reserved for warnings and errors.
 RESERVED_LINES = 500
+# Bytes of the buffer, and of what the pipe has not accepted yet.
+BUFFER_BYTES_MAX = 2 * 1024 * 1024
+RESERVED_BYTES = 512 * 1024
+# Characters of a text in a line. The ids of the platform have under 100.
+TEXT_CHARS_MAX = 512
 # Interval between writes, so that lines share a system call.
 FLUSH_INTERVAL_S = 0.05
 # Interval between writes while the pipe is full.
@@ -37,6 +43,7 @@
         "dropped_total",
         "_fd",
         "_lines",
+        "_lines_bytes",
         "_partial",
         "_lines_added",
     )
@@ -46,6 +53,7 @@
         self.dropped_total = 0
         self._fd = fd
         self._lines: deque[bytes] = deque()
+        self._lines_bytes = 0
         self._partial = b""
         self._lines_added = anyio.Event()
 
@@ -63,10 +71,12 @@
         """Buffers a loguru record, or drops it when the buffer is full."""
         record = message.record
         level = record["level"]
-        lines_max = BUFFER_LINES_MAX
+        lines_max, bytes_max = BUFFER_LINES_MAX, BUFFER_BYTES_MAX
         if level.no < _WARNING_LEVEL:
             lines_max -= RESERVED_LINES
-        if len(self._lines) >= lines_max:
+            bytes_max -= RESERVED_BYTES
+        held = self._lines_bytes + len(self._partial)
+        if len(self._lines) >= lines_max or held >= bytes_max:
             self.dropped += 1
             self.dropped_total += 1
             return
@@ -78,7 +88,12 @@
         }
         if record["exception"] is not None:
             line["exception"] = repr(record["exception"].value)
-        self._lines.append(orjson.dumps(line, default=str) + b"\n")
+        for name, value in line.items():
+            if isinstance(value, str) and len(value) > TEXT_CHARS_MAX:
+                line[name] = shorten(value)
+        data = orjson.dumps(line, default=str) + b"\n"
+        self._lines.append(data)
+        self._lines_bytes += len(data)
         self._lines_added.set()
 
     def flush(self) -> bool:
@@ -93,6 +108,7 @@
         if self._lines:
             self._partial += b"".join(self._lines)
             self._lines.clear()
+            self._lines_bytes = 0
         while self._partial:
             try:
                 written = os.write(self._fd, self._partial)
@@ -115,3 +131,8 @@
             await anyio.sleep(
                 FLUSH_INTERVAL_S if complete else RETRY_INTERVAL_S
             )
+
+
+def shorten(text: str) -> str:
+    """Returns the first characters of a text and its length."""
+    return f"{text[:TEXT_CHARS_MAX]}... ({len(text)} characters)"
