Bound the connections that each port accepts

What callers saw: 300 connections that sent nothing, or only the begin of a head, had the process open 312 sockets at each of its ports, callers, readiness, metrics and peers; with 400 descriptors, of which 200 are for files, it can then neither accept others nor reach an upstream.

Cause: no port but that of the peers had a bound. That one had 1,024, and then closed what came, so that strangers could shut out the other instances.

Callers get half of the descriptors for sockets, and a tenth of the memory at 16 KiB each; peers a fifth; readiness and metrics 16 each. A new connection takes the place of one that has not sent a whole request, then of one that rests, the oldest first; requests never yield. Requests of peers share 16 MiB. A head that has not ended may have twice the document's limit.

--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -169,7 +169,7 @@
                 tasks.start_soon(ask, f"k{i}")
         await pair.ask("again")
         assert replies == {f"k{i}": f"k{i}" for i in range(count)}
-        assert pair.transports[1]._accepted_count == 1
+        assert len(pair.transports[1]._accepted) == 1
 
     run_linked(context, check)
 
--- a/src/applespring/peer/link.py
+++ b/src/applespring/peer/link.py
@@ -7,6 +7,7 @@
 """
 
 import struct
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import (
@@ -20,6 +21,12 @@
 )
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from applespring.core.caller_memory import (
+    CallerMemory,
+    Holding,
+    MemoryFullError,
+)
+from applespring.core.connection_table import ConnectionTable
 from applespring.core.errors import MessageError
 from applespring.peer.codec import DATAGRAM_BYTES_MAX, MESSAGE_BYTES_MAX
 from applespring.peer.transport import (
@@ -44,6 +51,8 @@
 HANDLERS_MAX = 256
 # Bound on the opened connections, and on the accepted ones.
 CONNECTIONS_MAX = 1024
+# Bytes of requests that arrive or are handled, on all accepted connections.
+REQUEST_BYTES_MAX = 16 * 1024 * 1024
 _FRAME_HEADER = struct.Struct(">IQ")
 _REQUEST_NUMBER_BYTES = 8
 _SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
@@ -67,7 +76,19 @@
     return host.strip("[]"), int(port)
 
 
-async def _read_frame(stream: BufferedByteReceiveStream) -> tuple[int, bytes]:
+async def _read_frame(
+    stream: BufferedByteReceiveStream,
+    hold: Callable[[int], None] = lambda _: None,
+) -> tuple[int, bytes]:
+    """Returns the request number and the message of the next frame.
+
+    Args:
+        stream: The stream.
+        hold: Called with the length of a frame before its message is read.
+
+    Raises:
+        MessageError: The length is out of range.
+    """
     with anyio.fail_after(IDLE_TIMEOUT_S):
         header = await stream.receive_exactly(_FRAME_HEADER.size)
     length, request_number = _FRAME_HEADER.unpack(header)
@@ -81,6 +102,7 @@
             f"number of {_REQUEST_NUMBER_BYTES} bytes and a message of at most "
             f"{MESSAGE_BYTES_MAX} bytes"
         )
+    hold(length)
     with anyio.fail_after(FRAME_BODY_TIMEOUT_S):
         body = await stream.receive_exactly(length - _REQUEST_NUMBER_BYTES)
     return request_number, body
@@ -149,13 +171,20 @@
     """
 
     def __init__(
-        self, host: str, port: int, *, close_unresponsive: bool = False
+        self,
+        host: str,
+        port: int,
+        *,
+        close_unresponsive: bool = False,
+        accepted_max: int = CONNECTIONS_MAX,
     ) -> None:
         """Stores the address, which `run` binds.
 
         Args:
             host: IP address.
             port: TCP and UDP port, 0 for any.
+            accepted_max: Most accepted connections. Above that, one that has
+                not sent a request, or sent one longest ago, is closed.
             close_unresponsive: Whether to close a connection on which a
                 reply is overdue and nothing has arrived since the request, for
                 networks in which a connection can stop delivering data for
@@ -171,7 +200,8 @@
         self._connections: dict[str, _Connection] = {}
         self._connect_locks: dict[str, anyio.Lock] = {}
         self._last_request_number = 0
-        self._accepted_count = 0
+        self._accepted = ConnectionTable(min(accepted_max, CONNECTIONS_MAX))
+        self._request_memory = CallerMemory(REQUEST_BYTES_MAX)
 
     async def run(
         self,
@@ -328,17 +358,18 @@
     async def _serve_connection(
         self, stream: SocketStream, on_request: OnRequest
     ) -> None:
-        if self._accepted_count >= CONNECTIONS_MAX:
-            await anyio.aclose_forcefully(stream)
-            return
-        self._accepted_count += 1
         connection = _Connection(stream)
+        yielding = self._accepted.add(connection, anyio.current_time())
+        if yielding is not None:
+            await yielding.close()
+        if yielding is connection:
+            return
         try:
             async with anyio.create_task_group() as tasks:
                 await self._read_requests(connection, on_request, tasks)
                 tasks.cancel_scope.cancel()
         finally:
-            self._accepted_count -= 1
+            self._accepted.remove(connection)
             await connection.close()
 
     async def _read_requests(
@@ -348,7 +379,9 @@
         # Reading pauses while this many requests of the connection are handled.
         handler_slots = anyio.Semaphore(HANDLERS_MAX)
 
-        async def handle(request_number: int, body: bytes) -> None:
+        async def handle(
+            request_number: int, body: bytes, holding: Holding
+        ) -> None:
             try:
                 with anyio.move_on_after(HANDLER_TIMEOUT_S):
                     reply = await on_request(body)
@@ -357,14 +390,32 @@
             except _CONNECTION_ERRORS:
                 return
             finally:
+                holding.close()
                 handler_slots.release()
 
+        holding: Holding | None = None
+
+        def hold(size: int) -> None:
+            nonlocal holding
+            now = anyio.current_time()
+            holding = self._request_memory.open(
+                None, now, tasks.cancel_scope.cancel
+            )
+            holding.grow(size, now)
+
         try:
             while True:
-                request_number, body = await _read_frame(stream)
+                request_number, body = await _read_frame(stream, hold)
+                self._accepted.record_rest(connection)
+                assert holding is not None
+                holding.complete()
                 await handler_slots.acquire()
-                tasks.start_soon(handle, request_number, body)
-        except MessageError:
+                tasks.start_soon(handle, request_number, body, holding)
+                holding = None
+        except (MessageError, MemoryFullError):
             self.frames_rejected += 1
         except _CONNECTION_ERRORS:
             return
+        finally:
+            if holding is not None:
+                holding.close()
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -22,6 +22,7 @@
     make_transport_factory,
 )
 from applespring.relay.components import RelayComponents
+from applespring.relay.connection_limits import ConnectionLimits
 from applespring.relay.drain import RelayDrain
 from applespring.relay.http_transport import HttpTransport
 from applespring.relay.log import LogWriter
@@ -34,7 +35,7 @@
 
 BACKLOG = 512
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
-# Limit of the server; the application checks the limit of the document.
+# Upper bound; the application checks the limit of the document.
 HEAD_BYTES_MAX = 64 * 1024
 SETTINGS_RELOAD_INTERVAL_S = 1.0
 # Added to the document's limit for a head, which counts from when it was sent.
@@ -55,6 +56,7 @@
         tls = httpx.create_ssl_context(trust_env=False)
         host, port = split_address(settings.peer_listen)
         self._log = log
+        self._limits = ConnectionLimits(settings)
         self._reload_settings = reload_settings
         registry_transport = HttpTransport(
             verify=tls,
@@ -72,7 +74,12 @@
             settings,
             protocol,
             make_registry(registry_transport, settings.registry_address),
-            SocketTransport(host, port, close_unresponsive=True),
+            SocketTransport(
+                host,
+                port,
+                close_unresponsive=True,
+                accepted_max=self._limits.peers,
+            ),
             read_clock,
             time.time_ns() // 1_000_000,
             make_transport_factory(tls),
@@ -108,6 +115,7 @@
                 self._components.application,
                 complete_server_config(CallerServerConfig(self.state)),
                 self._head_limit_s,
+                self._limits.callers,
             )
 
             async def serve_callers() -> None:
@@ -149,6 +157,7 @@
             make_text_app(read),
             complete_server_config(Config()),
             self._head_limit_s,
+            self._limits.operators,
         )
         await server.run(open_socket(address), anyio.sleep_forever)
 
@@ -234,6 +243,14 @@
         super().__init__()
         self._state = state
 
+    @property
+    def h11_max_incomplete_size(self) -> int:
+        """Most bytes of a head that has not ended."""
+        doc = self._state.document
+        limits = doc.limits if doc is not None else CallerLimits()
+        # The document does not count the request line.
+        return min(HEAD_BYTES_MAX, 2 * limits.header_bytes)
+
     @property
     def keep_alive_timeout(self) -> float:
         """Time after which a resting connection is closed, in seconds."""
@@ -265,7 +282,6 @@
     cfg.include_server_header = False
     cfg.include_date_header = False
     cfg.keep_alive_max_requests = REQUESTS_PER_CONNECTION_MAX
-    cfg.h11_max_incomplete_size = HEAD_BYTES_MAX
     # Never reached: after a drain the server is told to stop, and the process
     # exits within `drain.CONNECTION_CLOSE_S` of that.
     cfg.graceful_timeout = 10.0
--- /dev/null
+++ b/src/applespring/relay/connection_limits.py
@@ -0,0 +1,37 @@
+"""How the descriptors and the memory of a machine bound connections."""
+
+from applespring.relay.settings import RelaySettings
+
+# Descriptors that are reserved for files (the platform's deployment page).
+FILE_DESCRIPTORS = 200
+# Shares of the others. What is left is for upstreams and the registry.
+CALLERS_SHARE = 0.5
+PEERS_SHARE = 0.2
+# Connections for readiness, and for metrics.
+OPERATORS_MAX = 16
+# Share of the memory for connections without a request, and what one takes.
+MEMORY_SHARE = 0.1
+CONNECTION_BYTES = 16 * 1024
+# Whatever the settings say, this many connections are accepted.
+CONNECTIONS_MIN = 16
+
+
+class ConnectionLimits:
+    """Most connections that the process accepts.
+
+    Attributes:
+        callers: From callers.
+        peers: From other instances.
+        operators: To each of the ports for readiness and metrics.
+    """
+
+    __slots__ = ("callers", "peers", "operators")
+
+    def __init__(self, settings: RelaySettings) -> None:
+        sockets = settings.descriptors_max - FILE_DESCRIPTORS
+        in_memory = MEMORY_SHARE * settings.memory_bytes / CONNECTION_BYTES
+        self.callers = max(
+            CONNECTIONS_MIN, int(min(CALLERS_SHARE * sockets, in_memory))
+        )
+        self.peers = max(CONNECTIONS_MIN, int(PEERS_SHARE * sockets))
+        self.operators = OPERATORS_MAX
--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -7,7 +7,7 @@
 from hypercorn.asyncio.task_group import TaskGroup
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.config import Config
-from hypercorn.events import Closed, Event, RawData
+from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import parse_socket_addr
 from loguru import logger
@@ -142,12 +142,21 @@
         if self.protocol.http11 is not None:
             await self.protocol.http11.ask_for_body()
 
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self.writer.transport.abort()
+
     async def protocol_send(self, event: Event) -> None:
         """Handles what the protocol sends; see `TCPServer`."""
         if isinstance(event, Closed):
             await self._end()
-        else:
-            await super().protocol_send(event)
+            return
+        if isinstance(event, Updated):
+            if event.idle:
+                self._server.table.record_rest(self)
+            else:
+                self._server.table.record_request(self)
+        await super().protocol_send(event)
 
     async def _end(self) -> None:
         """Closes the connection once its client has stopped sending."""
@@ -156,6 +165,8 @@
             await self._close()
             return
         self.lingers = True
+        # It has no request any more, so it is the first to yield.
+        self._server.table.record_rest(self)
         self._lingers_until = self.loop.time() + LINGER_S
         if self.writer.can_write_eof():
             self.writer.write_eof()
--- a/src/applespring/serving/server.py
+++ b/src/applespring/serving/server.py
@@ -1,6 +1,7 @@
 """A server of one port."""
 
 import asyncio
+import math
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -8,8 +9,14 @@
 from hypercorn.config import Config
 from loguru import logger
 
+from applespring.core.connection_table import ConnectionTable
 from applespring.serving.connection import READ_BYTES, Connection
 
+# A connection is no longer read once twice this is unread.
+AHEAD_BYTES = 4 * 1024
+# Least time between two log lines that say that there are too many connections.
+FULL_LOG_INTERVAL_S = 10.0
+
 AsgiApp = Callable[..., Awaitable[None]]
 
 
@@ -29,7 +36,7 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._buffer = buffer
-        self._reader = asyncio.StreamReader(limit=READ_BYTES, loop=loop)
+        self._reader = asyncio.StreamReader(limit=AHEAD_BYTES, loop=loop)
         self._streams = asyncio.StreamReaderProtocol(
             self._reader, serve, loop=loop
         )
@@ -67,6 +74,7 @@
         context: Tells connections that the server stops.
         head_limit_s: Returns how long a head may take to arrive.
         allows_http2: Whether clients may use HTTP/2.
+        table: The connections and what they do.
     """
 
     def __init__(
@@ -74,6 +82,7 @@
         app: AsgiApp,
         cfg: Config,
         head_limit_s: Callable[[], float],
+        connections_max: int,
         *,
         allows_http2: bool = False,
     ) -> None:
@@ -83,6 +92,7 @@
             app: The application.
             cfg: Configuration of hypercorn.
             head_limit_s: Returns how long a head may take to arrive.
+            connections_max: Most connections.
             allows_http2: Whether clients may use HTTP/2.
         """
         self.app = app
@@ -92,8 +102,10 @@
         self.loop = asyncio.get_running_loop()
         self.context = WorkerContext(None)
         self._buffer = bytearray(READ_BYTES)
+        self.table = ConnectionTable(connections_max)
         self._turn = asyncio.Lock()
-        self._connections: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._full_logged_at = -math.inf
 
     async def run(
         self, sock: socket.socket, wait_stop: Callable[[], Awaitable[object]]
@@ -117,10 +129,8 @@
         finally:
             await self.context.terminated.set()
             server.close()
-        if self._connections:
-            await asyncio.wait(
-                self._connections, timeout=self.cfg.graceful_timeout
-            )
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=self.cfg.graceful_timeout)
 
     async def wait_turn(self) -> None:
         """Waits for a pass of the event loop that no other connection uses."""
@@ -131,12 +141,44 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
-        self._connections.add(task)
+        conn = Connection(self, reader, writer)
+        self._tasks.add(task)
         try:
-            await Connection(self, reader, writer).run()
+            if self._admit(conn):
+                await conn.run()
         except Exception as exc:  # noqa: BLE001
             logger.bind(event="connection_failed").exception(
                 "a connection ended with an unexpected error: {}", exc
             )
         finally:
-            self._connections.discard(task)
+            self.table.remove(conn)
+            self._tasks.discard(task)
+
+    def _admit(self, conn: Connection) -> bool:
+        """Adds a connection, for which another one may have to yield."""
+        yielding = self.table.add(conn, self.loop.time())
+        if yielding is None:
+            return True
+        self._log_full()
+        yielding.abort()
+        return yielding is not conn
+
+    def _log_full(self) -> None:
+        now = self.loop.time()
+        if now - self._full_logged_at < FULL_LOG_INTERVAL_S:
+            return
+        self._full_logged_at = now
+        logger.bind(
+            event="connections_full",
+            connections=len(self.table),
+            limit=self.table.limit,
+            yielded=self.table.yielded,
+            refused=self.table.refused,
+        ).warning(
+            "{} connections are open; the limit is {}. {} had to yield, {} new "
+            "ones were closed",
+            len(self.table),
+            self.table.limit,
+            self.table.yielded,
+            self.table.refused,
+        )
