Count what a request in progress takes beside its body

Cause: a request that waits for its upstream takes 65 kB for its tasks and the connection to it, and what its client pipelines up to 45 kB, which the bound of the memory did not contain (400 held requests: 86 MB, with pipelined ones 105 MB).

Change: a holding begins with 100 kB. What is up to 160 KiB counts as small.

--- a/src/applespring/core/caller_memory.py
+++ b/src/applespring/core/caller_memory.py
@@ -21,8 +21,8 @@
 
 from applespring.core.errors import ApplespringError
 
-# An ordinary request with its head.
-SMALL_BYTES = 64 * 1024
+# An ordinary request, with what the process needs to forward it.
+SMALL_BYTES = 160 * 1024
 # Share of the capacity that only small holdings may use.
 SMALL_SHARE = 0.25
 # Multiple of the free capacity that the large holdings of an account may take.
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -38,6 +38,8 @@
 # Short for the same reason. Memory of requests that have stopped arriving is
 # free within `BODY_TIMEOUT_S`.
 MEMORY_RETRY_AFTER_S = 0.5
+# Memory of a request in progress: its tasks, the buffers of its connections.
+REQUEST_COST_BYTES = 100_000
 # Memory of the objects that one header takes while a request is forwarded.
 HEADER_COST_BYTES = 500
 # Route label of requests that are refused before their route is found.
@@ -263,9 +265,13 @@
         if doc.needs_key(route):
             client_account = self._find_client_account(doc, req)
         _check_announced_length(scope, doc)
-        head_cost = head_bytes + HEADER_COST_BYTES * len(scope["headers"])
+        cost = (
+            REQUEST_COST_BYTES
+            + head_bytes
+            + HEADER_COST_BYTES * len(scope["headers"])
+        )
         req.body = await self._read_body(
-            receive, doc, client_account, arrival, head_cost
+            receive, doc, client_account, arrival, cost
         )
         total_weight = sum(weight for _, weight in route.targets)
         if not total_weight:
@@ -287,7 +293,7 @@
         doc: RoutingDocument,
         client_account: ClientAccount | None,
         arrival: _Arrival,
-        head_cost: int,
+        cost: int,
     ) -> bytes:
         """Returns the complete body of a request.
 
@@ -296,7 +302,7 @@
             doc: The document in force.
             client_account: Account of the request, or None.
             arrival: Gets the holding of the request.
-            head_cost: Bytes that its head takes.
+            cost: Bytes that the request takes without its body.
 
         Raises:
             RefusalError: It is too long, takes too long, or the memory for it
@@ -312,7 +318,7 @@
         detail = "it was needed for other requests"
         try:
             with body_scope:
-                holding.grow(head_cost, self._state.clock())
+                holding.grow(cost, self._state.clock())
                 body = await _read_body(
                     receive, doc.limits.body_bytes, holding, self._state.clock
                 )
