Hand on no request of a connection that has been lost

What callers saw: the requests that 300 clients had pipelined went on to upstreams after they had reset their connections, so that the process was busy for over a minute, and a failed write other than a reset ended the connection's task with an error that keeps its answer in memory.

Cause: hypercorn begins the next request that it has read, whatever became of the connection, and expects ConnectionError only, not a time-out.

Change: a request is not begun when its connection is closed; any OSError of a write ends the connection.

--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -112,6 +112,7 @@
                 self._task_group = tasks
                 self.protocol = HttpProtocols(
                     self._server.allows_http2,
+                    self.writer.transport.is_closing,
                     self.app,
                     self.config,
                     self.context,
@@ -156,7 +157,14 @@
                 self._server.table.record_rest(self)
             else:
                 self._server.table.record_request(self)
-        await super().protocol_send(event)
+        try:
+            await super().protocol_send(event)
+        except OSError as exc:
+            # hypercorn expects only some of them.
+            logger.bind(event="connection_lost").debug(
+                "a connection failed while it was written: {}", exc
+            )
+            await self.protocol.handle(Closed())
 
     async def _end(self) -> None:
         """Closes the connection once its client has stopped sending."""
--- a/src/applespring/serving/http11.py
+++ b/src/applespring/serving/http11.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 on a connection of a caller."""
 
+from collections.abc import Callable
+
 import h11
 from hypercorn.protocol import ProtocolWrapper
 from hypercorn.protocol.events import Request
@@ -13,15 +15,22 @@
 class Http11(H11Protocol):
     """HTTP/1.1 that asks for a body only when the application reads it."""
 
-    def __init__(self, allows_http2: bool, *args: object) -> None:
+    def __init__(
+        self,
+        allows_http2: bool,
+        is_lost: Callable[[], bool],
+        *args: object,
+    ) -> None:
         """Waits for a head.
 
         Args:
             allows_http2: Whether the client may go on with HTTP/2.
+            is_lost: Whether the connection has been closed.
             *args: Those of `H11Protocol`.
         """
         super().__init__(*args)
         self._allows_http2 = allows_http2
+        self._is_lost = is_lost
         self._body_wanted = False
         self._is_chunked = False
 
@@ -55,6 +64,9 @@
             await self._send_error_response(408)
 
     async def _create_stream(self, request: h11.Request) -> None:
+        if self._is_lost():
+            # It was read before the client closed the connection.
+            raise ConnectionResetError("the client has closed the connection")
         # Other than hypercorn's, this one serves no websockets. A server that
         # does not know what a client offers to upgrade to ignores the offer.
         self._body_wanted = False
@@ -102,16 +114,23 @@
 class HttpProtocols(ProtocolWrapper):
     """The protocol of a connection, HTTP/1.1 until its client changes it."""
 
-    def __init__(self, allows_http2: bool, *args: object) -> None:
+    def __init__(
+        self,
+        allows_http2: bool,
+        is_lost: Callable[[], bool],
+        *args: object,
+    ) -> None:
         """Begins with HTTP/1.1.
 
         Args:
             allows_http2: Whether the client may go on with HTTP/2.
+            is_lost: Whether the connection has been closed.
             *args: Those of `ProtocolWrapper`.
         """
         super().__init__(*args)
         self.protocol = Http11(
             allows_http2,
+            is_lost,
             self.app,
             self.config,
             self.context,
