Bound the memory of answers that their clients do not read

What callers saw: 60 clients that asked for 4 MiB each and read nothing had the process hold 534 MB.

Cause: three. Answers were not counted. The event loop read all that the kernel had of them, up to 6 MB each, before anything could refuse it. Answers that were cut off stayed in memory: errors kept by the task groups of asyncio and anyio in reference cycles refer to the frames that held them.

Change: an answer is counted with its request. If it states its length, it waits for room for all of it; else it fails with 502 if there is none. It is sent in parts, and yields to others 2 s after it began to be sent. Receive buffers are 64 KiB. Bodies are not kept in local variables, and the collector runs after 8 MiB of large requests that ended early.

--- a/features/caller_memory.feature
+++ b/features/caller_memory.feature
@@ -51,3 +51,17 @@
     Given 60 clients that sent 4 MB each at 0 s and stopped
     When all leave
     Then nothing is held
+
+  Scenario: A crowd does not read its answers
+    Guards against answers that wait for memory that clients hold who do not
+    read theirs.
+    Given 60 clients whose answers of 4 MB have been sent since 1 s
+    When a request that is complete gets an answer of 4 MB at 2 s
+    Then the answer has room
+    And at most 64 MB are held
+
+  Scenario: A client has just begun to read its answer
+    Guards against answers that are cut off for newer ones.
+    Given 60 clients whose answers of 4 MB have been sent since 1 s
+    When a request that is complete gets an answer of 4 MB at 0.5 s
+    Then the answer has no room
--- a/features/steps/caller_memory_steps.py
+++ b/features/steps/caller_memory_steps.py
@@ -74,6 +74,40 @@
                 sender.send(1, start + second, start + second)
 
 
+@given(
+    "{count:d} clients whose answers of {size:g} MB have been sent since "
+    "{since:g} s"
+)
+def given_unread(context, count, size, since):
+    context.crowd = []
+    given_complete(context, count, "", size, 0.0)
+    for sender in context.complete:
+        sender.holding.reopen(since, lambda: None)
+
+
+@when(
+    "a request that is complete gets an answer of {size:g} MB at {now:g} s",
+)
+def when_answer(context, size, now):
+    sender = _Sender(context.memory, "", 0.0)
+    sender.holding.complete()
+    context.senders = [sender]
+    try:
+        sender.holding.grow(int(size * MB), now)
+    except MemoryFullError:
+        sender.refused = True
+
+
+@then("the answer has room")
+def then_room(context):
+    assert not context.senders[0].refused
+
+
+@then("the answer has no room")
+def then_no_room(context):
+    assert context.senders[0].refused
+
+
 @when("a client sends {size:g} MB from {start:g} s to {end:g} s")
 def when_sends(context, size, start, end):
     context.senders = _send_all(context, 1, "", size, start, end)
--- a/src/applespring/core/caller_memory.py
+++ b/src/applespring/core/caller_memory.py
@@ -53,11 +53,20 @@
         account: Name of the client account, "" if it is not known, or None if
             the share of an account does not apply.
         size: Bytes held.
+        largest: Most bytes that were held at a time.
         since: When it was opened.
         state: Whether it can be taken back.
     """
 
-    __slots__ = ("account", "size", "since", "state", "_memory", "_on_yield")
+    __slots__ = (
+        "account",
+        "size",
+        "largest",
+        "since",
+        "state",
+        "_memory",
+        "_on_yield",
+    )
 
     def __init__(
         self,
@@ -67,7 +76,7 @@
         on_yield: Callable[[], None],
     ) -> None:
         self.account = account
-        self.size = 0
+        self.size = self.largest = 0
         self.since = now
         self.state = HoldingState.OPEN
         self._memory = memory
@@ -95,6 +104,18 @@
         if self.state is HoldingState.OPEN:
             self.state = HoldingState.COMPLETE
 
+    def reopen(self, since: float, on_yield: Callable[[], None]) -> None:
+        """Records that it may have to yield again.
+
+        Args:
+            since: From when on its time counts; it may lie ahead.
+            on_yield: Called when it has to yield; see `CallerMemory.open`.
+        """
+        if self.state is HoldingState.COMPLETE:
+            self.state = HoldingState.OPEN
+            self.since = since
+            self._on_yield = on_yield
+
     def close(self) -> None:
         """Gives all of it back."""
         self._memory.close(self)
@@ -219,6 +240,9 @@
     ) -> Holding | None:
         """Returns the holding that yields, or None if it is the growing one."""
         own_cost = holding.cost(now, size)
+        if holding.state is HoldingState.COMPLETE:
+            # It grows by an answer, which is new.
+            own_cost = 0.0, holding.size + size
         worst, worst_cost = None, own_cost
         only_account = (
             self.used + size <= self._large_capacity
@@ -246,6 +270,7 @@
                 else:
                     del self._large_by_account[account]
         holding.size = size
+        holding.largest = max(holding.largest, size)
 
 
 def _large_part(size: int) -> int:
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -1,5 +1,6 @@
 """ASGI applications: the one that serves callers, and plain-text answers."""
 
+import gc
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -40,6 +41,12 @@
 MEMORY_RETRY_AFTER_S = 0.5
 # Memory of a request in progress: its tasks, the buffers of its connections.
 REQUEST_COST_BYTES = 100_000
+# Time for a client to read a large answer before it may have to yield.
+ANSWER_GRACE_S = 2.0
+# Bytes of requests above `LARGE_BYTES` that end early between two collections
+# of reference cycles, which take some 50 ms.
+LARGE_BYTES = 256 * 1024
+UNCOLLECTED_BYTES_MAX = 8 * 1024 * 1024
 # Memory of the objects that one header takes while a request is forwarded.
 HEADER_COST_BYTES = 500
 # Route label of requests that are refused before their route is found.
@@ -102,6 +109,8 @@
         self._connections = ConnectionTimes()
         # Requests that are being admitted or forwarded.
         self._arrivals: set[_Arrival] = set()
+        # Bytes of large requests that ended early since the last collection.
+        self._uncollected = 0
 
     def end_remaining(self, end_reason: str) -> int:
         """Ends the requests whose answers are not at hand.
@@ -143,10 +152,37 @@
             await self._answer(scope, arrival, receive, send)
         finally:
             if arrival.holding is not None:
-                arrival.holding.close()
+                self._give_back(arrival, arrival.holding)
             if caller:
                 self._connections.record_answer(caller, self._state.clock())
 
+    def _allow_cut(self, arrival: _Arrival) -> None:
+        """Lets an answer yield while its client does not read it."""
+
+        def cut() -> None:
+            arrival.end_reason = (
+                "the memory of the answer was needed for other requests while "
+                "its client did not read it"
+            )
+            arrival.scope.cancel()
+
+        if arrival.holding is not None:
+            arrival.holding.reopen(self._state.clock() + ANSWER_GRACE_S, cut)
+
+    def _give_back(self, arrival: _Arrival, holding: Holding) -> None:
+        """Gives back the memory of a request that has ended.
+
+        What ended early is often referred to by tracebacks in reference cycles
+        of the libraries, which only the collector frees.
+        """
+        ended = arrival.exchange is not None and arrival.exchange.ended
+        if not ended and holding.largest > LARGE_BYTES:
+            self._uncollected += holding.largest
+        holding.close()
+        if self._uncollected > UNCOLLECTED_BYTES_MAX:
+            self._uncollected = 0
+            gc.collect()
+
     async def _answer(
         self, scope: dict, arrival: _Arrival, receive: Receive, send: Send
     ) -> None:
@@ -285,6 +321,8 @@
             arrival.at,
             send,
             lambda: self._state.connection_header,
+            arrival.holding,
+            lambda: self._allow_cut(arrival),
         )
 
     async def _read_body(
@@ -495,11 +533,10 @@
             arrival.end_reason,
             retry_after_s=SHUTDOWN_RETRY_AFTER_S,
         )
-    return RefusalError(
-        reason.UPSTREAM_FAILED,
-        Verdict.MAY_HAVE_RUN,
-        f"{arrival.end_reason} before an upstream had answered",
-    )
+    detail = arrival.end_reason
+    if not arrival.exchange.started:
+        detail += " before an upstream had answered"
+    return RefusalError(reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, detail)
 
 
 class CutError(Exception):
@@ -540,19 +577,23 @@
         RefusalError: The body is longer than `bytes_max`.
     """
     chunks, size = [], 0
-    while True:
-        event = await receive()
-        if event["type"] != "http.request":
-            raise CallerGoneError
-        data = event.get("body", b"")
-        size += len(data)
-        if size > bytes_max:
-            raise _make_length_refusal(bytes_max)
-        if data:
-            holding.grow(len(data), clock())
-            chunks.append(data)
-        if not event.get("more_body"):
-            return b"".join(chunks)
+    try:
+        while True:
+            event = await receive()
+            if event["type"] != "http.request":
+                raise CallerGoneError
+            data = event.get("body", b"")
+            size += len(data)
+            if size > bytes_max:
+                raise _make_length_refusal(bytes_max)
+            if data:
+                holding.grow(len(data), clock())
+                chunks.append(data)
+            if not event.get("more_body"):
+                return b"".join(chunks)
+    finally:
+        # The traceback of an error refers to this list.
+        chunks.clear()
 
 
 def make_text_app(read: Callable[[], tuple[int, str]]) -> Callable:
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -55,7 +55,12 @@
 REFUSAL_BODY_TIMEOUT_S = 0.1
 REFUSAL_BODY_BYTES_MAX = 64 * 1024
 
+# What the kernel may hold of an answer. The event loop reads all of it at once,
+# before anything can bound it.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+
 _SOCKET_OPTIONS = [
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
 ]
@@ -178,6 +183,15 @@
         names = {name.lower() for name, _ in self.headers}
         return not names.isdisjoint((b"content-length", b"transfer-encoding"))
 
+    @property
+    def stated_length(self) -> int | None:
+        """Length of the body in bytes, or None if the head states none."""
+        for name, value in self.headers:
+            if name.lower() == b"content-length":
+                # The HTTP library has checked that it is a number.
+                return int(value)
+        return None
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives, without decoding its encoding.
 
@@ -195,25 +209,36 @@
                 type(exc).__name__,
             ) from exc
 
-    async def read(self, bytes_max: int) -> bytes:
+    async def read(
+        self, bytes_max: int, hold: Callable[[int], None] = lambda _: None
+    ) -> bytes:
         """Returns the complete body.
 
+        Args:
+            bytes_max: Longest body.
+            hold: Called with the size of each part; what it raises ends this.
+
         Raises:
             StageError: The connection was closed before its end, or the body is
                 longer than `bytes_max`.
         """
         received, size = [], 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > bytes_max:
-                raise StageError(
-                    FailureKind.MISMATCH,
-                    Verdict.MAY_HAVE_RUN,
-                    self._upstream,
-                    f"the body is longer than {bytes_max} bytes",
-                )
-            received.append(chunk)
-        return b"".join(received)
+        try:
+            async for chunk in self.chunks():
+                size += len(chunk)
+                if size > bytes_max:
+                    raise StageError(
+                        FailureKind.MISMATCH,
+                        Verdict.MAY_HAVE_RUN,
+                        self._upstream,
+                        f"the body is longer than {bytes_max} bytes",
+                    )
+                hold(len(chunk))
+                received.append(chunk)
+            return b"".join(received)
+        finally:
+            # The traceback of an error refers to this list.
+            received.clear()
 
     async def read_refusal(self) -> bytes:
         """Returns the body of an answer to a request that did not run.
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -18,6 +18,7 @@
 from applespring.quarantine.port_check import refuses_connections
 from applespring.relay.application import make_text_app
 from applespring.relay.client import (
+    RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
     make_transport_factory,
 )
@@ -268,6 +269,8 @@
     """
     sock = socket.create_server(split_address(address), backlog=BACKLOG)
     sock.setblocking(False)
+    # Accepted connections have the same.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -5,6 +5,7 @@
 import anyio
 import orjson
 
+from applespring.core.caller_memory import Holding
 from applespring.core.errors import RefusalError
 from applespring.core.fingerprint import fingerprint_request
 from applespring.core.homes import (
@@ -41,6 +42,8 @@
 REFUSAL_MARGIN_SHARE = 0.02
 REFUSAL_MARGIN_MIN_S = 0.02
 REFUSAL_MARGIN_MAX_S = 0.1
+# A complete body is sent in parts of this size; the server buffers about one.
+PART_BYTES = 64 * 1024
 # Route priorities are 0 to 9.
 ROUTE_PRIORITY_COUNT = 10
 
@@ -66,6 +69,7 @@
         outcome: How it ended, for the log and the metrics.
         events: Number of events sent to the caller; set at the end.
         first_event_at: When the first event was sent, or -1.
+        holding: What it holds in memory, or None if that is not counted.
     """
 
     __slots__ = (
@@ -85,7 +89,10 @@
         "outcome",
         "events",
         "first_event_at",
+        "holding",
         "_send",
+        "_unsent",
+        "_on_large_answer",
         "_connection_header",
         "_fingerprint",
         "_regions",
@@ -102,6 +109,8 @@
         arrived_at: float,
         send: Send,
         connection_header: Callable[[], Header],
+        holding: Holding | None = None,
+        on_large_answer: Callable[[], None] = lambda: None,
     ) -> None:
         self.req = req
         self.document = document
@@ -128,6 +137,9 @@
         self.outcome = ""
         self.events = 0
         self.first_event_at = -1.0
+        self.holding = holding
+        self._unsent = memoryview(b"")
+        self._on_large_answer = on_large_answer
         self._send = send
         self._connection_header = connection_header
         self._fingerprint = ""
@@ -227,8 +239,24 @@
     ) -> None:
         """Sends an answer whose body is complete."""
         self.ready = True
-        await self.start(status, headers)
-        await self.finish(body)
+        self._unsent = memoryview(body)
+        if len(body) > PART_BYTES:
+            self._on_large_answer()
+        # Tracebacks refer to local variables, and the libraries keep some.
+        del body
+        try:
+            await self.start(status, headers)
+            await self._send_unsent()
+        finally:
+            self._unsent = memoryview(b"")
+
+    async def _send_unsent(self) -> None:
+        """Sends the body in parts, as fast as the caller reads it."""
+        while len(self._unsent) > PART_BYTES:
+            part = bytes(self._unsent[:PART_BYTES])
+            self._unsent = self._unsent[PART_BYTES:]
+            await self.send_chunk(part)
+        await self.finish(bytes(self._unsent))
 
     async def finish(self, data: bytes = b"") -> None:
         """Sends the last chunk of the body, which ends the answer."""
--- a/src/applespring/relay/plain.py
+++ b/src/applespring/relay/plain.py
@@ -16,6 +16,7 @@
 from applespring.core.verdict import Verdict, combine
 from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
+from applespring.relay.answer_memory import read_answer
 from applespring.relay.attempt import Attempt, record_attempt, watch_attempt
 from applespring.relay.availability import check_pool, make_unavailable_refusal
 from applespring.relay.client import UpstreamClient, enforce_timeout
@@ -26,7 +27,6 @@
 from applespring.relay.silence import UpstreamSilentError, run_until_replaced
 from applespring.relay.state import RelayState
 
-BODY_BYTES_MAX = 8 * 1024 * 1024
 # A request that may be retried is sent to another upstream, if there is one and
 # the budget allows it, after this multiple of the latency target of its route.
 ATTEMPT_TIMEOUT_TARGETS = 1.5
@@ -54,6 +54,11 @@
         self.body = body
         self.not_run = not_run
 
+    def take_body(self) -> bytes:
+        """Returns the body, which is not referred to any more."""
+        body, self.body = self.body, b""
+        return body
+
 
 class PlainForwarder:
     """Sends a request to one upstream, and to others after a failure.
@@ -289,7 +294,7 @@
                 retry_after_s = self._retry_after_s(exchange)
                 headers.append((b"retry-after", b"%.2f" % retry_after_s))
             await exchange.send_whole(
-                last_answer.status, headers, last_answer.body
+                last_answer.status, headers, last_answer.take_body()
             )
             return
         if verdict is Verdict.NOT_RUN:
@@ -376,7 +381,9 @@
                     if not_run:
                         body = await answer.read_refusal()
                     else:
-                        body = await answer.read(BODY_BYTES_MAX)
+                        body = await read_answer(
+                            exchange, answer, attempt, clock
+                        )
                 attempt.outcome = f"status_{answer.status}"
                 if answer.is_unsigned:
                     attempt.outcome = "unsigned"
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -21,6 +21,7 @@
 from applespring.core.window import AttemptWindow
 from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch, WatchedRequest
+from applespring.relay.answer_memory import read_answer
 from applespring.relay.attempt import (
     CANCELLED,
     Attempt,
@@ -43,7 +44,6 @@
 from applespring.relay.metrics import RelayMetrics
 from applespring.relay.peers import Peers
 from applespring.relay.plain import (
-    BODY_BYTES_MAX,
     NOT_RUN_ATTEMPTS_MAX,
     connection_share,
 )
@@ -700,7 +700,7 @@
             raise error_type(
                 FailureKind.REFUSED, Verdict.NOT_RUN, upstream.name, detail
             )
-        body = await answer.read(BODY_BYTES_MAX)
+        body = await read_answer(exchange, answer, attempt, self._state.clock)
         if exchange.started:
             raise StageError(
                 FailureKind.STATUS,
@@ -711,7 +711,9 @@
         attempt.sending = True
         exchange.outcome = f"status_{answer.status}"
         headers = self._protocol.reply_headers(answer.headers)
-        await exchange.send_whole(answer.status, headers, body)
+        bodies = [body]
+        del body
+        await exchange.send_whole(answer.status, headers, bodies.pop())
 
     async def _forward_events(
         self,
