Bound what callers of the JSON interface hold

What callers saw, on with a crowd of the JSON interface: 200 submissions that stop short of 1 MiB had the process hold 337 MB, 20 connections with 20 streams of HTTP/2 each 497 MB, and 300 silent connections 317 sockets.

Cause: as for the relay; a stream of HTTP/2 was bounded, all of them were not.

A stated length above the limit is refused before the body.

The limits moved to serving/limits.py for both programs.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -71,6 +71,7 @@
         service_s: float | None = None,
         drain_grace_s: float = 0.2,
         drain_limit_s: float = 60.0,
+        entry_flags: Sequence[str] = (),
     ) -> None:
         """Chooses ports without starting a process.
 
@@ -84,6 +85,7 @@
                 pool's expected time.
             drain_grace_s: Flag `--drain-grace-s` of the entry instances.
             drain_limit_s: Flag `--drain-limit-s` of the entry instances.
+            entry_flags: Further flags of the entry instances.
         """
         self.document = document
         self.fleet = _load(document)
@@ -95,6 +97,7 @@
         self._pools = pools
         self._tokens_per_s = tokens_per_s
         self._service_s = service_s
+        self._entry_flags = list(entry_flags)
         self._drain_settings = (drain_grace_s, drain_limit_s)
         self._listed: dict[str, dict[str, str]] = {}
         ports = self._ports = PortChooser()
@@ -148,7 +151,7 @@
         argv += ["--peer-port", str(entry.peer_port)]
         argv += ["--drain-grace-s", str(grace_s)]
         argv += ["--drain-limit-s", str(limit_s)]
-        self._spawn(name, argv)
+        self._spawn(name, [*argv, *self._entry_flags])
 
     def wait_ready(self, *names: str) -> None:
         """Waits until the named entry instances are ready.
--- a/features/steps/client_crowd_steps.py
+++ b/features/steps/client_crowd_steps.py
@@ -14,12 +14,17 @@
     make_head,
     send_bytes,
 )
+from features.fixtures.process_figures import (
+    LEFT_LIMIT_S,
+    SEND_LIMIT_S,
+    SOCKETS_AT_REST_MAX,
+    WAIT_LIMIT_S,
+)
 from features.fixtures.relay_process import (
     CALLER_PORT,
     METRICS_PORT,
     PEER_PORT,
     READY_PORT,
-    WAIT_LIMIT_S,
     RelayProcess,
 )
 from soak.net import ConnError, connect
@@ -30,13 +35,6 @@
     "metrics": METRICS_PORT,
     "peers": PEER_PORT,
 }
-# Clients that are not read from stop sending after this time.
-SEND_LIMIT_S = 20.0
-# Time for the process to close the connections of clients that have left. It is
-# shorter than the idle limit, after which it closes any.
-LEFT_LIMIT_S = 10.0
-# Sockets of a process at rest: listeners, peers, the store, the worker.
-SOCKETS_AT_REST_MAX = 40
 
 
 @given("a relay process with {memory_mb:d} MB and {descriptors:d} descriptors")
--- a/src/applespring/entry/compose.py
+++ b/src/applespring/entry/compose.py
@@ -8,6 +8,7 @@
 import httpx
 
 from applespring.config.document import load_document
+from applespring.core.caller_memory import CallerMemory
 from applespring.core.drain import Drain
 from applespring.core.fleet import Fleet
 from applespring.core.key_table import KeyTable
@@ -55,6 +56,7 @@
 from applespring.peer.transport import Transport
 from applespring.permits.broker import PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch
+from applespring.serving.limits import CALLER_MEMORY_SHARE
 
 DOCUMENT_NAME = "fleet.toml"
 REQUEST_ID_BITS = 64
@@ -411,6 +413,9 @@
             describe=self.describe,
             new_id=lambda: f"{rng.getrandbits(REQUEST_ID_BITS):016x}",
             clock=self._external.clock,
+            memory=CallerMemory(
+                int(CALLER_MEMORY_SHARE * self.settings.memory_mb * 1_000_000)
+            ),
         )
 
     def _make_state_reader(self) -> StateReader:
--- a/src/applespring/entry/front/app.py
+++ b/src/applespring/entry/front/app.py
@@ -68,7 +68,26 @@
             await _serve_lifespan(receive, send)
         elif scope["type"] == "http":
             exchange = Exchange(scope, receive, send, self._is_leaving)
-            await self._serve(exchange)
+            holding = None
+            if exchange.has_body:
+                holding = exchange.hold(
+                    self._components.memory,
+                    self._known_account(exchange),
+                    self._components.clock,
+                )
+            try:
+                await self._serve(exchange)
+            finally:
+                if holding is not None:
+                    holding.close()
+
+    def _known_account(self, exchange: Exchange) -> str:
+        """Returns the account of a request, or "" if there is no such one."""
+        account = exchange.headers.get(ACCOUNT_HEADER, "")
+        fleet = self._components.fleet()
+        if fleet is None or account not in fleet.accounts:
+            return ""
+        return account
 
     def _is_leaving(self) -> bool:
         return not self._components.drain.drain.is_ready
--- a/src/applespring/entry/front/components.py
+++ b/src/applespring/entry/front/components.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from applespring.core.caller_memory import CallerMemory
 from applespring.core.fleet import Fleet
 from applespring.entry.drain import DrainService
 from applespring.entry.execution.gates import Clock, Gates
@@ -29,6 +30,7 @@
         read_state: Updates the metrics that other components count.
         new_id: Returns a new request id.
         clock: Seconds on the monotonic clock.
+        memory: What is held in memory for callers.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "read_state",
         "new_id",
         "clock",
+        "memory",
     )
 
     def __init__(
@@ -63,6 +66,7 @@
         read_state: Callable[[], None],
         new_id: Callable[[], str],
         clock: Clock,
+        memory: CallerMemory,
     ) -> None:
         self.metrics = metrics
         self.drain = drain
@@ -77,3 +81,4 @@
         self.read_state = read_state
         self.new_id = new_id
         self.clock = clock
+        self.memory = memory
--- a/src/applespring/entry/front/exchange.py
+++ b/src/applespring/entry/front/exchange.py
@@ -6,11 +6,24 @@
 import anyio
 import orjson
 
+from applespring.core.caller_memory import (
+    CallerMemory,
+    Holding,
+    MemoryFullError,
+)
 from applespring.core.errors import RefusalError
-from applespring.core.reason import BODY_TOO_LARGE, INVALID_REQUEST
+from applespring.core.reason import (
+    BODY_TOO_LARGE,
+    INVALID_REQUEST,
+    MEMORY_FULL,
+)
 from applespring.core.verdict import Verdict
 
 BODY_TIMEOUT_S = 10.0
+# Memory of a request in progress beside its body.
+REQUEST_COST_BYTES = 100_000
+HEADER_COST_BYTES = 500
+MEMORY_RETRY_AFTER_S = 1.0
 SEND_TIMEOUT_S = 10.0
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
@@ -52,6 +65,9 @@
         "_receive",
         "_send",
         "_is_leaving",
+        "_body_scope",
+        "_holding",
+        "_clock",
     )
 
     def __init__(
@@ -85,31 +101,79 @@
         # with GOAWAY.
         http1 = scope.get("http_version", "").startswith("1")
         self._is_leaving = is_leaving if http1 else _never
+        self._body_scope = anyio.CancelScope()
+        self._holding: Holding | None = None
+        self._clock: Callable[[], float] = lambda: 0.0
+
+    @property
+    def has_body(self) -> bool:
+        """Whether the method is one with a body."""
+        return self.method == "POST"
+
+    def hold(
+        self,
+        memory: CallerMemory,
+        account: str,
+        clock: Callable[[], float],
+    ) -> Holding:
+        """Counts the body as memory that is held; returns the holding.
+
+        Args:
+            memory: What is held in memory for callers.
+            account: Name of the client account, or "".
+            clock: Clock in seconds.
+        """
+        self._clock = clock
+        self._holding = memory.open(account, clock(), self._body_scope.cancel)
+        return self._holding
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Reads the complete body.
 
         Raises:
-            RefusalError: The body exceeds `limit_bytes` or did not arrive
-                within BODY_TIMEOUT_S.
+            RefusalError: The body exceeds `limit_bytes`, did not arrive within
+                BODY_TIMEOUT_S, or its memory is needed for other requests.
             CallerGoneError: The caller disconnected before the end.
         """
+        stated = self.headers.get("content-length", "")
+        if stated.isdigit() and int(stated) > limit_bytes:
+            raise _make_length_refusal(limit_bytes)
+        holding = self._holding
+        try:
+            if holding is not None:
+                cost = REQUEST_COST_BYTES + HEADER_COST_BYTES * len(
+                    self.headers
+                )
+                holding.grow(cost, self._clock())
+            body = await self._read_body(limit_bytes)
+        except MemoryFullError as exc:
+            raise _make_memory_refusal(str(exc)) from exc
+        if body is not None:
+            if holding is not None:
+                holding.complete()
+            return body
+        if holding is not None and holding.has_yielded:
+            raise _make_memory_refusal("it was needed for other requests")
+        raise reject(f"the body did not arrive within {BODY_TIMEOUT_S} s")
+
+    async def _read_body(self, limit_bytes: int) -> bytes | None:
+        """Returns the body, or None if its time is over or it has yielded."""
         body = bytearray()
-        with anyio.move_on_after(BODY_TIMEOUT_S):
+        self._body_scope.deadline = anyio.current_time() + BODY_TIMEOUT_S
+        with self._body_scope:
             while True:
                 message = await self._receive()
                 if message["type"] == "http.disconnect":
                     raise CallerGoneError
-                body += message.get("body", b"")
-                if len(body) > limit_bytes:
-                    raise RefusalError(
-                        BODY_TOO_LARGE,
-                        Verdict.NOT_RUN,
-                        f"the body exceeds {limit_bytes} bytes",
-                    )
+                data = message.get("body", b"")
+                if len(body) + len(data) > limit_bytes:
+                    raise _make_length_refusal(limit_bytes)
+                if self._holding is not None:
+                    self._holding.grow(len(data), self._clock())
+                body += data
                 if not message.get("more_body", False):
                     return bytes(body)
-        raise reject(f"the body did not arrive within {BODY_TIMEOUT_S} s")
+        return None
 
     async def wait_disconnect(self) -> None:
         """Returns when the caller has disconnected.
@@ -229,6 +293,23 @@
         raise CallerGoneError
 
 
+def _make_length_refusal(limit_bytes: int) -> RefusalError:
+    return RefusalError(
+        BODY_TOO_LARGE,
+        Verdict.NOT_RUN,
+        f"the body exceeds {limit_bytes} bytes",
+    )
+
+
+def _make_memory_refusal(detail: str) -> RefusalError:
+    return RefusalError(
+        MEMORY_FULL,
+        Verdict.NOT_RUN,
+        f"no memory for the request: {detail}",
+        retry_after_s=MEMORY_RETRY_AFTER_S,
+    )
+
+
 def _never() -> bool:
     return False
 
--- a/src/applespring/entry/main.py
+++ b/src/applespring/entry/main.py
@@ -10,7 +10,6 @@
 from typing import Annotated, Literal
 
 import anyio
-import hypercorn.asyncio
 from hypercorn.config import Config
 from loguru import logger
 
@@ -23,6 +22,8 @@
 from applespring.entry.settings import Settings
 from applespring.peer.link import SocketTransport
 from applespring.quarantine.port_check import refuses_connections
+from applespring.serving.limits import ConnectionLimits
+from applespring.serving.server import Server
 
 Port = Annotated[int, Range(0, 65535)]
 
@@ -31,6 +32,9 @@
 KEEP_ALIVE_S = 75.0
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
 HEADERS_BYTES_MAX = 32 * 1024
+HEAD_TIMEOUT_S = 10.0
+RECEIVE_BUFFER_BYTES = 64 * 1024
+BYTES_PER_MB = 1_000_000
 SERVER_CLOSE_TIMEOUT_S = 2.0
 
 
@@ -47,6 +51,8 @@
     drain_grace_s: Annotated[float, Range(0, 600)] = 5.0,
     drain_limit_s: Annotated[float, Range(1, 3600)] = 60.0,
     connections_max: Annotated[int, Range(1, 100000)] = 1000,
+    memory_mb: Annotated[int, Range(128, 1000000)] = 512,
+    descriptors_max: Annotated[int, Range(256, 10000000)] = 4096,
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO",
     log_json: bool = False,
 ) -> int:
@@ -66,6 +72,10 @@
             that the load balancer can notice.
         drain_limit_s: Most seconds of a whole drain.
         connections_max: Most connections to each upstream.
+        memory_mb: Memory of the machine for the process, in MB. It bounds
+            what is held for callers.
+        descriptors_max: Most descriptors of the process. They bound the
+            connections of callers and of other entry instances.
         log_level: Lowest level of log lines.
         log_json: Write log lines as JSON.
 
@@ -84,6 +94,8 @@
         drain_grace_s=drain_grace_s,
         drain_limit_s=drain_limit_s,
         connections_max=connections_max,
+        memory_mb=memory_mb,
+        descriptors_max=descriptors_max,
         log_level=log_level,
         log_json=log_json,
     )
@@ -94,6 +106,9 @@
 async def _run(settings: Settings) -> int:
     """Runs the instance; returns its exit code."""
     sock = _bind(settings)
+    limits = ConnectionLimits(
+        settings.descriptors_max, settings.memory_mb * BYTES_PER_MB
+    )
     async with open_clients(
         settings.connections_max, settings.platform
     ) as clients:
@@ -102,14 +117,18 @@
             single=clients.single,
             control=clients.control,
             platform=clients.platform,
-            transport=SocketTransport(settings.peer_host, settings.peer_port),
+            transport=SocketTransport(
+                settings.peer_host,
+                settings.peer_port,
+                accepted_max=limits.peers,
+            ),
             refuses_connections=refuses_connections,
             clock=read_clock,
             wall_clock=time.time,
             rng=random.Random(os.urandom(RNG_SEED_BYTES)),
         )
         instance = Instance(settings, external)
-        await _serve(instance, sock)
+        await _serve(instance, sock, limits)
     return 0 if instance.drain.abandoned == 0 else 1
 
 
@@ -122,25 +141,35 @@
     address = (settings.listen_host, settings.listen_port)
     family = socket.AF_INET6 if ":" in settings.listen_host else socket.AF_INET
     try:
-        return socket.create_server(address, family=family, backlog=BACKLOG)
+        sock = socket.create_server(address, family=family, backlog=BACKLOG)
     except OSError as exc:
         raise SettingsError(
             f"--listen-host and --listen-port: cannot bind {address}: {exc}"
         ) from exc
+    sock.setblocking(False)
+    # Accepted connections have the same.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return sock
 
 
-async def _serve(instance: Instance, sock: socket.socket) -> None:
+async def _serve(
+    instance: Instance, sock: socket.socket, limits: ConnectionLimits
+) -> None:
     """Serves callers until a drain has ended."""
     port = sock.getsockname()[1]
-    cfg = _make_server_config(instance.settings, sock)
+    server = Server(
+        instance.app,
+        _make_server_config(instance.settings),
+        lambda: HEAD_TIMEOUT_S,
+        limits.callers,
+        allows_http2=True,
+    )
     drained = anyio.Event()
     async with anyio.create_task_group() as tasks:
         server_ended = anyio.Event()
 
         async def serve_callers() -> None:
-            await hypercorn.asyncio.serve(
-                instance.app, cfg, shutdown_trigger=drained.wait
-            )
+            await server.run(sock, drained.wait)
             server_ended.set()
 
         def log_started() -> None:
@@ -169,9 +198,8 @@
             instance.drain.start()
 
 
-def _make_server_config(settings: Settings, sock: socket.socket) -> Config:
+def _make_server_config(settings: Settings) -> Config:
     cfg = Config()
-    cfg.bind = [f"fd://{sock.detach()}"]
     cfg.backlog = BACKLOG
     cfg.loglevel = "WARNING"
     cfg.keep_alive_timeout = KEEP_ALIVE_S
--- a/src/applespring/entry/settings.py
+++ b/src/applespring/entry/settings.py
@@ -25,6 +25,8 @@
         drain_grace_s: Seconds for which a draining instance accepts requests.
         drain_limit_s: Maximum seconds of a drain, its grace period included.
         connections_max: Maximum number of connections to each upstream.
+        memory_mb: Memory of the machine for the process, in MB.
+        descriptors_max: Maximum number of descriptors of the process.
         log_level: Lowest level of log lines that are written.
         log_json: Whether log lines are JSON.
     """
@@ -41,6 +43,8 @@
         "drain_grace_s",
         "drain_limit_s",
         "connections_max",
+        "memory_mb",
+        "descriptors_max",
         "log_level",
         "log_json",
     )
@@ -59,6 +63,8 @@
         drain_grace_s: float = 5.0,
         drain_limit_s: float = 60.0,
         connections_max: int = 1000,
+        memory_mb: int = 512,
+        descriptors_max: int = 4096,
         log_level: str = "INFO",
         log_json: bool = False,
     ) -> None:
@@ -79,6 +85,8 @@
         self.drain_grace_s = drain_grace_s
         self.drain_limit_s = drain_limit_s
         self.connections_max = connections_max
+        self.memory_mb = memory_mb
+        self.descriptors_max = descriptors_max
         self.log_level = log_level
         self.log_json = log_json
         if drain_grace_s >= drain_limit_s:
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -23,7 +23,6 @@
     make_transport_factory,
 )
 from applespring.relay.components import RelayComponents
-from applespring.relay.connection_limits import ConnectionLimits
 from applespring.relay.drain import RelayDrain
 from applespring.relay.http_transport import HttpTransport
 from applespring.relay.log import LogWriter
@@ -32,6 +31,7 @@
 from applespring.relay.registry import Registry
 from applespring.relay.settings import RelaySettings
 from applespring.relay.state import RelayState
+from applespring.serving.limits import ConnectionLimits
 from applespring.serving.server import Server
 
 BACKLOG = 512
@@ -57,7 +57,9 @@
         tls = httpx.create_ssl_context(trust_env=False)
         host, port = split_address(settings.peer_listen)
         self._log = log
-        self._limits = ConnectionLimits(settings)
+        self._limits = ConnectionLimits(
+            settings.descriptors_max, settings.memory_bytes
+        )
         self._reload_settings = reload_settings
         registry_transport = HttpTransport(
             verify=tls,
--- a/src/applespring/relay/state.py
+++ b/src/applespring/relay/state.py
@@ -21,10 +21,7 @@
 from applespring.core.route import CallerLimits, RoutingDocument
 from applespring.core.window import AttemptWindow
 from applespring.relay.settings import RelaySettings
-
-# Share of the machine's memory for what is held for callers. The program at
-# rest takes 60 MB, and the smallest machine has 160 MB.
-CALLER_MEMORY_SHARE = 0.4
+from applespring.serving.limits import CALLER_MEMORY_SHARE
 
 
 class RelayState:
--- a/src/applespring/relay/connection_limits.py
+++ b/src/applespring/serving/limits.py
@@ -1,7 +1,8 @@
-"""How the descriptors and the memory of a machine bound connections."""
-
-from applespring.relay.settings import RelaySettings
+"""How the descriptors and the memory of a machine bound what callers use."""
 
+# Share of the memory for what is held for callers. A program at rest takes
+# 60 MB, and the smallest machine has 160 MB.
+CALLER_MEMORY_SHARE = 0.4
 # Descriptors that are reserved for files (the platform's deployment page).
 FILE_DESCRIPTORS = 200
 # Shares of the others. What is left is for upstreams and the registry.
@@ -27,9 +28,15 @@
 
     __slots__ = ("callers", "peers", "operators")
 
-    def __init__(self, settings: RelaySettings) -> None:
-        sockets = settings.descriptors_max - FILE_DESCRIPTORS
-        in_memory = MEMORY_SHARE * settings.memory_bytes / CONNECTION_BYTES
+    def __init__(self, descriptors_max: int, memory_bytes: int) -> None:
+        """Divides descriptors and memory.
+
+        Args:
+            descriptors_max: Most descriptors of the process.
+            memory_bytes: Memory of the machine for the process.
+        """
+        sockets = descriptors_max - FILE_DESCRIPTORS
+        in_memory = MEMORY_SHARE * memory_bytes / CONNECTION_BYTES
         self.callers = max(
             CONNECTIONS_MIN, int(min(CALLERS_SHARE * sockets, in_memory))
         )
