Take no early answer without a mark of its end for complete

Cause: the system reports a reset once. If it is the write of the body that gets the error, httpcore suppresses it and reads the answer, and the reader may see an ordinary end.

Change: the failed write is noted; an answer then needs a length or chunks. This is in the one place through which all calls to upstreams are read.

--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -18,6 +18,63 @@
       | reset | unsafe | 502    |         |
       | reset | safe   | 200    | other   |
 
+  Scenario Outline: An answer without a mark of its end while the body is written
+    Guards against an early answer that was cut and looks complete: the error of
+    the reset was reported to the writer, and the reader sees an ordinary end.
+    Given upstream a sends a plain answer without length or chunks and then close
+    And upstream b answers
+    And the connection to a fails while a body is written
+    When a caller sends a <kind> request on the wire
+    Then it gets <status> with "<body>"
+
+    Examples:
+      | kind   | status | body  |
+      | unsafe | 502    |       |
+      | safe   | 200    | other |
+
+  Scenario Outline: A stream without a mark of its end while the body is written
+    Guards against the same on routes with streams.
+    Given engine a sends a stream without chunks: events 1 to 2, close
+    And engine b sends the events 3 to 4 in chunks
+    And the connection to a fails while a body is written
+    When a caller sends a <kind> request on the wire
+    Then the caller gets the events 1 to <last> and <end>
+
+    Examples:
+      | kind   | last | end    |
+      | stream | 2    | no end |
+      | resume | 4    | an end |
+
+  Scenario: An early answer with its length is complete
+    Guards against whole answers that are thrown away, since the upstream did
+    not read all of the body.
+    Given upstream b answers
+    And the connection to b fails while a body is written
+    When a caller sends a unsafe request on the wire
+    Then it gets 200 with "other"
+
+  Scenario Outline: An answer of no valid status
+    Guards against bytes that are no answer in the protocol, which a caller gets
+    as one.
+    Given upstream a sends a signed answer with the status <status>
+    And upstream b answers on the <kind> route
+    When a caller sends a <kind> request on the wire
+    Then it gets <result> within 1000 ms
+
+    Examples:
+      | status | kind   | result |
+      | 000    | unsafe | 502    |
+      | 099    | unsafe | 502    |
+      | 101    | unsafe | 502    |
+      | 600    | unsafe | 502    |
+      | 999    | unsafe | 502    |
+      | 000    | safe   | other  |
+      | 999    | safe   | other  |
+      | 000    | stream | 502    |
+      | 999    | stream | 502    |
+      | 000    | resume | events |
+      | 999    | resume | events |
+
   Scenario Outline: A stream that ends with its connection
     Guards against a stream without chunks that is cut off since it has no mark
     of its end, and one that looks complete though it ended inside an event, or
--- a/features/steps/relay_wire_steps.py
+++ b/features/steps/relay_wire_steps.py
@@ -114,6 +114,17 @@
         given_other(context)
 
 
+@given("the connection to {name} fails while a body is written")
+def given_failing_upload(context, name):
+    context.wire[name].fails_uploads = True
+
+
+@given("upstream a sends a signed answer with the status {status}")
+def given_status(context, status):
+    answer = framed(b"none").replace(b" 200 ", b" %s " % status.encode(), 1)
+    give_upstream(context, "a", [answer])
+
+
 @when("a caller sends a {kind} request on the wire")
 def when_request(context, kind):
     pool = "engines" if kind in ("stream", "resume") else "plain"
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -99,6 +99,8 @@
         reply: Decoded headers.
         is_new: Whether it is known that it was not sent before. If the request
             has no id, the connection is closed unless the caller finds this.
+        needs_end_mark: Whether the connection failed while the request was
+            written. Its end then does not show that the body is complete.
     """
 
     __slots__ = (
@@ -106,6 +108,7 @@
         "headers",
         "reply",
         "is_new",
+        "needs_end_mark",
         "_response",
         "_upstream",
         "_connection",
@@ -126,6 +129,7 @@
         self.headers = headers
         self.reply = reply
         self.is_new = is_new
+        self.needs_end_mark = False
         self._response = resp
         self._connection = connection
 
@@ -208,6 +212,15 @@
                 self._upstream,
                 type(exc).__name__,
             ) from exc
+        if self.needs_end_mark and not self.has_end_mark:
+            # The error of a reset is reported once, here to the writer.
+            raise StageError(
+                FailureKind.TRUNCATED,
+                Verdict.MAY_HAVE_RUN,
+                self._upstream,
+                "the connection failed while the request was written, and the "
+                "answer has no mark of its end",
+            )
 
     async def read(
         self, bytes_max: int, hold: Callable[[int], None] = lambda _: None
@@ -353,7 +366,7 @@
             StageError: No answer, or the answer to another request, arrived,
                 or nothing was sent (`FailureKind.WITHDRAWN`).
         """
-        written = False
+        written = upload_failed = False
         written_at = -math.inf
 
         def check_notice() -> None:
@@ -368,8 +381,11 @@
             return make_error(FailureKind.WITHDRAWN, detail)
 
         async def trace(name: str, info: dict) -> None:
-            nonlocal written, written_at
+            nonlocal written, written_at, upload_failed
             del info
+            if name == "http11.send_request_body.failed":
+                # The HTTP library reads an answer nevertheless.
+                upload_failed = True
             if name == "http11.send_request_headers.started":
                 # An answer may have arrived while a connection was opened.
                 check_notice()
@@ -450,6 +466,7 @@
             answer = self._open_answer(
                 resp, connection, upstream, request_id, target, written_at
             )
+            answer.needs_end_mark = upload_failed
             try:
                 yield answer
                 keep = answer.is_new
