Take no answer of an invalid status for one

Cause: h11 accepts statuses up to 999; nothing else looked at them.

Change: a final status is 200 to 599, checked where all answers of upstreams begin to be read. Others are a failure, after which the request may have run.

--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -37,6 +37,8 @@
     ConnectionPool,
 )
 
+# Final statuses of HTTP; the library accepts others (RFC 9110, section 15).
+STATUSES = range(200, 600)
 # Second answers to earlier requests that are read before an answer.
 SECOND_ANSWERS_MAX = 2
 # Longest body of one.
@@ -541,8 +543,16 @@
         """Returns the answer to a request, given its head.
 
         Raises:
-            StageError: It is the answer to another request.
+            StageError: It is the answer to another request, or none.
         """
+        if resp.status_code not in STATUSES:
+            raise StageError(
+                FailureKind.MISMATCH,
+                Verdict.MAY_HAVE_RUN,
+                upstream.name,
+                f"the status is {resp.status_code}; statuses of answers are "
+                f"{STATUSES.start} to {STATUSES.stop - 1}",
+            )
         raw_headers = resp.headers.raw
         reply = self._protocol.decode_reply(resp.status_code, raw_headers)
         if reply.request_id != request_id:
