Soak: clients that keep to no limit, and the check memory

The check fails if a process uses more than the 160 MB of the users' smallest machine, which the settings now state.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -54,6 +54,7 @@
       | deadly   | 4 requests reach engines 3.1 s after a part crashed the fifth one    |
       | deadly   | 4 requests reach upstreams 3.1 s after one crashed the third         |
       | ended    | a process ends unexpectedly                                          |
+      | memory   | a process uses more memory than its machine has                      |
       | overstay | a process does not exit in time after SIGTERM                        |
       | recover  | no stream is served after the last fault                             |
 
@@ -222,6 +223,12 @@
     When the soak runs seed 10701 with 1 faults "worker removed behind silence"
     Then no guarantee is violated
 
+  Scenario: Clients keep to no limit
+    Guards against a process that uses more memory than its machine has; the seed
+    showed 204 MB of 160 (inc-caller-memory).
+    When the soak runs seed 12001 with 6 faults "clients keep to no limit"
+    Then no guarantee is violated
+
   Scenario: Workers that are cold
     Guards against requests beyond what cold workers take from all instances
     together, after a restart under their names as well.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -584,6 +584,11 @@
     records.unexpected_exits.append(("relay-0", SENT_AT, 1))
 
 
+@violation("a process uses more memory than its machine has")
+def violate_memory(records):
+    records.oversized["relay-0"] = 161.0
+
+
 @violation("a process does not exit in time after SIGTERM")
 def violate_overstay(records):
     records.late_exits.append(("relay-0", SENT_AT))
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -20,7 +20,7 @@
     Records,
     SentAnswer,
 )
-from soak.relays import TERM_GRACE_S
+from soak.relays import MEMORY_MB, TERM_GRACE_S
 from soak.upstream import DEADLY_PART, make_event
 
 # Settings of the users' deployments, with the name of each setting.
@@ -709,6 +709,13 @@
         yield f"{name} ended with {code}"
 
 
+@check("memory")
+def check_memory(records: Records) -> Iterator[str]:
+    """No process uses more memory than its machine has."""
+    for name, peak_mb in records.oversized.items():
+        yield f"{name} used {peak_mb:.0f} MB; its machine has {MEMORY_MB} MB"
+
+
 @check("overstay")
 def check_overstay(records: Records) -> Iterator[str]:
     """A process exits within `TERM_GRACE_S` of SIGTERM."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 import anyio
 
 from soak import document
+from soak.crowd import run_crowd
 from soak.proxy import LinkFaults
 from soak.record import (
     RESUMABLE,
@@ -22,7 +23,7 @@
     Fault,
     Version,
 )
-from soak.relays import Relay
+from soak.relays import CALLER_PORT, Relay
 from soak.silence import PHASES
 from soak.upstream import Misbehaviour
 from soak.worker_hosts import WorkerHost
@@ -80,6 +81,8 @@
 # Shortest and longest time for which a failure domain is evacuated.
 EVACUATED_RANGE_S = (6.0, 12.0)
 EVACUATION_PREFIX = "op/evacuate/"
+# Shortest and longest time for which a crowd of clients stays.
+CROWD_RANGE_S = (1.0, 7.0)
 IDLE_TIMEOUTS_S = (1.0, 1.5, 2.0, 3.0, 4.5, 6.0)
 # Shortest and longest time between changes of the idle limit, which overlap
 # with connections that rest under an earlier limit.
@@ -668,6 +671,16 @@
         await anyio.sleep(rng.uniform(*IDLE_CHANGE_RANGE_S))
 
 
+@fault("clients keep to no limit", by_default=False)
+async def send_crowd(testbed: "Testbed", rng: random.Random) -> None:
+    """Lets a crowd of clients press one instance."""
+    relay = rng.choice(testbed.relays)
+    with recorded_fault(testbed, "crowd", [f"crowd:{relay.name}"]):
+        await run_crowd(
+            (relay.host, CALLER_PORT), rng, rng.uniform(*CROWD_RANGE_S)
+        )
+
+
 def publish(testbed: "Testbed", step: int = 1) -> None:
     """Stores a configuration whose version is `step` above the last one."""
     versions = testbed.records.versions
--- a/soak/record.py
+++ b/soak/record.py
@@ -429,6 +429,8 @@
         domains: Failure domain of each start of an upstream.
         evacuations: Orders to evacuate failure domains.
         sigterms: Times in order at which SIGTERM was sent, by instance.
+        oversized: Most memory in MB of processes that used more than their
+            machines have, by instance.
         unexpected_exits: Instance, time and exit code of processes that ended
             although the soak had not ended them.
         late_exits: Instance and time of processes that were still running
@@ -457,6 +459,7 @@
         "domains",
         "evacuations",
         "sigterms",
+        "oversized",
         "unexpected_exits",
         "late_exits",
         "versions",
@@ -480,6 +483,7 @@
         self.domains: dict[str, str] = {}
         self.evacuations: list[Evacuation] = []
         self.sigterms: dict[str, list[float]] = {}
+        self.oversized: dict[str, float] = {}
         self.unexpected_exits: list[tuple[str, float, int]] = []
         self.late_exits: list[tuple[str, float]] = []
         self.versions: list[Version] = []
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -29,6 +29,9 @@
 # A younger process is sent no SIGHUP: the signal would end it until the
 # interpreter has reached the first lines of the program, which ignore SIGHUP.
 SIGHUP_AGE_MIN_S = 1.0
+# Those of the users' smallest machines.
+MEMORY_MB = 160
+DESCRIPTORS_MAX = 1638
 READY_STATUS_LINE = b"HTTP/1.1 200"
 # Interval at which the time is read for which a process could have run but had
 # to wait for a processor, and the least wait in it that is recorded.
@@ -115,6 +118,8 @@
             "internalPorts": f"{PEER_PORT},{PEER_PORT + 10}",
             "seeds": seed_addresses,
             "platform.address": f"{self._store[0]}:{self._store[1]}",
+            "limits.memoryMb": f"{MEMORY_MB}",
+            "limits.maxFds": f"{DESCRIPTORS_MAX}",
             "bounds.graceS": f"{TERM_GRACE_S:g}",
             "bounds.coldOvershoot": f"{COLD_OVERSHOOT:g}",
             "bounds.coldSlack": f"{COLD_SLACK:g}",
@@ -235,6 +240,9 @@
                 starved = Fault(STARVED, [f"starved:{relay.name}"], since)
                 starved.ended_at = now
                 self._records.faults.append(starved)
+            peak_mb = _read_peak_mb(child)
+            if peak_mb > MEMORY_MB:
+                self._records.oversized[relay.name] = peak_mb
             since = now
             await anyio.sleep(STARVED_POLL_S)
 
@@ -260,6 +268,20 @@
     return int(text.split()[1]) / 1e9
 
 
+def _read_peak_mb(child: Child | None) -> float:
+    """Returns the most memory that a process has used, 0 if it ended."""
+    if child is None:
+        return 0.0
+    try:
+        text = pathlib.Path(f"/proc/{child.popen.pid}/status").read_text()
+    except OSError:
+        return 0.0
+    for line in text.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024 / 1e6
+    return 0.0
+
+
 async def _is_ready(relay: Relay) -> bool:
     try:
         conn = await connect((relay.host, READY_PORT), READY_PROBE_S)
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -1,6 +1,7 @@
 """The guards that `tools/run_guards.py` removes, one at a time."""
 
 from answer_guards import ANSWER_GUARDS
+from caller_guards import CALLER_GUARDS
 from engine_guards import ENGINE_GUARDS
 from evacuation_guards import EVACUATION_GUARDS
 from guard import Guard
@@ -208,6 +209,7 @@
         ("policy", "One refused connection ejects"),
     ),
     *RELAY_GUARDS,
+    *CALLER_GUARDS,
     *HOME_GUARDS,
     *QUEUEING_GUARDS,
     *EVACUATION_GUARDS,
