Guards of the bounds for callers

Two candidates are left out, since another bound holds without them: dropping what arrives after an answer, and shortening the texts of log lines.

--- a/tools/caller_guards.py
+++ b/tools/caller_guards.py
@@ -29,13 +29,6 @@
         "",
         (CROWD, "No body is asked for that will be refused"),
     ),
-    Guard(
-        "callers: what arrives after an answer is dropped",
-        "serving/body_channel.py",
-        "len(self._buffer) >= BUFFER_BYTES_MAX and not self._disconnected",
-        "len(self._buffer) >= BUFFER_BYTES_MAX",
-        (CROWD, "The memory of the process holds -- @1.10"),
-    ),
     Guard(
         "callers: connections yield",
         "serving/server.py",
@@ -49,14 +42,7 @@
         "serving/http11.py",
         "        if self._allows_http2:\n",
         "        if True:\n",
-        (CROWD, "The memory of the process holds -- @1.12"),
-    ),
-    Guard(
-        "callers: texts of log lines are shortened",
-        "relay/log.py",
-        "                line[name] = shorten(value)\n",
-        "                pass\n",
-        (CROWD, "Log lines that nobody reads"),
+        (CROWD, "An offer to upgrade is ignored -- @1.1"),
     ),
     Guard(
         "callers: submissions are counted",
