Bound what numbers and names in headers of callers take

What callers saw: a request with "Segments: 3000000" on a route with stages had the process make that many pieces; the scenario did not end within 60 s.

Cause: numbers were taken as they came, and names were kept when their requests had ended: 1,024 ids on each connection to an upstream, 4,000 prompt parts for each engine, of up to 16 KiB each. A deadline of 400 digits was an internal error.

Change: at most 4,096 pieces a request, else 400; pieces and prompt parts count as memory; numbers are bounded; what is kept of a name above 64 characters is its fingerprint, so that equal names stay equal.

--- a/src/applespring/core/fingerprint.py
+++ b/src/applespring/core/fingerprint.py
@@ -7,6 +7,9 @@
 import hashlib
 from base64 import urlsafe_b64encode
 
+# Longest name that is kept as it is. Those of the users' platform have 8 to 20
+# characters.
+NAME_CHARS_MAX = 64
 # No caller can find a request with the fingerprint of another one.
 FINGERPRINT_BYTES = 12
 
@@ -29,3 +32,14 @@
         digest.update(field)
     digest.update(body)
     return urlsafe_b64encode(digest.digest()).decode()
+
+
+def shorten_name(name: str) -> str:
+    """Returns a name that may be kept after its request has ended.
+
+    A long one is replaced by its fingerprint, so that equal names stay equal.
+    """
+    if len(name) <= NAME_CHARS_MAX:
+        return name
+    digest = hashlib.blake2b(name.encode(), digest_size=NAME_CHARS_MAX // 4)
+    return digest.hexdigest()
--- a/src/applespring/platform/wire.py
+++ b/src/applespring/platform/wire.py
@@ -7,6 +7,7 @@
 import orjson
 
 from applespring.core.errors import MessageError
+from applespring.core.fingerprint import shorten_name
 from applespring.core.piece import Piece
 from applespring.core.self_report import SelfReport, make_self_report
 from applespring.relay.protocol import (
@@ -58,6 +59,11 @@
 _DROPPED_REPLY_HEADERS = _HOP_BY_HOP_HEADERS | {b"date", b"server"}
 _JSON_HEADERS = [(b"Content-Type", b"application/json")]
 _PRIORITY_MAX = 9
+# Largest number in a request: milliseconds, or tokens.
+_NUMBER_MAX = 1_000_000_000
+# Most pieces of all stages of a request. An engine gets the handles of those
+# of the last stages in one header.
+_PIECES_MAX = 4096
 # Digits of a length hint, beyond which it is no estimate.
 _HINT_DIGITS = 9
 _BYTES_PER_MB = 1_000_000
@@ -94,8 +100,13 @@
 
         try:
             deadline = text(b"request-deadline")
-            tokens = [int(n) for n in text(b"token-count").split(",") if n]
-            counts = [int(n) for n in text(b"segments").split(",") if n]
+            tokens = _decode_numbers(text(b"token-count"))
+            counts = _decode_numbers(text(b"segments"))
+            if sum(counts) > _PIECES_MAX:
+                raise MessageError(
+                    f"the request has {sum(counts)} pieces; the limit is "
+                    f"{_PIECES_MAX}"
+                )
             return CallerRequest(
                 request_id=text(b"request-id"),
                 method=method,
@@ -106,7 +117,9 @@
                     for name, value in headers
                     if name.lower() not in _DROPPED_REQUEST_HEADERS
                 ],
-                deadline_s=int(deadline) / 1000 if deadline else None,
+                deadline_s=_bound_number(int(deadline)) / 1000
+                if deadline
+                else None,
                 api_key=text(b"x-api-key"),
                 tokens_in=tokens[0] if tokens else 0,
                 tokens_out=tokens[1] if len(tokens) > 1 else 0,
@@ -336,5 +349,20 @@
     for entry in text.split(","):
         if entry:
             name, _, tokens = entry.partition(":")
-            parts.append(PromptPart(name, int(tokens)))
+            parts.append(
+                PromptPart(shorten_name(name), _bound_number(int(tokens)))
+            )
     return parts
+
+
+def _decode_numbers(text: str) -> list[int]:
+    """Returns the numbers of a list, each from 0 to `_NUMBER_MAX`.
+
+    Raises:
+        ValueError: One is not a whole number.
+    """
+    return [_bound_number(int(n)) for n in text.split(",") if n]
+
+
+def _bound_number(number: int) -> int:
+    return min(_NUMBER_MAX, max(0, number))
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -41,6 +41,9 @@
 MEMORY_RETRY_AFTER_S = 0.5
 # Memory of a request in progress: its tasks, the buffers of its connections.
 REQUEST_COST_BYTES = 100_000
+# Memory of a part of a prompt, and of a piece in its queues.
+PROMPT_PART_COST_BYTES = 300
+PIECE_COST_BYTES = 2000
 # Time for a client to read a large answer before it may have to yield.
 ANSWER_GRACE_S = 2.0
 # Bytes of requests above `LARGE_BYTES` that end early between two collections
@@ -305,6 +308,8 @@
             REQUEST_COST_BYTES
             + head_bytes
             + HEADER_COST_BYTES * len(scope["headers"])
+            + PROMPT_PART_COST_BYTES * len(req.prompt_parts)
+            + PIECE_COST_BYTES * sum(req.piece_counts)
         )
         req.body = await self._read_body(
             receive, doc, client_account, arrival, cost
--- a/src/applespring/relay/upstream_connections.py
+++ b/src/applespring/relay/upstream_connections.py
@@ -15,6 +15,8 @@
 import anyio
 import httpx
 
+from applespring.core.fingerprint import shorten_name
+
 # An idle connection is discarded after this time, well before the upstream
 # closes it, so that no request is sent while the upstream is closing.
 KEEPALIVE_EXPIRY_S = 1.5
@@ -68,11 +70,11 @@
 
     def has_carried(self, marks: Iterable[str]) -> bool:
         """Returns whether a request or an answer on it had one of the marks."""
-        return not self._marks.isdisjoint(marks)
+        return not self._marks.isdisjoint(map(shorten_name, marks))
 
     def record(self, marks: Iterable[str]) -> None:
         """Remembers the marks of a request or an answer."""
-        self._marks.update(marks)
+        self._marks.update(map(shorten_name, marks))
 
 
 class ConnectionPool:
