--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from applespring.clock import read_clock
+from applespring.core.connection_table import ConnectionTable
 from applespring.core.errors import SettingsError
 from applespring.core.route import CallerLimits
 from applespring.peer.link import SocketTransport, split_address
@@ -88,6 +89,7 @@
             make_transport_factory(tls),
             refuses_connections,
         )
+        self._caller_connections: ConnectionTable | None = None
         self._loop_monitor = LoopMonitor(read_clock)
         self.state = self._components.state
         self.peers = self._components.peers
@@ -121,6 +123,8 @@
                 self._limits.callers,
             )
 
+            self._caller_connections = server.table
+
             async def serve_callers() -> None:
                 await server.run(sock, stop_serving.wait)
                 server_stopped.set()
@@ -184,9 +188,17 @@
             ),
             ("peers_reachable",): float(len(self.peers.table.reachable(now))),
             ("log_lines_dropped",): float(self._log.dropped_total),
+            ("caller_memory_bytes",): float(self.state.memory.used),
+            ("caller_memory_yielded",): float(self.state.memory.yielded),
+            ("caller_memory_refused",): float(self.state.memory.refused),
             ("loop_delay_mean_s",): self._loop_monitor.mean_delay_s,
             ("loop_delay_max_s",): self._loop_monitor.max_delay_s,
         }
+        if self._caller_connections is not None:
+            table = self._caller_connections
+            gauges[("caller_connections",)] = float(len(table))
+            gauges[("caller_connections_yielded",)] = float(table.yielded)
+            gauges[("caller_connections_refused",)] = float(table.refused)
         for pool, length in self.scheduler.queue_lengths().items():
             gauges[(f"queue_{pool}",)] = float(length)
         learned = self.state.engines.learned
