Let connections yield before their tasks are started

Cause: the event loop accepts all connections that wait, up to the backlog, in one pass, and the table was asked only when the task of a connection ran, passes later.

Change: the table is asked when the socket is handed over. At most a fifth of the connections of a port may wait to be accepted.

--- a/features/client_crowd.feature
+++ b/features/client_crowd.feature
@@ -56,6 +56,14 @@
       | connect and send nothing | metrics   |
       | connect and send nothing | peers     |
 
+  Scenario: Connections that arrive at the same moment
+    Guards against connections that are all accepted before any can yield.
+    Given a relay process with 160 MB and 400 descriptors
+    When the process is paused while 300 clients connect
+    Then the process lives
+    And it has had at most 200 sockets open
+    And an ordinary request was answered meanwhile
+
   Scenario: A request within the limits is served in calm
     Guards against a bound that a single client within the limits meets.
     Given a relay process with 160 MB and 1638 descriptors
--- a/features/steps/client_crowd_steps.py
+++ b/features/steps/client_crowd_steps.py
@@ -1,5 +1,6 @@
 """Steps with crowds of clients that keep to no limit, and real processes."""
 
+import signal
 import tempfile
 from collections import Counter
 
@@ -29,6 +30,8 @@
 )
 from soak.net import ConnError, connect
 
+# Time in which clients fill the backlog of a paused process.
+CONNECT_S = 1.0
 PORTS = {
     "callers": CALLER_PORT,
     "readiness": READY_PORT,
@@ -58,6 +61,13 @@
     run_crowd(context, count, act, "callers")
 
 
+@when("the process is paused while {count:d} clients connect")
+def when_crowd_after_pause(context, count):
+    run_crowd(
+        context, count, "connect and send nothing", "callers", is_paused=True
+    )
+
+
 @when("a client in calm sends a whole body of {size:d} bytes")
 def when_calm(context, size):
     async def check(relay, tasks):
@@ -99,13 +109,23 @@
     run_with_relay(context, check)
 
 
-def run_crowd(context, count, act, port):
-    """Runs a crowd beside an ordinary client, and records what was used."""
+def run_crowd(context, count, act, port, *, is_paused=False):
+    """Runs a crowd beside an ordinary client, and records what was used.
+
+    If `is_paused`, the process is paused while the clients connect.
+    """
 
     async def check(relay, tasks):
         crowd = Crowd(act, count, (relay.host, PORTS[port]))
         context.crowd = crowd
+        if is_paused:
+            relay.child.send(signal.SIGSTOP)
         tasks.start_soon(crowd.run)
+        if is_paused:
+            # Those that the backlog has no room for go on trying.
+            with anyio.move_on_after(CONNECT_S):
+                await crowd.done.wait()
+            relay.child.send(signal.SIGCONT)
         # Clients that nobody reads from never finish.
         with anyio.move_on_after(SEND_LIMIT_S):
             await crowd.done.wait()
--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -98,6 +98,8 @@
             writer,
         )
         self._server = server
+        # The server knows it by its socket.
+        self._key = writer.transport.get_protocol()
         self.lingers = False
         self._lingers_until = 0.0
         self._head_until: float | None = None
@@ -143,10 +145,6 @@
         if self.protocol.http11 is not None:
             await self.protocol.http11.ask_for_body()
 
-    def abort(self) -> None:
-        """Closes the connection at once."""
-        self.writer.transport.abort()
-
     async def protocol_send(self, event: Event) -> None:
         """Handles what the protocol sends; see `TCPServer`."""
         if isinstance(event, Closed):
@@ -154,9 +152,9 @@
             return
         if isinstance(event, Updated):
             if event.idle:
-                self._server.table.record_rest(self)
+                self._server.table.record_rest(self._key)
             else:
-                self._server.table.record_request(self)
+                self._server.table.record_request(self._key)
         try:
             await super().protocol_send(event)
         except OSError as exc:
@@ -174,7 +172,7 @@
             return
         self.lingers = True
         # It has no request any more, so it is the first to yield.
-        self._server.table.record_rest(self)
+        self._server.table.record_rest(self._key)
         self._lingers_until = self.loop.time() + LINGER_S
         if self.writer.can_write_eof():
             self.writer.write_eof()
--- a/src/applespring/serving/server.py
+++ b/src/applespring/serving/server.py
@@ -14,35 +14,43 @@
 
 # A connection is no longer read once twice this is unread.
 AHEAD_BYTES = 4 * 1024
+# Share of the connections of a server that may wait to be accepted. All of them
+# are accepted in one pass of the event loop, and closed up to three passes
+# later.
+BACKLOG_SHARE = 0.2
+BACKLOG_MIN = 16
 # Least time between two log lines that say that there are too many connections.
 FULL_LOG_INTERVAL_S = 10.0
 
 AsgiApp = Callable[..., Awaitable[None]]
 
 
-class _Reader(asyncio.BufferedProtocol):
-    """Protocol that reads into a buffer shared by all connections.
+class _Socket(asyncio.BufferedProtocol):
+    """An accepted socket, which the server may close for another one.
 
-    The event loop would otherwise read up to 256 KiB from each connection
-    before anything can bound it.
+    It reads into a buffer that all sockets of a server share. The event loop
+    would otherwise read up to 256 KiB from each before anything can bound it.
     """
 
-    def __init__(
-        self,
-        buffer: bytearray,
-        serve: Callable[
-            [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
-        ],
-        loop: asyncio.AbstractEventLoop,
-    ) -> None:
+    def __init__(self, server: "Server", buffer: bytearray) -> None:
+        loop = server.loop
+        self._server = server
         self._buffer = buffer
+        self._transport: asyncio.Transport | None = None
         self._reader = asyncio.StreamReader(limit=AHEAD_BYTES, loop=loop)
         self._streams = asyncio.StreamReaderProtocol(
-            self._reader, serve, loop=loop
+            self._reader, server.serve, loop=loop
         )
 
+    def abort(self) -> None:
+        """Closes the socket at once."""
+        self._transport.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._streams.connection_made(transport)
+        self._transport = transport
+        # Before its task is started, since many may be accepted at once.
+        if self._server.admit(self):
+            self._streams.connection_made(transport)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         del sizehint
@@ -55,6 +63,7 @@
         return self._streams.eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._server.table.remove(self)
         self._streams.connection_lost(exc)
 
     def pause_writing(self) -> None:
@@ -120,9 +129,12 @@
             wait_stop: Returns when the server is to stop.
         """
         server = await self.loop.create_server(
-            lambda: _Reader(self._buffer, self._serve, self.loop),
+            lambda: _Socket(self, self._buffer),
             sock=sock,
-            backlog=self.cfg.backlog,
+            backlog=min(
+                self.cfg.backlog,
+                max(BACKLOG_MIN, int(BACKLOG_SHARE * self.table.limit)),
+            ),
         )
         try:
             await wait_stop()
@@ -137,25 +149,27 @@
         async with self._turn:
             await asyncio.sleep(0)
 
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Serves a connection until it is closed."""
         task = asyncio.current_task()
-        conn = Connection(self, reader, writer)
         self._tasks.add(task)
         try:
-            if self._admit(conn):
-                await conn.run()
+            await Connection(self, reader, writer).run()
         except Exception as exc:  # noqa: BLE001
             logger.bind(event="connection_failed").exception(
                 "a connection ended with an unexpected error: {}", exc
             )
         finally:
-            self.table.remove(conn)
             self._tasks.discard(task)
 
-    def _admit(self, conn: Connection) -> bool:
-        """Adds a connection, for which another one may have to yield."""
+    def admit(self, conn: _Socket) -> bool:
+        """Adds a connection, for which another one may have to yield.
+
+        Returns:
+            Whether it is served. If not, it has been closed.
+        """
         yielding = self.table.add(conn, self.loop.time())
         if yielding is None:
             return True
