--- a/src/applespring/relay/exchange.py
+++ b/src/applespring/relay/exchange.py
@@ -112,6 +112,22 @@
         holding: Holding | None = None,
         on_large_answer: Callable[[], None] = lambda: None,
     ) -> None:
+        """Starts without an answer.
+
+        Args:
+            req: The decoded request.
+            document: Routing document in force at its arrival.
+            route: Route that it matched.
+            pool: Pool chosen from the route's targets.
+            client_account: Account of its key, or None.
+            arrived_at: When its head arrived.
+            send: ASGI send function.
+            connection_header: Returns the header that tells what becomes of
+                the connection.
+            holding: What it holds in memory, or None if that is not counted.
+            on_large_answer: Called before an answer of more than `PART_BYTES`
+                is sent.
+        """
         self.req = req
         self.document = document
         self.route = route
--- a/src/applespring/relay/streams.py
+++ b/src/applespring/relay/streams.py
@@ -711,6 +711,7 @@
         attempt.sending = True
         exchange.outcome = f"status_{answer.status}"
         headers = self._protocol.reply_headers(answer.headers)
+        # Not kept in a local variable, to which tracebacks refer.
         bodies = [body]
         del body
         await exchange.send_whole(answer.status, headers, bodies.pop())
