--- a/features/caller_headers.feature
+++ b/features/caller_headers.feature
@@ -6,7 +6,7 @@
   Scenario Outline: A number that no request needs
     Guards against numbers that overflow, and fill estimates with nonsense.
     Given a request with "<header>"
-    Then its <field> is <value>
+    Then the decoded <field> is <value>
 
     Examples:
       | header                               | field       | value      |
--- a/features/steps/caller_headers_steps.py
+++ b/features/steps/caller_headers_steps.py
@@ -22,7 +22,7 @@
     context.req = decode((name.encode(), value.encode()))
 
 
-@then("its {field} is {value:g}")
+@then("the decoded {field} is {value:g}")
 def then_number(context, field, value):
     assert getattr(context.req, field) == value, getattr(context.req, field)
 
