Let no ordinary request yield to a large answer

Cause: an answer that waits for room counts as new, so that any request that still arrives has more bytes times seconds than it; the answers that fill the memory do not yield in their first 2 s.

Change: a small holding never yields to a large one.

--- a/features/caller_memory.feature
+++ b/features/caller_memory.feature
@@ -65,3 +65,11 @@
     Given 60 clients whose answers of 4 MB have been sent since 1 s
     When a request that is complete gets an answer of 4 MB at 0.5 s
     Then the answer has no room
+
+  Scenario: An ordinary request arrives while answers wait for memory
+    Guards against a small request that yields to the answer of another one.
+    Given 60 clients whose answers of 4 MB have been sent since 1 s
+    And a small request that has been arriving since 0.4 s
+    When a request that is complete gets an answer of 4 MB at 0.5 s
+    Then the answer has no room
+    And the small request has not yielded
--- a/features/steps/caller_memory_steps.py
+++ b/features/steps/caller_memory_steps.py
@@ -85,6 +85,17 @@
         sender.holding.reopen(since, lambda: None)
 
 
+@given("a small request that has been arriving since {since:g} s")
+def given_small(context, since):
+    context.small = _Sender(context.memory, "", since)
+    context.small.send(1000, since, since)
+
+
+@then("the small request has not yielded")
+def then_small(context):
+    assert not context.small.holding.has_yielded
+
+
 @when(
     "a request that is complete gets an answer of {size:g} MB at {now:g} s",
 )
--- a/src/applespring/core/caller_memory.py
+++ b/src/applespring/core/caller_memory.py
@@ -10,8 +10,9 @@
   is always room for another one.
 - What still grows, or waits for a client to read it, yields if it must: the
   holding with the most bytes times seconds goes first, as long as it has more
-  than the one that asks. A client that stops short of the end of its body so
-  yields to one that sends on, and a large holding to a small one.
+  than the one that asks. So a client that stops short of the end of its body
+  yields to one that sends on, and a large holding to a small one. A small one
+  never yields to a large one.
 - What is complete does not yield, since its request may be running. If only
   that is left, the one that asks is refused.
 """
@@ -248,9 +249,12 @@
             self.used + size <= self._large_capacity
             and holding.size + size > SMALL_BYTES
         )
+        is_large = holding.size + size > SMALL_BYTES
         for other in self._holdings:
             if other is holding or other.state is not HoldingState.OPEN:
                 continue
+            if is_large and other.size <= SMALL_BYTES:
+                continue
             if only_account and other.account != holding.account:
                 continue
             cost = other.cost(now)
