Let connections yield whose requests have not arrived completely

What callers saw: a crowd of 300 that stops within bodies of 2 KiB, and comes back at once when it is closed, turned an ordinary caller away 38 times in a row.

Change: a connection has a request when the whole of it has arrived. Until then, and while only its end is awaited, it yields.

--- a/features/client_crowd.feature
+++ b/features/client_crowd.feature
@@ -56,6 +56,33 @@
       | connect and send nothing | metrics   |
       | connect and send nothing | peers     |
 
+  Scenario Outline: A crowd that comes back at once
+    Guards against clients that take each place that is given up, so that an
+    ordinary caller is turned away again and again.
+    Given a relay process with 160 MB and 400 descriptors
+    When a crowd of 300 comes back at once to <act>
+    Then the process lives
+    And it has used less than 160 MB
+    And it has had at most 200 sockets open
+    And an ordinary request was answered meanwhile
+    And it was turned away at most once
+
+    Examples:
+      | act                                      |
+      | connect and send nothing                 |
+      | stop within their heads                  |
+      | stop short of the end of a body of 2 KiB |
+      | stop short of the end of a body of 4 MiB |
+      | go on sending after a refusal            |
+
+  Scenario: Messages of other instances that stop short
+    Guards against messages at the port for peers that fill the memory.
+    Given a relay process with 160 MB and 1638 descriptors
+    When 60 clients announce messages of 2 MB and stop short at the port for "peers"
+    Then the process lives
+    And it has used less than 160 MB
+    And an ordinary request was answered meanwhile
+
   Scenario: Connections that arrive at the same moment
     Guards against connections that are all accepted before any can yield.
     Given a relay process with 160 MB and 400 descriptors
--- a/features/connection_table.feature
+++ b/features/connection_table.feature
@@ -25,6 +25,14 @@
     Then it is closed
     And the 40 connections are still open
 
+  Scenario: Connections with a part of a request yield
+    Guards against clients that stop within a body and keep all others out.
+    Given a limit of 40 connections
+    And 40 connections that rested and got the head of a request
+    When one connection is opened
+    Then it is open
+    And the first of the 40 was closed
+
   Scenario: Silent connections get no more than their share
     Guards against heads that are never completed and fill the memory.
     Given a limit of 40 connections
--- a/features/steps/client_crowd_steps.py
+++ b/features/steps/client_crowd_steps.py
@@ -61,6 +61,11 @@
     run_crowd(context, count, act, "callers")
 
 
+@when("a crowd of {count:d} comes back at once to {act}")
+def when_crowd_comes_back(context, count, act):
+    run_crowd(context, count, act, "callers", comes_back=True)
+
+
 @when("the process is paused while {count:d} clients connect")
 def when_crowd_after_pause(context, count):
     run_crowd(
@@ -109,14 +114,16 @@
     run_with_relay(context, check)
 
 
-def run_crowd(context, count, act, port, *, is_paused=False):
+def run_crowd(context, count, act, port, *, is_paused=False, comes_back=False):
     """Runs a crowd beside an ordinary client, and records what was used.
 
-    If `is_paused`, the process is paused while the clients connect.
+    If `is_paused`, the process is paused while the clients connect. If
+    `comes_back`, they open other connections when theirs are closed.
     """
 
     async def check(relay, tasks):
-        crowd = Crowd(act, count, (relay.host, PORTS[port]))
+        address = (relay.host, PORTS[port])
+        crowd = Crowd(act, count, address, comes_back=comes_back)
         context.crowd = crowd
         if is_paused:
             relay.child.send(signal.SIGSTOP)
@@ -129,11 +136,14 @@
         # Clients that nobody reads from never finish.
         with anyio.move_on_after(SEND_LIMIT_S):
             await crowd.done.wait()
-        await relay.settle()
-        context.answer = await send_ordinary(relay, 100)
+        if not comes_back:
+            await relay.settle()
+        context.attempts = 0
+        context.answer = await send_ordinary(relay, 100, context=context)
         context.probe = await relay.probe()
         relay.answers_due.set()
-        await relay.settle()
+        if not comes_back:
+            await relay.settle()
         statuses = Counter(client.status for client in crowd.clients)
         print(f"answers by status, 0 for none: {dict(statuses)}")
         crowd.leave()
@@ -172,7 +182,7 @@
     anyio.run(run)
 
 
-async def send_ordinary(relay, size, *lines, method="POST"):
+async def send_ordinary(relay, size, *lines, method="POST", context=None):
     """Sends one request within the limits; returns the head of its answer.
 
     If the connection is closed before the request was read, it is sent on
@@ -180,6 +190,8 @@
     """
     with anyio.fail_after(WAIT_LIMIT_S):
         while True:
+            if context is not None:
+                context.attempts += 1
             try:
                 return await _send_ordinary(relay, size, lines, method)
             except ConnError:
@@ -231,6 +243,11 @@
     assert context.answer.startswith(b"HTTP/1.1 200"), context.answer[:600]
 
 
+@then("it was turned away at most once")
+def then_turned_away(context):
+    assert context.attempts <= 2, context.attempts
+
+
 @then("the process answered probes of its readiness meanwhile")
 def then_ready(context):
     assert context.probe
--- a/features/steps/connection_table_steps.py
+++ b/features/steps/connection_table_steps.py
@@ -26,6 +26,13 @@
         context.connection_table.record_rest(name)
 
 
+@given("{count:d} connections that rested and got the head of a request")
+def given_heads(context, count):
+    given_resting(context, count)
+    for name in context.names:
+        context.connection_table.record_head(name, 0.05)
+
+
 @given("{count:d} connections with a request in progress")
 def given_busy(context, count):
     context.names = [f"busy-{n}" for n in range(count)]
--- a/src/applespring/core/connection_table.py
+++ b/src/applespring/core/connection_table.py
@@ -1,20 +1,22 @@
 """Which connection yields to a new one when a server has all it may have.
 
-A connection has requests in progress, or rests after an answer, or has not sent
-a whole request yet. The last ones yield first, the oldest before the others;
-then those that rest, the longest resting one first. A client is told how long
-its connection may rest, and opens another if it was closed before. Connections
-with requests never yield: if there is no other one, the new one is closed.
-
-A quarter of the connections may be ones that have not sent a whole request for
-longer than `UNPROVEN_S`, since each holds the begin of a head.
+A connection has a whole request in progress, or waits for one: for the first
+one, or for the rest of one, or it rests after an answer.
+
+- Those that wait for a request or for its rest yield first, the one that waits
+  longest before the others. A quarter of the connections may wait for longer
+  than `ARRIVAL_S`, since each holds the begin of a request.
+- Those that rest are next, the longest resting one first. A client is told how
+  long its connection may rest, and opens another if it was closed before.
+- Those with a whole request never yield. If there is no other one, the new
+  connection is closed.
 """
 
 from collections import OrderedDict
 from collections.abc import Hashable
 
-UNPROVEN_S = 1.0
-UNPROVEN_SHARE = 0.25
+ARRIVAL_S = 1.0
+ARRIVING_SHARE = 0.25
 
 
 class ConnectionTable:
@@ -30,7 +32,7 @@
         "limit",
         "yielded",
         "refused",
-        "_unproven",
+        "_arriving",
         "_resting",
         "_busy",
     )
@@ -39,14 +41,14 @@
         self.limit = max(1, limit)
         self.yielded = 0
         self.refused = 0
-        # With the time of their start, the oldest first.
-        self._unproven: OrderedDict[Hashable, float] = OrderedDict()
+        # With the time since which they wait, the longest first.
+        self._arriving: OrderedDict[Hashable, float] = OrderedDict()
         self._resting: OrderedDict[Hashable, None] = OrderedDict()
         self._busy: set[Hashable] = set()
 
     def __len__(self) -> int:
         """Returns the number of connections."""
-        return len(self._unproven) + len(self._resting) + len(self._busy)
+        return len(self._arriving) + len(self._resting) + len(self._busy)
 
     def add(self, conn: Hashable, now: float) -> Hashable | None:
         """Adds a new connection.
@@ -66,11 +68,17 @@
         elif len(self) >= self.limit:
             self.refused += 1
             return conn
-        self._unproven[conn] = now
+        self._arriving[conn] = now
         return victim
 
+    def record_head(self, conn: Hashable, now: float) -> None:
+        """Records that a request has begun on a connection that rested."""
+        if conn in self._resting:
+            del self._resting[conn]
+            self._arriving[conn] = now
+
     def record_request(self, conn: Hashable) -> None:
-        """Records that a connection has a request in progress."""
+        """Records that a whole request is in progress on a connection."""
         if self._take(conn):
             self._busy.add(conn)
 
@@ -79,6 +87,12 @@
         if self._take(conn):
             self._resting[conn] = None
 
+    def record_last_answer(self, conn: Hashable) -> None:
+        """Records that only the end of a connection is awaited."""
+        if self._take(conn):
+            self._arriving[conn] = 0.0
+            self._arriving.move_to_end(conn, last=False)
+
     def remove(self, conn: Hashable) -> None:
         """Removes a connection, if it is still there."""
         self._take(conn)
@@ -88,17 +102,17 @@
             self._busy.discard(conn)
         elif conn in self._resting:
             del self._resting[conn]
-        elif conn in self._unproven:
-            del self._unproven[conn]
+        elif conn in self._arriving:
+            del self._arriving[conn]
         else:
             return False
         return True
 
     def _find_victim(self, now: float) -> Hashable | None:
         if len(self) >= self.limit:
-            return next(iter(self._unproven or self._resting), None)
-        if len(self._unproven) >= max(1.0, UNPROVEN_SHARE * self.limit):
-            conn, since = next(iter(self._unproven.items()))
-            if now - since > UNPROVEN_S:
+            return next(iter(self._arriving or self._resting), None)
+        if len(self._arriving) >= max(1.0, ARRIVING_SHARE * self.limit):
+            conn, since = next(iter(self._arriving.items()))
+            if now - since > ARRIVAL_S:
                 return conn
         return None
--- a/src/applespring/serving/body_channel.py
+++ b/src/applespring/serving/body_channel.py
@@ -27,13 +27,19 @@
         "_changed",
         "_room",
         "_ask_for_body",
+        "_on_whole",
     )
 
-    def __init__(self, ask_for_body: Callable[[], Awaitable[None]]) -> None:
+    def __init__(
+        self,
+        ask_for_body: Callable[[], Awaitable[None]],
+        on_whole: Callable[[], None],
+    ) -> None:
         """Creates an empty channel.
 
         Args:
             ask_for_body: Called when the application first waits for the body.
+            on_whole: Called when the whole body has arrived.
         """
         self._buffer = bytearray()
         self._is_whole = False
@@ -41,6 +47,7 @@
         self._disconnected = False
         self._changed = asyncio.Event()
         self._room = asyncio.Event()
+        self._on_whole = on_whole
         self._ask_for_body: Callable[[], Awaitable[None]] | None = ask_for_body
 
     async def put(self, message: Message) -> None:
@@ -56,7 +63,9 @@
         if self._disconnected:
             return
         self._buffer += message["body"]
-        self._is_whole = not message.get("more_body", False)
+        if not message.get("more_body", False):
+            self._is_whole = True
+            self._on_whole()
         self._changed.set()
 
     async def receive(self) -> Message:
--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -54,7 +54,9 @@
             Function that passes messages of the server to it.
         """
         del config
-        channel = BodyChannel(self._conn.ask_for_body)
+        channel = BodyChannel(
+            self._conn.ask_for_body, self._conn.record_request
+        )
         self.spawn(_run_app, app, scope, channel, send)
         return channel.put
 
@@ -145,6 +147,10 @@
         if self.protocol.http11 is not None:
             await self.protocol.http11.ask_for_body()
 
+    def record_request(self) -> None:
+        """Records that a request has arrived completely."""
+        self._server.table.record_request(self._key)
+
     async def protocol_send(self, event: Event) -> None:
         """Handles what the protocol sends; see `TCPServer`."""
         if isinstance(event, Closed):
@@ -154,7 +160,7 @@
             if event.idle:
                 self._server.table.record_rest(self._key)
             else:
-                self._server.table.record_request(self._key)
+                self._server.table.record_head(self._key, self.loop.time())
         try:
             await super().protocol_send(event)
         except OSError as exc:
@@ -171,8 +177,7 @@
             await self._close()
             return
         self.lingers = True
-        # It has no request any more, so it is the first to yield.
-        self._server.table.record_rest(self._key)
+        self._server.table.record_last_answer(self._key)
         self._lingers_until = self.loop.time() + LINGER_S
         if self.writer.can_write_eof():
             self.writer.write_eof()
