Give a body the time of its request, and read bodies in one place

What callers saw: a body within the limits that took longer than 5 s was refused with 400, which clients do not retry, though neither the memory nor the time was needed.

Change: a body may arrive until the deadline of its request or the time-out of its route, with at most the idle limit and 2 s between two bytes; then 408 body_timeout, not run. When the memory is needed it yields, as before. serving/request_body.py reads the bodies of both interfaces, which had a copy each; a body that ends in the moment in which it has to yield is refused and not served uncounted.

--- a/src/applespring/core/reason.py
+++ b/src/applespring/core/reason.py
@@ -71,6 +71,12 @@
 BODY_TOO_LARGE = _define(
     "body_too_large", 413, "The request body is too large.", retryable=False
 )
+BODY_TIMEOUT = _define(
+    "body_timeout",
+    408,
+    "The request body did not arrive in time.",
+    retryable=True,
+)
 MEMORY_FULL = _define(
     "memory_full",
     503,
--- a/src/applespring/entry/front/app.py
+++ b/src/applespring/entry/front/app.py
@@ -21,10 +21,11 @@
 from applespring.entry.execution.calls import Emit, Guard
 from applespring.entry.execution.progress import Progress
 from applespring.entry.front.components import Components
-from applespring.entry.front.exchange import CallerGoneError, Exchange, reject
+from applespring.entry.front.exchange import Exchange, reject
 from applespring.entry.front.explain import describe_explanation, parse_query
 from applespring.entry.front.outcome import SubmissionRecord
 from applespring.entry.front.submission import ACCOUNT_HEADER, parse_submission
+from applespring.serving.request_body import CallerGoneError
 
 BODY_BYTES_MAX = 1024 * 1024
 KEYS_BODY_BYTES_MAX = 1024
@@ -67,19 +68,18 @@
         if scope["type"] == "lifespan":
             await _serve_lifespan(receive, send)
         elif scope["type"] == "http":
-            exchange = Exchange(scope, receive, send, self._is_leaving)
-            holding = None
-            if exchange.has_body:
-                holding = exchange.hold(
-                    self._components.memory,
-                    self._known_account(exchange),
-                    self._components.clock,
-                )
+            exchange = Exchange(
+                scope,
+                receive,
+                send,
+                self._is_leaving,
+                self._components.memory,
+                self._components.clock,
+            )
             try:
                 await self._serve(exchange)
             finally:
-                if holding is not None:
-                    holding.close()
+                exchange.close()
 
     def _known_account(self, exchange: Exchange) -> str:
         """Returns the account of a request, or "" if there is no such one."""
@@ -169,7 +169,9 @@
         self, exchange: Exchange, pipeline: str, record: SubmissionRecord
     ) -> None:
         components = self._components
-        body = await exchange.read_body(BODY_BYTES_MAX)
+        body = await exchange.read_body(
+            BODY_BYTES_MAX, self._known_account(exchange)
+        )
         req = parse_submission(
             exchange,
             body,
--- a/src/applespring/entry/front/exchange.py
+++ b/src/applespring/entry/front/exchange.py
@@ -6,24 +6,17 @@
 import anyio
 import orjson
 
-from applespring.core.caller_memory import (
-    CallerMemory,
-    Holding,
-    MemoryFullError,
-)
+from applespring.core.caller_memory import CallerMemory
 from applespring.core.errors import RefusalError
-from applespring.core.reason import (
-    BODY_TOO_LARGE,
-    INVALID_REQUEST,
-    MEMORY_FULL,
-)
+from applespring.core.reason import INVALID_REQUEST
 from applespring.core.verdict import Verdict
+from applespring.serving.request_body import (
+    BodyLimits,
+    CallerGoneError,
+    RequestBody,
+)
 
 BODY_TIMEOUT_S = 10.0
-# Memory of a request in progress beside its body.
-REQUEST_COST_BYTES = 100_000
-HEADER_COST_BYTES = 500
-MEMORY_RETRY_AFTER_S = 1.0
 SEND_TIMEOUT_S = 10.0
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
@@ -34,10 +27,6 @@
 Send = Callable[[Message], Awaitable[None]]
 
 
-class CallerGoneError(Exception):
-    """The caller disconnected or read nothing for SEND_TIMEOUT_S."""
-
-
 def reject(detail: str) -> RefusalError:
     """Returns a refusal with the reason `invalid_request`."""
     return RefusalError(INVALID_REQUEST, Verdict.NOT_RUN, detail)
@@ -65,9 +54,10 @@
         "_receive",
         "_send",
         "_is_leaving",
-        "_body_scope",
-        "_holding",
+        "_raw_headers",
+        "_memory",
         "_clock",
+        "_body",
     )
 
     def __init__(
@@ -76,6 +66,8 @@
         receive: Receive,
         send: Send,
         is_leaving: Callable[[], bool],
+        memory: CallerMemory,
+        clock: Callable[[], float],
     ) -> None:
         """Initializes the exchange from the ASGI arguments.
 
@@ -85,6 +77,8 @@
             send: Passes a message to the server.
             is_leaving: Whether the instance drains. Responses then have
                 `Connection: close`.
+            memory: What is held in memory for callers.
+            clock: Clock in seconds.
         """
         self.method: str = scope["method"]
         self.path: str = scope["path"]
@@ -101,79 +95,37 @@
         # with GOAWAY.
         http1 = scope.get("http_version", "").startswith("1")
         self._is_leaving = is_leaving if http1 else _never
-        self._body_scope = anyio.CancelScope()
-        self._holding: Holding | None = None
-        self._clock: Callable[[], float] = lambda: 0.0
-
-    @property
-    def has_body(self) -> bool:
-        """Whether the method is one with a body."""
-        return self.method == "POST"
+        self._raw_headers = scope["headers"]
+        self._memory = memory
+        self._clock = clock
+        self._body: RequestBody | None = None
 
-    def hold(
-        self,
-        memory: CallerMemory,
-        account: str,
-        clock: Callable[[], float],
-    ) -> Holding:
-        """Counts the body as memory that is held; returns the holding.
+    async def read_body(self, limit_bytes: int, account: str = "") -> bytes:
+        """Reads the complete body, which is held until `close`.
 
         Args:
-            memory: What is held in memory for callers.
-            account: Name of the client account, or "".
-            clock: Clock in seconds.
-        """
-        self._clock = clock
-        self._holding = memory.open(account, clock(), self._body_scope.cancel)
-        return self._holding
-
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Reads the complete body.
+            limit_bytes: Most bytes.
+            account: Name of the client account, "" if it is not known.
 
         Raises:
             RefusalError: The body exceeds `limit_bytes`, did not arrive within
                 BODY_TIMEOUT_S, or its memory is needed for other requests.
             CallerGoneError: The caller disconnected before the end.
         """
-        stated = self.headers.get("content-length", "")
-        if stated.isdigit() and int(stated) > limit_bytes:
-            raise _make_length_refusal(limit_bytes)
-        holding = self._holding
-        try:
-            if holding is not None:
-                cost = REQUEST_COST_BYTES + HEADER_COST_BYTES * len(
-                    self.headers
-                )
-                holding.grow(cost, self._clock())
-            body = await self._read_body(limit_bytes)
-        except MemoryFullError as exc:
-            raise _make_memory_refusal(str(exc)) from exc
-        if body is not None:
-            if holding is not None:
-                holding.complete()
-            return body
-        if holding is not None and holding.has_yielded:
-            raise _make_memory_refusal("it was needed for other requests")
-        raise reject(f"the body did not arrive within {BODY_TIMEOUT_S} s")
-
-    async def _read_body(self, limit_bytes: int) -> bytes | None:
-        """Returns the body, or None if its time is over or it has yielded."""
-        body = bytearray()
-        self._body_scope.deadline = anyio.current_time() + BODY_TIMEOUT_S
-        with self._body_scope:
-            while True:
-                message = await self._receive()
-                if message["type"] == "http.disconnect":
-                    raise CallerGoneError
-                data = message.get("body", b"")
-                if len(body) + len(data) > limit_bytes:
-                    raise _make_length_refusal(limit_bytes)
-                if self._holding is not None:
-                    self._holding.grow(len(data), self._clock())
-                body += data
-                if not message.get("more_body", False):
-                    return bytes(body)
-        return None
+        self._body = RequestBody(
+            self._receive,
+            self._raw_headers,
+            BodyLimits(limit_bytes, BODY_TIMEOUT_S, BODY_TIMEOUT_S),
+            self._memory,
+            account,
+            self._clock,
+        )
+        return await self._body.read()
+
+    def close(self) -> None:
+        """Gives back the memory that the request holds."""
+        if self._body is not None:
+            self._body.holding.close()
 
     async def wait_disconnect(self) -> None:
         """Returns when the caller has disconnected.
@@ -293,23 +245,6 @@
         raise CallerGoneError
 
 
-def _make_length_refusal(limit_bytes: int) -> RefusalError:
-    return RefusalError(
-        BODY_TOO_LARGE,
-        Verdict.NOT_RUN,
-        f"the body exceeds {limit_bytes} bytes",
-    )
-
-
-def _make_memory_refusal(detail: str) -> RefusalError:
-    return RefusalError(
-        MEMORY_FULL,
-        Verdict.NOT_RUN,
-        f"no memory for the request: {detail}",
-        retry_after_s=MEMORY_RETRY_AFTER_S,
-    )
-
-
 def _never() -> bool:
     return False
 
--- a/src/applespring/relay/application.py
+++ b/src/applespring/relay/application.py
@@ -1,17 +1,23 @@
 """ASGI applications: the one that serves callers, and plain-text answers."""
 
 import gc
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 from loguru import logger
 
 from applespring.clock import wait_until
 from applespring.core import reason
-from applespring.core.caller_memory import Holding, MemoryFullError
+from applespring.core.caller_memory import Holding
 from applespring.core.errors import MessageError, RefusalError
+from applespring.core.idle_limit import HOLD_MARGIN_S
 from applespring.core.placement import split_point
-from applespring.core.route import ClientAccount, RouteKind, RoutingDocument
+from applespring.core.route import (
+    ClientAccount,
+    Route,
+    RouteKind,
+    RoutingDocument,
+)
 from applespring.core.verdict import Verdict
 from applespring.relay.connections import ConnectionTimes
 from applespring.relay.exchange import (
@@ -25,8 +31,12 @@
 from applespring.relay.protocol import CallerRequest, Protocol
 from applespring.relay.state import RelayState
 from applespring.relay.streams import StreamForwarder
-
-Receive = Callable[[], Awaitable[dict]]
+from applespring.serving.request_body import (
+    BodyLimits,
+    CallerGoneError,
+    Receive,
+    RequestBody,
+)
 
 # If the registry last answered longer ago than this, an unknown route or key
 # may be in a newer document that this instance has not received.
@@ -34,13 +44,8 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 # Short, since the retry opens a new connection, which goes to another instance.
 SHUTDOWN_RETRY_AFTER_S = 0.05
-# Time allowed for reading a request body.
-BODY_TIMEOUT_S = 5.0
-# Short for the same reason. Memory of requests that have stopped arriving is
-# free within `BODY_TIMEOUT_S`.
-MEMORY_RETRY_AFTER_S = 0.5
-# Memory of a request in progress: its tasks, the buffers of its connections.
-REQUEST_COST_BYTES = 100_000
+# Least time allowed for reading a request body.
+BODY_TIMEOUT_MIN_S = 1.0
 # Memory of a part of a prompt, and of a piece in its queues.
 PROMPT_PART_COST_BYTES = 300
 PIECE_COST_BYTES = 2000
@@ -50,16 +55,10 @@
 # of reference cycles, which take some 50 ms.
 LARGE_BYTES = 256 * 1024
 UNCOLLECTED_BYTES_MAX = 8 * 1024 * 1024
-# Memory of the objects that one header takes while a request is forwarded.
-HEADER_COST_BYTES = 500
 # Route label of requests that are refused before their route is found.
 UNKNOWN_ROUTE_LABEL = "none"
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection before the answer was complete."""
-
-
 class _Arrival:
     """When and how a request arrived, and what has become of it.
 
@@ -303,16 +302,8 @@
         client_account = None
         if doc.needs_key(route):
             client_account = self._find_client_account(doc, req)
-        _check_announced_length(scope, doc)
-        cost = (
-            REQUEST_COST_BYTES
-            + head_bytes
-            + HEADER_COST_BYTES * len(scope["headers"])
-            + PROMPT_PART_COST_BYTES * len(req.prompt_parts)
-            + PIECE_COST_BYTES * sum(req.piece_counts)
-        )
         req.body = await self._read_body(
-            receive, doc, client_account, arrival, cost
+            req, scope, receive, arrival, doc, route, client_account
         )
         total_weight = sum(weight for _, weight in route.targets)
         if not total_weight:
@@ -332,55 +323,34 @@
 
     async def _read_body(
         self,
+        req: CallerRequest,
+        scope: dict,
         receive: Receive,
+        arrival: _Arrival,
         doc: RoutingDocument,
+        route: Route,
         client_account: ClientAccount | None,
-        arrival: _Arrival,
-        cost: int,
     ) -> bytes:
-        """Returns the complete body of a request.
-
-        Args:
-            receive: Returns the next message of the server.
-            doc: The document in force.
-            client_account: Account of the request, or None.
-            arrival: Gets the holding of the request.
-            cost: Bytes that the request takes without its body.
-
-        Raises:
-            RefusalError: It is too long, takes too long, or the memory for it
-                is used for other requests.
-            CallerGoneError: The caller disconnected before its end.
-        """
-        body_scope = anyio.move_on_after(BODY_TIMEOUT_S)
-        holding = arrival.holding = self._state.memory.open(
+        """Returns the complete body of a request; see `RequestBody.read`."""
+        time_s = route.timeout_s
+        if req.deadline_s is not None:
+            time_s = min(time_s, req.deadline_s)
+        body = RequestBody(
+            receive,
+            scope["headers"],
+            BodyLimits(
+                doc.limits.body_bytes,
+                max(BODY_TIMEOUT_MIN_S, time_s),
+                doc.limits.idle_s + HOLD_MARGIN_S,
+            ),
+            self._state.memory,
             client_account.name if client_account is not None else "",
-            self._state.clock(),
-            body_scope.cancel,
+            self._state.clock,
         )
-        detail = "it was needed for other requests"
-        try:
-            with body_scope:
-                holding.grow(cost, self._state.clock())
-                body = await _read_body(
-                    receive, doc.limits.body_bytes, holding, self._state.clock
-                )
-                holding.complete()
-                return body
-        except MemoryFullError as exc:
-            detail = str(exc)
-        else:
-            if not holding.has_yielded:
-                raise RefusalError(
-                    reason.INVALID_REQUEST,
-                    Verdict.NOT_RUN,
-                    f"the body did not arrive within {BODY_TIMEOUT_S:g} s",
-                )
-        raise RefusalError(
-            reason.MEMORY_FULL,
-            Verdict.NOT_RUN,
-            f"no memory for the request: {detail}",
-            retry_after_s=MEMORY_RETRY_AFTER_S,
+        arrival.holding = body.holding
+        return await body.read(
+            PROMPT_PART_COST_BYTES * len(req.prompt_parts)
+            + PIECE_COST_BYTES * sum(req.piece_counts)
         )
 
     def _find_client_account(
@@ -548,59 +518,6 @@
     """An answer was started and cannot be completed."""
 
 
-def _check_announced_length(scope: dict, doc: RoutingDocument) -> None:
-    """Checks the length that a request states, before its body is read.
-
-    Raises:
-        RefusalError: It is above the limit of the document.
-    """
-    for name, value in scope["headers"]:
-        # The server has checked that it is a number.
-        if name == b"content-length" and int(value) > doc.limits.body_bytes:
-            raise _make_length_refusal(doc.limits.body_bytes)
-
-
-def _make_length_refusal(bytes_max: int) -> RefusalError:
-    return RefusalError(
-        reason.BODY_TOO_LARGE,
-        Verdict.NOT_RUN,
-        f"the body is longer than {bytes_max} bytes",
-    )
-
-
-async def _read_body(
-    receive: Receive,
-    bytes_max: int,
-    holding: Holding,
-    clock: Callable[[], float],
-) -> bytes:
-    """Returns the complete body of a request.
-
-    Raises:
-        CallerGoneError: The caller disconnected before the end of the body.
-        MemoryFullError: There is no memory for it.
-        RefusalError: The body is longer than `bytes_max`.
-    """
-    chunks, size = [], 0
-    try:
-        while True:
-            event = await receive()
-            if event["type"] != "http.request":
-                raise CallerGoneError
-            data = event.get("body", b"")
-            size += len(data)
-            if size > bytes_max:
-                raise _make_length_refusal(bytes_max)
-            if data:
-                holding.grow(len(data), clock())
-                chunks.append(data)
-            if not event.get("more_body"):
-                return b"".join(chunks)
-    finally:
-        # The traceback of an error refers to this list.
-        chunks.clear()
-
-
 def make_text_app(read: Callable[[], tuple[int, str]]) -> Callable:
     """Returns an ASGI application that answers every request in plain text.
 
