Keep room for other accounts among small requests too

What callers saw: by reading; on 160 MB, 640 small requests of one account that wait for a slow upstream have all of the memory for callers, and requests of every other account are refused until they end.

Cause: the share of an account was kept among large requests only.

Change: all holdings of an account may take twice what is left free, as its large ones may of their part.

--- a/features/caller_memory.feature
+++ b/features/caller_memory.feature
@@ -25,6 +25,15 @@
     And the account "a" holds at most 32 MB
     And at most 64 MB are held
 
+  Scenario: A crowd of one account with small requests
+    Guards against an account whose requests, each of them small, leave no room
+    for others while their upstream is slow.
+    Given 900 clients of the account "a" that sent 0.1 MB each at 0 s, complete
+    When 100 clients of the account "b" send 0.1 MB each at 1 s
+    Then all of it is taken
+    And the account "a" holds at most 43 MB
+    And at most 64 MB are held
+
   Scenario: Only what has more of it yields
     Guards against a newcomer that takes the place of all before it.
     Given 10 clients that sent 4 MB each at 0 s and stopped
--- a/features/steps/caller_memory_steps.py
+++ b/features/steps/caller_memory_steps.py
@@ -137,6 +137,14 @@
     context.senders = _send_all(context, count, "", size, start)
 
 
+@when(
+    '{count:d} clients of the account "{account}" send {size:g} MB each at '
+    "{start:g} s"
+)
+def when_account_clients(context, count, account, size, start):
+    context.senders = _send_all(context, count, account, size, start)
+
+
 @when("all leave")
 def when_leave(context):
     for sender in context.crowd:
--- a/src/applespring/core/caller_memory.py
+++ b/src/applespring/core/caller_memory.py
@@ -5,9 +5,9 @@
 
 - A quarter of the capacity is for holdings of up to `SMALL_BYTES`, so that
   large ones never shut out ordinary requests.
-- The large holdings of one client account may take up to twice what all large
-  ones leave free. So one account alone gets two thirds of the rest, and there
-  is always room for another one.
+- The holdings of one client account may take up to twice what is left free, and
+  its large ones up to twice what is free for large ones. So one account alone
+  gets two thirds, and there is always room for another one.
 - What still grows, or waits for a client to read it, yields if it must: the
   holding with the most bytes times seconds goes first, as long as it has more
   than the one that asks. So a client that stops short of the end of its body
@@ -18,6 +18,7 @@
 """
 
 import enum
+from collections import Counter
 from collections.abc import Callable
 
 from applespring.core.errors import ApplespringError
@@ -151,6 +152,7 @@
         "yielded",
         "refused",
         "_holdings",
+        "_by_account",
         "_large_by_account",
     )
 
@@ -160,7 +162,8 @@
         self.yielded = 0
         self.refused = 0
         self._holdings: set[Holding] = set()
-        self._large_by_account: dict[str, int] = {}
+        self._by_account: Counter[str] = Counter()
+        self._large_by_account: Counter[str] = Counter()
 
     def open(
         self,
@@ -184,11 +187,13 @@
         """See `Holding.grow`."""
         if holding not in self._holdings:
             raise MemoryFullError("the memory was needed for other requests")
-        while (detail := self._find_shortage(holding, size)) is not None:
-            victim = self._find_victim(holding, size, now)
+        while (shortage := self._find_shortage(holding, size)) is not None:
+            victim = self._find_victim(
+                holding, size, now, of_account=shortage.of_account
+            )
             if victim is None:
                 self.refused += 1
-                raise MemoryFullError(detail)
+                raise MemoryFullError(shortage.detail)
             self.yielded += 1
             victim.give_up()
         self._resize(holding, holding.size + size)
@@ -208,54 +213,56 @@
     def _large_capacity(self) -> int:
         return int(self.capacity * (1.0 - SMALL_SHARE))
 
-    def _find_shortage(self, holding: Holding, size: int) -> str | None:
+    def _find_shortage(self, holding: Holding, size: int) -> "_Shortage | None":
         """Returns what has no room for a growing holding, or None."""
         after = self.used + size
-        if holding.size + size <= SMALL_BYTES:
-            if after <= self.capacity:
-                return None
-            return (
-                f"{after} bytes would be held for callers; the limit is "
-                f"{self.capacity}"
-            )
-        if after > self._large_capacity:
-            return (
+        grown = holding.size + size
+        kind, limit, held_by = "", self.capacity, self._by_account
+        added = size
+        if grown > SMALL_BYTES:
+            kind = f" above {SMALL_BYTES} bytes"
+            limit, held_by = self._large_capacity, self._large_by_account
+            added = grown - _large_part(holding.size)
+        if after > limit:
+            return _Shortage(
                 f"{after} bytes would be held for callers; the limit for "
-                f"requests above {SMALL_BYTES} bytes is {self._large_capacity}"
+                f"requests{kind} is {limit}",
+                of_account=False,
             )
         if holding.account is None:
             return None
-        share = ACCOUNT_MULTIPLE * (self._large_capacity - after)
-        held = self._large_by_account.get(holding.account, 0)
-        added = size if holding.size > SMALL_BYTES else holding.size + size
+        held = held_by[holding.account]
+        share = int(ACCOUNT_MULTIPLE * (limit - after))
         if held + added <= share or not held:
             return None
-        return (
-            f"{held + added} bytes would be held for requests above "
-            f'{SMALL_BYTES} bytes of the account "{holding.account}"; the '
-            f"limit is {int(share)}"
+        return _Shortage(
+            f"{held + added} bytes would be held for requests{kind} of the "
+            f'account "{holding.account}"; the limit is {share}',
+            of_account=True,
         )
 
     def _find_victim(
-        self, holding: Holding, size: int, now: float
+        self, holding: Holding, size: int, now: float, *, of_account: bool
     ) -> Holding | None:
-        """Returns the holding that yields, or None if it is the growing one."""
-        own_cost = holding.cost(now, size)
+        """Returns the holding that yields, or None if it is the growing one.
+
+        Args:
+            holding: The growing one.
+            size: Bytes by which it grows.
+            now: Current time.
+            of_account: Whether it has to be one of the same account.
+        """
+        worst, worst_cost = None, holding.cost(now, size)
         if holding.state is HoldingState.COMPLETE:
             # It grows by an answer, which is new.
-            own_cost = 0.0, holding.size + size
-        worst, worst_cost = None, own_cost
-        only_account = (
-            self.used + size <= self._large_capacity
-            and holding.size + size > SMALL_BYTES
-        )
+            worst_cost = 0.0, holding.size + size
         is_large = holding.size + size > SMALL_BYTES
         for other in self._holdings:
             if other is holding or other.state is not HoldingState.OPEN:
                 continue
             if is_large and other.size <= SMALL_BYTES:
                 continue
-            if only_account and other.account != holding.account:
+            if of_account and other.account != holding.account:
                 continue
             cost = other.cost(now)
             if cost > worst_cost:
@@ -264,18 +271,34 @@
 
     def _resize(self, holding: Holding, size: int) -> None:
         self.used += size - holding.size
-        if holding.account is not None:
-            change = _large_part(size) - _large_part(holding.size)
-            if change:
-                account = holding.account
-                held = self._large_by_account.get(account, 0) + change
-                if held:
-                    self._large_by_account[account] = held
-                else:
-                    del self._large_by_account[account]
+        account = holding.account
+        if account is not None:
+            large = _large_part(size) - _large_part(holding.size)
+            for held, change in (
+                (self._by_account, size - holding.size),
+                (self._large_by_account, large),
+            ):
+                held[account] += change
+                if not held[account]:
+                    del held[account]
         holding.size = size
         holding.largest = max(holding.largest, size)
 
 
+class _Shortage:
+    """Why a holding cannot grow.
+
+    Attributes:
+        detail: The limit and what would be held.
+        of_account: Whether it is the share of the account.
+    """
+
+    __slots__ = ("detail", "of_account")
+
+    def __init__(self, detail: str, *, of_account: bool) -> None:
+        self.detail = detail
+        self.of_account = of_account
+
+
 def _large_part(size: int) -> int:
     return size if size > SMALL_BYTES else 0
