Say that a connection is closed when a request is refused while its body comes

What callers saw: the refusal of a request whose body had not arrived stated a Keep-Alive time, and the connection was closed at once.

Cause: an answer told what becomes of connections in general, not of this one.

Change: such an answer has "Connection: close" and no Keep-Alive. Up to 8 MiB of what still comes is dropped, twice the limit of a body on the users' pages, so that a client within the limits can send all of it and then read.

Result: "A refusal while the body still comes" failed before for 404 and 401 and passes; the answer itself arrived before as well.

--- a/features/client_crowd.feature
+++ b/features/client_crowd.feature
@@ -97,6 +97,19 @@
     When a client in calm sends a whole body of 4194304 bytes
     Then it is answered
 
+  Scenario Outline: A refusal while the body still comes
+    Guards against clients that read when they have sent all of a body, and get
+    a reset connection in place of their answer, or one that seems to stay open.
+    Given a relay process with 160 MB and 1638 descriptors
+    When a client sends 4000000 bytes to "<path>" before it reads
+    Then the first answer has the status <status>
+    And the answer says that its connection is closed
+
+    Examples:
+      | path          | status |
+      | /unknown/path | 404    |
+      | /p/key/a      | 401    |
+
   Scenario: No body is asked for that will be refused
     Guards against a client that waits for "100 Continue" and is told to send
     what is over the limit.
--- a/features/steps/client_crowd_steps.py
+++ b/features/steps/client_crowd_steps.py
@@ -1,5 +1,6 @@
 """Steps with crowds of clients that keep to no limit, and real processes."""
 
+import contextlib
 import signal
 import tempfile
 from collections import Counter
@@ -93,6 +94,25 @@
     run_with_relay(context, check)
 
 
+@when('a client sends {size:d} bytes to "{path}" before it reads')
+def when_sends_first(context, size, path):
+    async def check(relay, tasks):
+        del tasks
+        client = Client()
+        client.conn = await connect(relay.address, WAIT_LIMIT_S)
+        head = make_head(1, f"Content-Length: {size}", path=path)
+        with contextlib.suppress(ConnError):
+            await client.conn.send(head)
+            await send_bytes(client.conn, size)
+        with anyio.fail_after(WAIT_LIMIT_S):
+            await client.watch()
+        context.first_status = client.status
+        context.answer = client.received
+        client.conn.close()
+
+    run_with_relay(context, check)
+
+
 @when('a client sends "{line}" with "Expect: 100-continue"')
 def when_expect(context, line):
     async def check(relay, tasks):
@@ -268,6 +288,13 @@
     assert context.first_status == status, context.first_status
 
 
+@then("the answer says that its connection is closed")
+def then_says_closed(context):
+    head = context.answer.partition(b"\r\n\r\n")[0].lower()
+    assert b"\r\nconnection: close" in head, head
+    assert b"keep-alive" not in head, head
+
+
 @then("the last answer has the status {status:d}")
 def then_last_status(context, status):
     assert context.last_status == status, context.last_status
--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -23,7 +23,7 @@
 # Bounds of what a client may go on sending after its final answer. A connection
 # that is closed with unread bytes is reset, and the client may lose the answer.
 LINGER_S = 2.0
-LINGER_BYTES_MAX = 256 * 1024
+LINGER_BYTES_MAX = 8 * 1024 * 1024
 # Time for the last bytes of an answer to be sent after its connection was
 # closed, as long as the client reads none of them.
 FLUSH_S = 5.0
--- a/src/applespring/serving/http11.py
+++ b/src/applespring/serving/http11.py
@@ -9,6 +9,7 @@
 from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.typing import H11SendableEvent
 
+_CONNECTION_HEADERS = (b"connection", b"keep-alive")
 _SENT_STATES = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 
@@ -108,6 +109,17 @@
             and not self._body_wanted
         ):
             return
+        if isinstance(event, h11.Response) and not self.is_sent:
+            # The rest of the request is not read as the begin of another one.
+            headers = [
+                (name, value)
+                for name, value in event.headers
+                if name not in _CONNECTION_HEADERS
+            ]
+            event = h11.Response(
+                status_code=event.status_code,
+                headers=[*headers, (b"connection", b"close")],
+            )
         await super()._send_h11_event(event)
 
 
