Show what callers use and what is turned away in the metrics of both programs

Cause: applespring-entry had no figure of its bounds for callers, heads that the server rejects itself were in no metric or log, and sockets were opened and memory was computed in two places each.

Change: serving/figures.py for both; heads_rejected; serving/listener.py; the share of callers in the descriptors is as large as what is left for upstreams, since a request needs one of each (1,438 sockets: 575, 575, and 287 for peers).

--- a/src/applespring/entry/compose.py
+++ b/src/applespring/entry/compose.py
@@ -56,6 +56,7 @@
 from applespring.peer.transport import Transport
 from applespring.permits.broker import PermitBroker
 from applespring.quarantine.crash_watch import CrashWatch
+from applespring.serving.figures import CallerFigures
 from applespring.serving.limits import CALLER_MEMORY_SHARE
 
 DOCUMENT_NAME = "fleet.toml"
@@ -129,6 +130,7 @@
         drain: Runs the graceful shutdown.
         crash_watch: Requests that crash upstreams.
         app: The ASGI application that serves callers.
+        caller_figures: What callers use, for the metrics.
         retry_budget: Limits the attempts of a stage beyond the first.
         stage_class: Runs single stages; baselines of the benchmark replace it.
         runner_class: Runs pipelines; baselines of the benchmark replace it.
@@ -155,6 +157,10 @@
         clock, rng = external.clock, external.rng
         self.incarnation = rng.getrandbits(INCARNATION_BITS) | 1
         self.metrics = Metrics()
+        self._memory = CallerMemory(
+            int(CALLER_MEMORY_SHARE * settings.memory_bytes)
+        )
+        self.caller_figures = CallerFigures(self._memory)
         self.membership = Membership()
         self.gates = Gates(settings.failure_domain, clock, rng, policy)
         self.drain = DrainService(
@@ -413,9 +419,7 @@
             describe=self.describe,
             new_id=lambda: f"{rng.getrandbits(REQUEST_ID_BITS):016x}",
             clock=self._external.clock,
-            memory=CallerMemory(
-                int(CALLER_MEMORY_SHARE * self.settings.memory_mb * 1_000_000)
-            ),
+            memory=self._memory,
         )
 
     def _make_state_reader(self) -> StateReader:
@@ -431,6 +435,7 @@
             table=self._key_table,
             budget=self.retry_budget,
             planner=self._order_planner,
+            callers=self.caller_figures,
             identity={
                 "name": self.settings.name,
                 "failure_domain": self.settings.failure_domain,
--- a/src/applespring/entry/main.py
+++ b/src/applespring/entry/main.py
@@ -23,6 +23,7 @@
 from applespring.peer.link import SocketTransport
 from applespring.quarantine.port_check import refuses_connections
 from applespring.serving.limits import ConnectionLimits
+from applespring.serving.listener import open_listener
 from applespring.serving.server import Server
 
 Port = Annotated[int, Range(0, 65535)]
@@ -33,8 +34,6 @@
 REQUESTS_PER_CONNECTION_MAX = 1_000_000_000
 HEADERS_BYTES_MAX = 32 * 1024
 HEAD_TIMEOUT_S = 10.0
-RECEIVE_BUFFER_BYTES = 64 * 1024
-BYTES_PER_MB = 1_000_000
 SERVER_CLOSE_TIMEOUT_S = 2.0
 
 
@@ -106,9 +105,7 @@
 async def _run(settings: Settings) -> int:
     """Runs the instance; returns its exit code."""
     sock = _bind(settings)
-    limits = ConnectionLimits(
-        settings.descriptors_max, settings.memory_mb * BYTES_PER_MB
-    )
+    limits = ConnectionLimits(settings.descriptors_max, settings.memory_bytes)
     async with open_clients(
         settings.connections_max, settings.platform
     ) as clients:
@@ -138,18 +135,14 @@
     Raises:
         SettingsError: The address cannot be bound.
     """
-    address = (settings.listen_host, settings.listen_port)
-    family = socket.AF_INET6 if ":" in settings.listen_host else socket.AF_INET
+    host, port = settings.listen_host, settings.listen_port
     try:
-        sock = socket.create_server(address, family=family, backlog=BACKLOG)
+        return open_listener(host, port, BACKLOG)
     except OSError as exc:
         raise SettingsError(
-            f"--listen-host and --listen-port: cannot bind {address}: {exc}"
+            "--listen-host and --listen-port: cannot bind "
+            f"{(host, port)}: {exc}"
         ) from exc
-    sock.setblocking(False)
-    # Accepted connections have the same.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    return sock
 
 
 async def _serve(
@@ -164,6 +157,7 @@
         limits.callers,
         allows_http2=True,
     )
+    instance.caller_figures.server = server
     drained = anyio.Event()
     async with anyio.create_task_group() as tasks:
         server_ended = anyio.Event()
--- a/src/applespring/entry/monitoring/scrape.py
+++ b/src/applespring/entry/monitoring/scrape.py
@@ -20,6 +20,7 @@
 from applespring.entry.mesh.peers import PeerService
 from applespring.entry.monitoring.metrics import Metrics
 from applespring.metric_family import CounterFamily, GaugeFamily
+from applespring.serving.figures import CallerFigures
 
 # Shown instead of infinity, which plots of a gauge can't show; it exceeds every
 # deadline.
@@ -44,6 +45,7 @@
         "_table",
         "_budget",
         "_planner",
+        "_callers",
         "_counters",
         "_gauges",
     )
@@ -62,6 +64,7 @@
         table: KeyTable,
         budget: RetryBudget,
         planner: OrderPlanner,
+        callers: CallerFigures,
         identity: Mapping[str, str],
     ) -> None:
         """Registers the metrics.
@@ -78,6 +81,7 @@
             table: The key table.
             budget: The retry budget.
             planner: Decides on orders to engines.
+            callers: What callers use.
             identity: Labels of `applespring_instance_info` and their values.
         """
         self._metrics = metrics
@@ -92,6 +96,7 @@
         self._table = table
         self._budget = budget
         self._planner = planner
+        self._callers = callers
         self._counters: list[tuple[CounterFamily, _ReadSamples]] = []
         self._gauges: list[tuple[GaugeFamily, _ReadSamples]] = []
         info = metrics.gauge(
@@ -341,6 +346,14 @@
             ),
         ):
             self._add_gauge(name, doc, _read_unlabelled(read))
+        self._add_gauge(
+            "applespring_callers",
+            "What callers use and what was turned away",
+            lambda: (
+                (value, (name,)) for name, value in self._callers.read().items()
+            ),
+            "name",
+        )
 
     def _pools(self) -> dict[str, PoolGate]:
         return self._gates.all_gates()
--- a/src/applespring/entry/settings.py
+++ b/src/applespring/entry/settings.py
@@ -7,6 +7,7 @@
 from applespring.core.errors import SettingsError
 from applespring.entry.mesh.peers import PeerInfo
 
+BYTES_PER_MB = 1_000_000
 _NAME_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,64}")
 
 
@@ -25,7 +26,7 @@
         drain_grace_s: Seconds for which a draining instance accepts requests.
         drain_limit_s: Maximum seconds of a drain, its grace period included.
         connections_max: Maximum number of connections to each upstream.
-        memory_mb: Memory of the machine for the process, in MB.
+        memory_bytes: Memory of the machine for the process.
         descriptors_max: Maximum number of descriptors of the process.
         log_level: Lowest level of log lines that are written.
         log_json: Whether log lines are JSON.
@@ -43,7 +44,7 @@
         "drain_grace_s",
         "drain_limit_s",
         "connections_max",
-        "memory_mb",
+        "memory_bytes",
         "descriptors_max",
         "log_level",
         "log_json",
@@ -85,7 +86,7 @@
         self.drain_grace_s = drain_grace_s
         self.drain_limit_s = drain_limit_s
         self.connections_max = connections_max
-        self.memory_mb = memory_mb
+        self.memory_bytes = memory_mb * BYTES_PER_MB
         self.descriptors_max = descriptors_max
         self.log_level = log_level
         self.log_json = log_json
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -36,6 +36,7 @@
     Connection,
     ConnectionPool,
 )
+from applespring.serving.listener import RECEIVE_BUFFER_BYTES
 
 # Final statuses of HTTP; the library accepts others (RFC 9110, section 15).
 STATUSES = range(200, 600)
@@ -57,11 +58,9 @@
 REFUSAL_BODY_TIMEOUT_S = 0.1
 REFUSAL_BODY_BYTES_MAX = 64 * 1024
 
-# What the kernel may hold of an answer. The event loop reads all of it at once,
-# before anything can bound it.
-RECEIVE_BUFFER_BYTES = 64 * 1024
-
 _SOCKET_OPTIONS = [
+    # The event loop reads all that the kernel holds of an answer at once,
+    # before anything can bound it.
     (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
--- a/src/applespring/relay/compose.py
+++ b/src/applespring/relay/compose.py
@@ -12,14 +12,12 @@
 from loguru import logger
 
 from applespring.clock import read_clock
-from applespring.core.connection_table import ConnectionTable
 from applespring.core.errors import SettingsError
 from applespring.core.route import CallerLimits
 from applespring.peer.link import SocketTransport, split_address
 from applespring.quarantine.port_check import refuses_connections
 from applespring.relay.application import make_text_app
 from applespring.relay.client import (
-    RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
     make_transport_factory,
 )
@@ -32,7 +30,9 @@
 from applespring.relay.registry import Registry
 from applespring.relay.settings import RelaySettings
 from applespring.relay.state import RelayState
+from applespring.serving.figures import CallerFigures
 from applespring.serving.limits import ConnectionLimits
+from applespring.serving.listener import open_listener
 from applespring.serving.server import Server
 
 BACKLOG = 512
@@ -89,7 +89,7 @@
             make_transport_factory(tls),
             refuses_connections,
         )
-        self._caller_connections: ConnectionTable | None = None
+        self._caller_figures = CallerFigures(self._components.state.memory)
         self._loop_monitor = LoopMonitor(read_clock)
         self.state = self._components.state
         self.peers = self._components.peers
@@ -123,7 +123,7 @@
                 self._limits.callers,
             )
 
-            self._caller_connections = server.table
+            self._caller_figures.server = server
 
             async def serve_callers() -> None:
                 await server.run(sock, stop_serving.wait)
@@ -188,17 +188,11 @@
             ),
             ("peers_reachable",): float(len(self.peers.table.reachable(now))),
             ("log_lines_dropped",): float(self._log.dropped_total),
-            ("caller_memory_bytes",): float(self.state.memory.used),
-            ("caller_memory_yielded",): float(self.state.memory.yielded),
-            ("caller_memory_refused",): float(self.state.memory.refused),
             ("loop_delay_mean_s",): self._loop_monitor.mean_delay_s,
             ("loop_delay_max_s",): self._loop_monitor.max_delay_s,
         }
-        if self._caller_connections is not None:
-            table = self._caller_connections
-            gauges[("caller_connections",)] = float(len(table))
-            gauges[("caller_connections_yielded",)] = float(table.yielded)
-            gauges[("caller_connections_refused",)] = float(table.refused)
+        for name, value in self._caller_figures.read().items():
+            gauges[(f"caller_{name}",)] = value
         for pool, length in self.scheduler.queue_lengths().items():
             gauges[(f"queue_{pool}",)] = float(length)
         learned = self.state.engines.learned
@@ -281,10 +275,7 @@
     Raises:
         OSError: The address is in use or not a local one.
     """
-    sock = socket.create_server(split_address(address), backlog=BACKLOG)
-    sock.setblocking(False)
-    # Accepted connections have the same.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock = open_listener(*split_address(address), BACKLOG)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
--- a/src/applespring/serving/connection.py
+++ b/src/applespring/serving/connection.py
@@ -117,6 +117,7 @@
                 self.protocol = HttpProtocols(
                     self._server.allows_http2,
                     self.writer.transport.is_closing,
+                    self._count_rejected,
                     self.app,
                     self.config,
                     self.context,
@@ -147,6 +148,9 @@
         if self.protocol.http11 is not None:
             await self.protocol.http11.ask_for_body()
 
+    def _count_rejected(self) -> None:
+        self._server.heads_rejected += 1
+
     def record_request(self) -> None:
         """Records that a request has arrived completely."""
         self._server.table.record_request(self._key)
--- a/src/applespring/serving/http11.py
+++ b/src/applespring/serving/http11.py
@@ -20,6 +20,7 @@
         self,
         allows_http2: bool,
         is_lost: Callable[[], bool],
+        on_rejected: Callable[[], None],
         *args: object,
     ) -> None:
         """Waits for a head.
@@ -27,11 +28,13 @@
         Args:
             allows_http2: Whether the client may go on with HTTP/2.
             is_lost: Whether the connection has been closed.
+            on_rejected: Called when the server rejects what it can't read.
             *args: Those of `H11Protocol`.
         """
         super().__init__(*args)
         self._allows_http2 = allows_http2
         self._is_lost = is_lost
+        self._on_rejected = on_rejected
         self._body_wanted = False
         self._is_chunked = False
 
@@ -101,6 +104,10 @@
         if self._allows_http2:
             await super()._check_protocol(event)
 
+    async def _send_error_response(self, status_code: int) -> None:
+        self._on_rejected()
+        await super()._send_error_response(status_code)
+
     async def _send_h11_event(self, event: H11SendableEvent) -> None:
         # The server offers to send this as soon as it has read the head.
         if (
@@ -130,6 +137,7 @@
         self,
         allows_http2: bool,
         is_lost: Callable[[], bool],
+        on_rejected: Callable[[], None],
         *args: object,
     ) -> None:
         """Begins with HTTP/1.1.
@@ -137,12 +145,14 @@
         Args:
             allows_http2: Whether the client may go on with HTTP/2.
             is_lost: Whether the connection has been closed.
+            on_rejected: Called when the server rejects what it can't read.
             *args: Those of `ProtocolWrapper`.
         """
         super().__init__(*args)
         self.protocol = Http11(
             allows_http2,
             is_lost,
+            on_rejected,
             self.app,
             self.config,
             self.context,
--- a/src/applespring/serving/limits.py
+++ b/src/applespring/serving/limits.py
@@ -5,8 +5,9 @@
 CALLER_MEMORY_SHARE = 0.4
 # Descriptors that are reserved for files (the platform's deployment page).
 FILE_DESCRIPTORS = 200
-# Shares of the others. What is left is for upstreams and the registry.
-CALLERS_SHARE = 0.5
+# Shares of the others. A request needs a connection to an upstream beside that
+# of its caller, so that the same share as for callers is left for them.
+CALLERS_SHARE = 0.4
 PEERS_SHARE = 0.2
 # Connections for readiness, and for metrics.
 OPERATORS_MAX = 16
--- a/src/applespring/serving/server.py
+++ b/src/applespring/serving/server.py
@@ -84,6 +84,7 @@
         head_limit_s: Returns how long a head may take to arrive.
         allows_http2: Whether clients may use HTTP/2.
         table: The connections and what they do.
+        heads_rejected: Number of heads that were malformed, too long or late.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         self.context = WorkerContext(None)
         self._buffer = bytearray(READ_BYTES)
         self.table = ConnectionTable(connections_max)
+        self.heads_rejected = 0
         self._turn = asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self._full_logged_at = -math.inf
