Believe nothing of an answer of an invalid status on any kind of call

Stage calls, releases, reports and the registry had no scenario for an answer that is early or of no valid status.

Cause: each interface had its own check of statuses, and the JSON interface read what an answer says of its upstream before it.

Change: FINAL_STATUSES in core/self_report.py, for both; an answer of another status says nothing of its upstream.

--- a/features/foreign_answers.feature
+++ b/features/foreign_answers.feature
@@ -67,6 +67,23 @@
       | 404    |
       | 503    |
 
+  Scenario Outline: An answer of no valid status to a stage upstream's call
+    Guards against results and reports that are believed though their status is
+    none of HTTP (inc-early-answer).
+    Given relay instances one, two with 2 stage upstreams and an engine
+    And a stage upstream whose answer to <target> is the JSON <text>
+    And the status of its answers to <target> is <status>
+    When 12 callers send staged requests with 1,1 pieces over 3 s
+    Then every caller gets an answer
+    And a log line of the kind <event> says the status is <status>
+
+    Examples:
+      | target      | text                      | status | event          |
+      | /report     | {"freeMb": 0}             | 600    | report_failed  |
+      | /stage-run  | {"items":[{"handle":"a"}]} | 600    | stage_call     |
+      | /stage-run  | {"items":[{"handle":"a"}]} | 999    | stage_call     |
+      | /stage-free | {}                        | 600    | release_failed |
+
   Scenario: Whatever JSON a stage upstream answers with is malformed or has the stated types
     Guards against a type that a check forgets.
     Then any of 500 generated answers is malformed or has usable handles and numbers
--- a/features/relay_wire.feature
+++ b/features/relay_wire.feature
@@ -45,6 +45,18 @@
       | stream | 2    | no end |
       | resume | 4    | an end |
 
+  Scenario Outline: An early answer to another call
+    Guards against the same for calls whose answers are read by the instance.
+    Given an upstream that answers early and without a length
+    When <target> is called with a body
+    Then the call fails as truncated
+
+    Examples:
+      | target      |
+      | /stage-run  |
+      | /stage-free |
+      | /other      |
+
   Scenario: An early answer with its length is complete
     Guards against whole answers that are thrown away, since the upstream did
     not read all of the body.
@@ -183,6 +195,33 @@
       | watched | {"at": 5, "events": "abc"}                |
       | watched | {"at": 5, "events": [null]}               |
 
+  Scenario Outline: A store answer of no valid status
+    Guards against a document or a list that an answer of none has.
+    Given a store that answers with the status <status>
+    When it is read
+    Then the read fails
+
+    Examples:
+      | status |
+      | 000    |
+      | 101    |
+      | 204    |
+      | 600    |
+      | 999    |
+
+  Scenario Outline: A load report of the JSON interface of no valid status
+    Guards against a load, and a notice, that an answer of none has.
+    Given a worker that reports its load with the status <status>
+    When its load is read
+    Then the read fails
+    And nothing of the answer counts
+
+    Examples:
+      | status |
+      | 000    |
+      | 600    |
+      | 999    |
+
   Scenario Outline: Bytes without end to a load report of the JSON interface
     Guards against a probe that lasts for ever and memory that fills.
     Given a worker that sends <what> without end
--- a/features/steps/foreign_answer_steps.py
+++ b/features/steps/foreign_answer_steps.py
@@ -52,6 +52,11 @@
     set_answer(context, target, lambda: [text.encode()])
 
 
+@given("the status of its answers to {target} is {status:d}")
+def given_target_status(context, target, status):
+    context.world.upstreams["s0"].statuses[target] = status
+
+
 @given("its status is {status:d}")
 def given_status(context, status):
     context.world.upstreams["s0"].statuses["/report"] = status
--- a/features/steps/relay_wire_steps.py
+++ b/features/steps/relay_wire_steps.py
@@ -5,7 +5,7 @@
 import orjson
 from behave import given, then, when
 
-from applespring.core.errors import ApplespringError
+from applespring.core.errors import ApplespringError, FailureKind, StageError
 from applespring.core.fleet import Upstream
 from applespring.entry.external.engines import ControlClient
 from applespring.platform.store import Store
@@ -207,13 +207,77 @@
     context.store = WireUpstream(endless_script(what))
 
 
+@given("a store that answers with the status {status}")
+def given_store_status(context, status):
+    answer = framed(PAGE).replace(b" 200 ", b" %s " % status.encode(), 1)
+    context.store = WireUpstream([answer])
+
+
+@given("a worker that reports its load with the status {status}")
+def given_worker_status(context, status):
+    given_store_status(context, status)
+    context.store.scripts[0][0] = context.store.scripts[0][0].replace(
+        b"Request-Id", b"applespring-state: leaving\r\nRequest-Id", 1
+    )
+
+
+@given("an upstream that answers early and without a length")
+def given_early(context):
+    give_upstream(context, "a", [head(request=""), b"{}", CLOSE])
+    context.wire["a"].fails_uploads = True
+
+
+@when("{target} is called with a body")
+def when_called(context, target):
+    async def run():
+        world = RelayWorld()
+        upstream = context.wire["a"]
+        upstream.scripts[0][0] = upstream.scripts[0][0].replace(
+            b"Request-Id: \r\n", b""
+        )
+        world.add_upstream("a", "plain")
+        world.upstreams["a"] = upstream
+        async with anyio.create_task_group() as tasks:
+            await world.start("one", tasks)
+            await anyio.sleep(1.0)
+            instance = world.instances["one"]
+            listed = instance.state.catalog.get("a")
+            try:
+                async with instance._client.call(
+                    listed, "POST", target.encode(), [], b"body"
+                ) as answer:
+                    await answer.read(1000)
+            except StageError as exc:
+                context.failure = exc
+            tasks.cancel_scope.cancel()
+
+    context.failure = None
+    run_virtual(run)
+
+
+@then("the call fails as truncated")
+def then_truncated(context):
+    assert context.failure is not None
+    assert context.failure.kind is FailureKind.TRUNCATED, context.failure
+
+
+@then("nothing of the answer counts")
+def then_nothing_counts(context):
+    for report in context.reports:
+        assert not report.leaving and report.pause_s is None
+
+
 @when("its load is read")
 def when_load(context):
+    context.reports = []
+
     async def read():
         async with httpx.AsyncClient(transport=context.store.transport) as http:
             upstream = Upstream("u", "10.0.0.1:80", "koper", 1)
             await ControlClient(
-                http, lambda _name: False, lambda _name, _report: None
+                http,
+                lambda _name: False,
+                lambda _name, report: context.reports.append(report),
             ).probe(upstream)
 
     run_read(context, read)
--- a/src/applespring/core/self_report.py
+++ b/src/applespring/core/self_report.py
@@ -10,6 +10,9 @@
 
 from applespring.core.cold_upstreams import COLD_MAX_S
 
+# Final statuses of HTTP; the libraries accept others (RFC 9110, section 15).
+# What has another one is no answer, and nothing in it counts.
+FINAL_STATUSES = range(200, 600)
 # Longest pause that is accepted; a longer one is shortened to it.
 PAUSE_MAX_S = 3600.0
 # Statuses whose Retry-After is a pause that the upstream asks for (RFC 9110,
@@ -131,10 +134,11 @@
 ) -> SelfReport:
     """Returns what an answer says of its upstream.
 
-    A Retry-After counts only with `PAUSE_STATUSES`. One that is no decimal
-    number of seconds is ignored, also a date, since clocks differ. One above
-    `PAUSE_MAX_S` is shortened. Of several rate limits the lowest counts. A
-    load with a malformed figure is ignored.
+    One of no final status says nothing. A Retry-After counts only with
+    `PAUSE_STATUSES`. One that is no decimal number of seconds is ignored, also
+    a date, since clocks differ. One above `PAUSE_MAX_S` is shortened. Of
+    several rate limits the lowest counts. A load with a malformed figure is
+    ignored.
 
     Args:
         status: HTTP status.
@@ -146,6 +150,8 @@
         cold_ms: Value of the header that says for how many milliseconds it
             stays cold, or None.
     """
+    if status not in FINAL_STATUSES:
+        return SelfReport()
     rejected: list[str] = []
     pause_s = None
     if retry_after is not None and status in PAUSE_STATUSES:
--- a/src/applespring/relay/client.py
+++ b/src/applespring/relay/client.py
@@ -24,6 +24,7 @@
 from applespring.core.catalog import ListedUpstream
 from applespring.core.errors import FailureKind, StageError
 from applespring.core.reachability import DomainReachability
+from applespring.core.self_report import FINAL_STATUSES
 from applespring.core.verdict import Verdict
 from applespring.permits.broker import Permit, PermitBroker
 from applespring.quarantine.port_check import is_refused
@@ -38,8 +39,6 @@
 )
 from applespring.serving.listener import RECEIVE_BUFFER_BYTES
 
-# Final statuses of HTTP; the library accepts others (RFC 9110, section 15).
-STATUSES = range(200, 600)
 # Second answers to earlier requests that are read before an answer.
 SECOND_ANSWERS_MAX = 2
 # Longest body of one.
@@ -544,13 +543,13 @@
         Raises:
             StageError: It is the answer to another request, or none.
         """
-        if resp.status_code not in STATUSES:
+        if resp.status_code not in FINAL_STATUSES:
             raise StageError(
                 FailureKind.MISMATCH,
                 Verdict.MAY_HAVE_RUN,
                 upstream.name,
                 f"the status is {resp.status_code}; statuses of answers are "
-                f"{STATUSES.start} to {STATUSES.stop - 1}",
+                f"{FINAL_STATUSES.start} to {FINAL_STATUSES.stop - 1}",
             )
         raw_headers = resp.headers.raw
         reply = self._protocol.decode_reply(resp.status_code, raw_headers)
--- a/tools/caller_guards.py
+++ b/tools/caller_guards.py
@@ -61,7 +61,7 @@
     Guard(
         "answers: statuses",
         "relay/client.py",
-        "if resp.status_code not in STATUSES:",
+        "if resp.status_code not in FINAL_STATUSES:",
         "if False:",
         (WIRE, "An answer of no valid status -- @1.5"),
     ),
