Soak: crowds that use up descriptors, and the check sockets

Cause: the soak's processes had 1,638 descriptors, which no crowd of 120 uses up, and nothing looked at them.

Change: 400 descriptors, crowds of up to 250 clients, and a check that no process has more than 200 sockets.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -55,6 +55,7 @@
       | deadly   | 4 requests reach upstreams 3.1 s after one crashed the third         |
       | ended    | a process ends unexpectedly                                          |
       | memory   | a process uses more memory than its machine has                      |
+      | sockets  | a process has more sockets than its machine has descriptors          |
       | overstay | a process does not exit in time after SIGTERM                        |
       | recover  | no stream is served after the last fault                             |
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -589,6 +589,11 @@
     records.oversized["relay-0"] = 161.0
 
 
+@violation("a process has more sockets than its machine has descriptors")
+def violate_sockets(records):
+    records.most_sockets["relay-0"] = 201
+
+
 @violation("a process does not exit in time after SIGTERM")
 def violate_overstay(records):
     records.late_exits.append(("relay-0", SENT_AT))
--- a/soak/audit.py
+++ b/soak/audit.py
@@ -20,7 +20,7 @@
     Records,
     SentAnswer,
 )
-from soak.relays import MEMORY_MB, TERM_GRACE_S
+from soak.relays import MEMORY_MB, SOCKETS_MAX, TERM_GRACE_S
 from soak.upstream import DEADLY_PART, make_event
 
 # Settings of the users' deployments, with the name of each setting.
@@ -716,6 +716,13 @@
         yield f"{name} used {peak_mb:.0f} MB; its machine has {MEMORY_MB} MB"
 
 
+@check("sockets")
+def check_sockets(records: Records) -> Iterator[str]:
+    """No process has more sockets than its machine has descriptors for."""
+    for name, count in records.most_sockets.items():
+        yield f"{name} had {count} sockets; it may have {SOCKETS_MAX}"
+
+
 @check("overstay")
 def check_overstay(records: Records) -> Iterator[str]:
     """A process exits within `TERM_GRACE_S` of SIGTERM."""
--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -11,7 +11,7 @@
 Act = Callable[[Conn], Awaitable[None]]
 ACTS: list[Act] = []
 CONNECT_LIMIT_S = 2.0
-CLIENTS_RANGE = (20, 120)
+CLIENTS_RANGE = (20, 250)
 PART = bytes(65536)
 # Above the limit of a body in the soak's configurations.
 BODY_BYTES = 2_000_000
--- a/soak/record.py
+++ b/soak/record.py
@@ -431,6 +431,8 @@
         sigterms: Times in order at which SIGTERM was sent, by instance.
         oversized: Most memory in MB of processes that used more than their
             machines have, by instance.
+        most_sockets: Most sockets of processes that had more than they may, by
+            instance.
         unexpected_exits: Instance, time and exit code of processes that ended
             although the soak had not ended them.
         late_exits: Instance and time of processes that were still running
@@ -460,6 +462,7 @@
         "evacuations",
         "sigterms",
         "oversized",
+        "most_sockets",
         "unexpected_exits",
         "late_exits",
         "versions",
@@ -484,6 +487,7 @@
         self.evacuations: list[Evacuation] = []
         self.sigterms: dict[str, list[float]] = {}
         self.oversized: dict[str, float] = {}
+        self.most_sockets: dict[str, int] = {}
         self.unexpected_exits: list[tuple[str, float, int]] = []
         self.late_exits: list[tuple[str, float]] = []
         self.versions: list[Version] = []
--- a/soak/relays.py
+++ b/soak/relays.py
@@ -1,5 +1,6 @@
 """Relay processes: settings, supervision and readiness probes."""
 
+import contextlib
 import math
 import pathlib
 import signal
@@ -29,9 +30,11 @@
 # A younger process is sent no SIGHUP: the signal would end it until the
 # interpreter has reached the first lines of the program, which ignore SIGHUP.
 SIGHUP_AGE_MIN_S = 1.0
-# Those of the users' smallest machines.
+# Memory of the users' smallest machines; fewer descriptors, so that a crowd can
+# use them up. 200 are not for sockets (the platform's deployment page).
 MEMORY_MB = 160
-DESCRIPTORS_MAX = 1638
+DESCRIPTORS_MAX = 400
+SOCKETS_MAX = DESCRIPTORS_MAX - 200
 READY_STATUS_LINE = b"HTTP/1.1 200"
 # Interval at which the time is read for which a process could have run but had
 # to wait for a processor, and the least wait in it that is recorded.
@@ -240,12 +243,19 @@
                 starved = Fault(STARVED, [f"starved:{relay.name}"], since)
                 starved.ended_at = now
                 self._records.faults.append(starved)
-            peak_mb = _read_peak_mb(child)
-            if peak_mb > MEMORY_MB:
-                self._records.oversized[relay.name] = peak_mb
+            self._record_use(relay.name, child)
             since = now
             await anyio.sleep(STARVED_POLL_S)
 
+    def _record_use(self, name: str, child: Child | None) -> None:
+        """Records what a process uses, if that is more than it may."""
+        peak_mb, sockets = _read_peak_mb(child), _count_sockets(child)
+        if peak_mb > MEMORY_MB:
+            self._records.oversized[name] = peak_mb
+        if sockets > SOCKETS_MAX:
+            most = self._records.most_sockets.get(name, 0)
+            self._records.most_sockets[name] = max(most, sockets)
+
     async def _probe_readiness(self, relay: Relay) -> None:
         while True:
             ready = False
@@ -282,6 +292,19 @@
     return 0.0
 
 
+def _count_sockets(child: Child | None) -> int:
+    """Returns the number of open sockets of a process, 0 if it ended."""
+    if child is None:
+        return 0
+    count = 0
+    with contextlib.suppress(OSError):
+        for path in pathlib.Path(f"/proc/{child.popen.pid}/fd").iterdir():
+            # Others may be closed meanwhile.
+            with contextlib.suppress(FileNotFoundError):
+                count += path.readlink().name.startswith("socket:")
+    return count
+
+
 async def _is_ready(relay: Relay) -> bool:
     try:
         conn = await connect((relay.host, READY_PORT), READY_PROBE_S)
