Add review case 11: pieces get results of other requests after a restart of their maker

Handles are kept without the start of the worker that made them. A worker that starts again under its id gives out the same handles, and pieces that wait are sent with them.

--- a/review/lab3/lab.py
+++ b/review/lab3/lab.py
@@ -158,6 +158,7 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Begins to listen."""
@@ -166,9 +167,12 @@
         )
 
     async def stop(self) -> None:
-        """Stops listening and ends all connections."""
+        """Stops listening and resets all connections, as a crash does."""
         if self._server is not None:
             self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
         for task in list(self._tasks):
             task.cancel()
 
@@ -178,6 +182,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 method, target, _ = head[0].split(" ", 2)
@@ -191,6 +196,7 @@
             pass
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
 
@@ -502,27 +508,46 @@
         return f"127.{self._net}.{group}.{number}"
 
     async def add_worker(
-        self, name: str, service: str, zone: str, slots: int, handler: Handler
-    ) -> None:
-        """Starts a worker and lists it in the store."""
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        slots: int,
+        handler: Handler,
+        born_ms: int = 0,
+    ) -> HttpServer:
+        """Starts a worker, lists it in the store and returns its server."""
         self._numbers += 1
-        host = self.address(2, self._numbers)
-        server = HttpServer((host, 8080), handler)
+        address = (self.address(2, self._numbers), 8080)
+        server = HttpServer(address, handler)
         await server.start()
         self._servers.append(server)
-        self.store.put(
-            f"servers/{name}",
-            {
-                "service": service,
-                "address": f"{host}:8080",
-                "zone": zone,
-                "version": 1,
-                "slots": slots,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "sequence": 1,
-            },
-        )
+        self.list_worker(name, service, zone, slots, server, born_ms)
+        return server
+
+    def list_worker(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        slots: int,
+        server: HttpServer,
+        born_ms: int = 0,
+    ) -> None:
+        """Writes the entry of a worker; `born_ms` is left out if it is 0."""
+        entry = {
+            "service": service,
+            "address": f"{server.address[0]}:{server.address[1]}",
+            "zone": zone,
+            "version": 1,
+            "slots": slots,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+        if born_ms:
+            entry["born"] = born_ms
+        self.store.put(f"servers/{name}", entry)
 
     async def start_relays(self, zones: Sequence[str]) -> None:
         """Starts one machine for each of the zones named, and waits for all."""
